Name the method of core.Executor Execute

Cause: an owner is both a service and an executor, and both interfaces had a method Run with different parameters, so that no type could implement both. Ruled out: an owner that hands out a separate executor object, which adds a type without a job. Change: Executor.Execute; Conn.Run, Tx.Run and Service.Run keep their name.

--- a/core/request.go
+++ b/core/request.go
@@ -82,7 +82,7 @@
 	Upstream UpstreamID
 	// Err is the upstream's error if the request ran and failed. The answer contains it already.
 	Err *SQLError
-	// Tx is the open transaction, when an Executor's Run leaves one open.
+	// Tx is the open transaction, when an Executor leaves one open.
 	Tx Tx
 }
 
--- a/core/upstream.go
+++ b/core/upstream.go
@@ -82,10 +82,10 @@
 // Executor runs requests on one upstream under the upstream's limits: the owner in this process,
 // or a relay to the owner on another entry VM.
 type Executor interface {
-	// Run admits the request, runs it and, for a write, waits until it is confirmed. Its errors are
-	// *NotRunError, *RedirectError, *UnknownOutcomeError, *DuplicateError, or a transport error if
-	// req.Attempt tells whether anything was sent.
-	Run(ctx context.Context, req *Request, w ResponseWriter) (Result, error)
+	// Execute admits the request, runs it and, for a write, waits until it is confirmed. Its errors
+	// are *NotRunError, *RedirectError, *UnknownOutcomeError, *DuplicateError, or a transport error,
+	// for which req.Attempt tells whether anything was sent.
+	Execute(ctx context.Context, req *Request, w ResponseWriter) (Result, error)
 }
 
 // Tx is an open transaction. It owns an upstream connection until Run returns a Result with status
