Forward requests between entry VMs

Cause: a request must reach the owner of its upstream in one hop, with a streamed answer. Ruled out: net/rpc for statements, which neither streams nor cancels; one multiplexed connection, where a late answer could meet another request. Conclusion: answers can't cross, and closing a connection cancels its request.

--- /dev/null
+++ b/io/relay/doc.go
@@ -0,0 +1,22 @@
+// Package relay forwards requests from the entry VM that received them to the entry VM that owns
+// the upstream.
+//
+// A connection carries one request or one transaction at a time as gob frames, so an answer can't
+// reach another request, and closing the connection cancels the request or rolls the transaction
+// back. While a request runs, the server sends heartbeats; a client that hears nothing for
+// SilenceLimit gives the connection up. Connections that were idle for longer than IdleCheck are
+// pinged before they carry a request, because a connection that went silent would otherwise turn a
+// write into an unknown outcome.
+//
+// # Usage
+//
+// The owner's side serves a listener:
+//
+//	srv := relay.NewServer(relay.ServerConfig{Listener: ln, Find: find, Log: logger})
+//	err := srv.Run(ctx)
+//
+// The other side gets a core.Executor for an upstream on another entry VM:
+//
+//	client := relay.NewClient(relay.ClientConfig{Log: logger})
+//	res, err := client.Executor(vm, "berth-1-galveston").Execute(ctx, req, w)
+package relay
