--- /dev/null
+++ b/core/route/state.go
@@ -0,0 +1,86 @@
+package route
+
+import (
+	"errors"
+	"sync/atomic"
+
+	"snipewall/core"
+)
+
+// isTyped tells whether the error is an answer of an owner rather than a failure to reach it.
+func isTyped(err error) bool {
+	var notRun *core.NotRunError
+	var redirect *core.RedirectError
+	var unknown *core.UnknownOutcomeError
+	var duplicate *core.DuplicateError
+	return errors.As(err, &notRun) || errors.As(err, &redirect) || errors.As(err, &unknown) || errors.As(err, &duplicate)
+}
+
+// counters count the ends of requests.
+type counters struct {
+	replicaReads atomic.Uint64
+	primaryReads atomic.Uint64
+	writes       atomic.Uint64
+	notRun       atomic.Uint64
+	unknown      atomic.Uint64
+	duplicates   atomic.Uint64
+}
+
+func (c *counters) add(g *group, req *core.Request, res core.Result, err error) {
+	var notRun *core.NotRunError
+	var unknown *core.UnknownOutcomeError
+	var duplicate *core.DuplicateError
+	switch {
+	case errors.As(err, &notRun):
+		c.notRun.Add(1)
+	case errors.As(err, &unknown):
+		c.unknown.Add(1)
+	case errors.As(err, &duplicate):
+		c.duplicates.Add(1)
+	case err != nil:
+	case req.Class != core.ClassRead:
+		c.writes.Add(1)
+		g.learnPrimary(primaryOf(req, res))
+	case res.Upstream == g.knownPrimary():
+		c.primaryReads.Add(1)
+	default:
+		c.replicaReads.Add(1)
+	}
+}
+
+// primaryOf returns the upstream that proved to be the primary by serving the request.
+func primaryOf(req *core.Request, res core.Result) core.UpstreamID {
+	if req.Class == core.ClassWrite || req.Class == core.ClassBegin {
+		return res.Upstream
+	}
+	return ""
+}
+
+// State is the router's part of a state dump.
+type State struct {
+	// Primaries holds the last known primary of each group.
+	Primaries    map[core.GroupID]core.UpstreamID
+	ReplicaReads uint64
+	PrimaryReads uint64
+	Writes       uint64
+	NotRun       uint64
+	Unknown      uint64
+	Duplicates   uint64
+}
+
+// Dump implements core.Dumper.
+func (r *Router) Dump() any {
+	s := State{
+		Primaries:    make(map[core.GroupID]core.UpstreamID, len(r.groups)),
+		ReplicaReads: r.counts.replicaReads.Load(),
+		PrimaryReads: r.counts.primaryReads.Load(),
+		Writes:       r.counts.writes.Load(),
+		NotRun:       r.counts.notRun.Load(),
+		Unknown:      r.counts.unknown.Load(),
+		Duplicates:   r.counts.duplicates.Load(),
+	}
+	for id, g := range r.groups {
+		s.Primaries[id] = g.knownPrimary()
+	}
+	return s
+}
