Add the group monitor and the failover driver

Cause: writes have to be confirmed by a majority, and no other system replaces a failed primary. Change: core/quorum (polls, Confirm, ReadIndex, Age, WaitApplied), core/elect (detection, lease, prepare, promote, follow, repair, planned change), core/fakes (group and store in memory).

--- /dev/null
+++ b/core/elect/elect_test.go
@@ -0,0 +1,174 @@
+package elect_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"snipewall/core"
+	"snipewall/core/elect"
+	"snipewall/core/fakes"
+	"snipewall/core/quorum"
+)
+
+// rig is a group with one entry VM.
+type rig struct {
+	group  *fakes.Group
+	store  *fakes.Store
+	view   *quorum.Monitor
+	driver *elect.Driver
+
+	mu      sync.Mutex
+	changes []elect.Change
+	hook    func(step elect.Step)
+}
+
+// start runs the test's body in a bubble with a healthy group.
+func start(t *testing.T, cfg fakes.GroupConfig, body func(r *rig)) {
+	synctest.Test(t, func(t *testing.T) {
+		cfg.Group = "g"
+		cfg.Size = 3
+		cfg.Delay = time.Millisecond
+		r := &rig{group: fakes.NewGroup(cfg), store: fakes.NewStore()}
+		defer r.group.Close()
+		defer r.store.Close()
+		upstreams := r.group.View("vm")
+		r.view = quorum.New(quorum.Config{Group: "g", Upstreams: upstreams})
+		r.driver = elect.New(elect.Config{
+			Group: "g", Self: "vm", Upstreams: upstreams, View: r.view, Store: r.store,
+			Rand: rand.New(rand.NewPCG(1, 2)),
+			Hook: func(_ context.Context, s elect.Step, _ core.Term) {
+				r.mu.Lock()
+				hook := r.hook
+				r.mu.Unlock()
+				if hook != nil {
+					hook(s)
+				}
+			},
+			OnChange: func(c elect.Change) { r.mu.Lock(); r.changes = append(r.changes, c); r.mu.Unlock() },
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		ends := make(chan error, 2)
+		go func() { ends <- r.view.Run(ctx) }()
+		go func() { ends <- r.driver.Run(ctx) }()
+		time.Sleep(3 * time.Second)
+		body(r)
+		cancel()
+		assert.NilError(t, <-ends)
+		assert.NilError(t, <-ends)
+	})
+}
+
+// completed returns the changes so far.
+func (r *rig) completed() []elect.Change {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]elect.Change(nil), r.changes...)
+}
+
+func (r *rig) primary(t *testing.T) (core.UpstreamID, core.Term) {
+	id, term, ok := r.view.Primary()
+	assert.Assert(t, ok, "no primary: %+v", r.driver.Dump())
+	return id, term
+}
+
+// Guards against a change of primary in a group that works.
+func TestHealthyGroupKeepsPrimary(t *testing.T) {
+	start(t, fakes.GroupConfig{}, func(r *rig) {
+		time.Sleep(time.Minute)
+		id, term := r.primary(t)
+		assert.Equal(t, id, core.UpstreamID("u1"))
+		assert.Equal(t, term, core.Term(1))
+		assert.Equal(t, r.store.Calls(), 0)
+	})
+}
+
+// Guards against a group that stays without a primary or whose old primary never comes back.
+func TestKilledPrimaryIsReplacedAndRejoins(t *testing.T) {
+	start(t, fakes.GroupConfig{}, func(r *rig) {
+		r.group.Kill("u1")
+		time.Sleep(2 * time.Second)
+		id, term := r.primary(t)
+		assert.Assert(t, id != "u1")
+		assert.Equal(t, term, core.Term(2))
+		assert.Equal(t, len(r.completed()), 1)
+		assert.Assert(t, r.completed()[0].Total() < 1500*time.Millisecond, "%+v", r.completed()[0])
+		r.group.Start("u1")
+		time.Sleep(2 * time.Second)
+		s := r.group.State("u1")
+		assert.Equal(t, s.Role, core.RoleReplica)
+		assert.Equal(t, s.Log, r.group.State(id).Log)
+		assert.Equal(t, len(r.completed()), 1)
+	})
+}
+
+// Guards against a group without any primary, as after its creation, that waits for an operator.
+func TestBlankGroupGetsPrimary(t *testing.T) {
+	start(t, fakes.GroupConfig{Blank: true}, func(r *rig) {
+		_, term := r.primary(t)
+		assert.Equal(t, term, core.Term(1))
+	})
+}
+
+// Guards against a planned change that loses entries or leaves the group with the leaving primary.
+func TestLeavingPrimaryHandsOver(t *testing.T) {
+	start(t, fakes.GroupConfig{Lag: 50 * time.Millisecond}, func(r *rig) {
+		p, err := r.group.Remote("vm", "u1").Write(context.Background(), "k", 1)
+		assert.NilError(t, err)
+		r.group.SetLeaving("u1", true)
+		time.Sleep(2 * time.Second)
+		id, _ := r.primary(t)
+		assert.Assert(t, id != "u1")
+		v, err := r.group.Remote("vm", id).ReadAt(context.Background(), "k", p)
+		assert.NilError(t, err)
+		assert.Equal(t, v, 1)
+		assert.Equal(t, r.completed()[0].Reason, elect.ReasonLeaving)
+	})
+}
+
+// Guards against an upstream that promised a higher term to a driver that died, and that then can
+// never follow the primary again.
+func TestTermPassedIsRepaired(t *testing.T) {
+	start(t, fakes.GroupConfig{}, func(r *rig) {
+		_, err := r.group.Remote("vm", "u3").Prepare(context.Background(), 7)
+		assert.NilError(t, err)
+		time.Sleep(4 * time.Second)
+		id, term := r.primary(t)
+		assert.Equal(t, id, core.UpstreamID("u1"))
+		assert.Assert(t, term > 7)
+		assert.Equal(t, r.group.State("u3").Log, r.group.State("u1").Log)
+	})
+}
+
+// Guards against a second change by a driver that was paused and goes on.
+func TestPausedDriverDecidesAnew(t *testing.T) {
+	for _, step := range []elect.Step{elect.StepDetect, elect.StepLease, elect.StepPrepare, elect.StepPromote, elect.StepFollow} {
+		t.Run(string(step), func(t *testing.T) {
+			start(t, fakes.GroupConfig{}, func(r *rig) {
+				var paused atomic.Bool
+				r.mu.Lock()
+				r.hook = func(s elect.Step) {
+					if s == step && paused.CompareAndSwap(false, true) {
+						time.Sleep(time.Minute)
+					}
+				}
+				r.mu.Unlock()
+				r.group.Isolate("u1", true, "vm")
+				time.Sleep(30 * time.Second)
+				assert.Assert(t, paused.Load())
+				r.group.Heal()
+				time.Sleep(40 * time.Second)
+				id, _ := r.primary(t)
+				for _, other := range r.group.IDs() {
+					assert.Equal(t, r.group.State(other).Log, r.group.State(id).Log)
+				}
+			})
+		})
+	}
+}
--- /dev/null
+++ b/core/elect/event.go
@@ -0,0 +1,100 @@
+package elect
+
+import (
+	"time"
+
+	"github.com/go-kit/log"
+
+	"snipewall/core"
+)
+
+// maxEvents bounds the events that Dump shows.
+const maxEvents = 32
+
+// Event is the end of one step.
+type Event struct {
+	At   time.Time
+	Step Step
+	Term core.Term
+	// Upstream is the upstream that the step is about, or empty.
+	Upstream core.UpstreamID `json:",omitempty"`
+	Reason   Reason          `json:",omitempty"`
+	// Took is the duration of the step. For StepDetect it is the time since the primary's last answer.
+	Took time.Duration
+	// Error is empty if the step succeeded.
+	Error string `json:",omitempty"`
+}
+
+// Change is a completed change of primary with the parts of the failover gap.
+type Change struct {
+	Reason Reason
+	// To is the new primary; it can be the old one.
+	To   core.UpstreamID
+	Term core.Term
+	// Detection is from the old primary's last answer, or from the first sight of the reason, to the
+	// decision. Delay is for the lease and the wait for other drivers. Prepare includes the drain of
+	// a planned change. Confirm is from the end of the promotion to the first confirmed position.
+	Detection, Delay, Prepare, Promote, Confirm time.Duration
+}
+
+// Total returns the whole failover gap.
+func (c Change) Total() time.Duration {
+	return c.Detection + c.Delay + c.Prepare + c.Promote + c.Confirm
+}
+
+// record keeps the event, logs it and passes it on.
+func (d *Driver) record(e Event) {
+	e.At = time.Now()
+	d.mu.Lock()
+	if len(d.events) == maxEvents {
+		d.events = append(d.events[:0], d.events[1:]...)
+	}
+	d.events = append(d.events, e)
+	d.mu.Unlock()
+	d.logEvent(e)
+	if d.cfg.OnEvent != nil {
+		d.cfg.OnEvent(e)
+	}
+}
+
+func (d *Driver) logEvent(e Event) {
+	l := log.With(d.cfg.Logger, "Group", d.cfg.Group, "Step", e.Step, "Term", e.Term)
+	if e.Upstream != "" {
+		l = log.With(l, "Upstream", e.Upstream)
+	}
+	if e.Reason != "" {
+		l = log.With(l, "Reason", e.Reason)
+	}
+	if e.Error != "" {
+		l = log.With(l, "Error", e.Error)
+	}
+	// A logger that fails must not stop a failover.
+	_ = l.Log("TookMs", e.Took.Milliseconds())
+}
+
+// errorText returns the text of the error, or empty.
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// State is the dump of a Driver.
+type State struct {
+	Group   core.GroupID
+	Changes uint64
+	Failed  uint64
+	Reason  Reason `json:",omitempty"`
+	Events  []Event
+}
+
+// Dump implements core.Dumper.
+func (d *Driver) Dump() any {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return State{
+		Group: d.cfg.Group, Changes: d.changes, Failed: d.failed, Reason: d.reason,
+		Events: append([]Event(nil), d.events...),
+	}
+}
--- /dev/null
+++ b/core/fakes/fault.go
@@ -0,0 +1,163 @@
+package fakes
+
+import (
+	"time"
+
+	"snipewall/core"
+)
+
+// AnswerFault is what happens to an answer after the call took effect.
+type AnswerFault struct {
+	// Lost drops the answer.
+	Lost bool
+	// Late delays the answer.
+	Late time.Duration
+}
+
+type answerFault struct {
+	fault AnswerFault
+	count int
+	// only limits the fault to one upstream, if set.
+	only core.UpstreamID
+}
+
+// Kill stops the upstream's process. Its log survives until Start.
+func (g *Group) Kill(id core.UpstreamID) { g.with(id, func(n *node) { n.down = true }) }
+
+// Start starts the upstream's process again. A former primary still takes itself for the primary.
+func (g *Group) Start(id core.UpstreamID) {
+	g.with(id, func(n *node) {
+		n.down = false
+	})
+}
+
+// Freeze stops the upstream's process until Thaw.
+func (g *Group) Freeze(id core.UpstreamID) {
+	g.with(id, func(n *node) {
+		if n.thawed == nil {
+			n.thawed = make(chan struct{})
+		}
+	})
+}
+
+// Thaw lets a frozen upstream go on.
+func (g *Group) Thaw(id core.UpstreamID) {
+	g.with(id, func(n *node) {
+		if n.thawed != nil {
+			close(n.thawed)
+			n.thawed = nil
+		}
+	})
+}
+
+// Slow multiplies the processing time of the upstream; 1 is normal.
+func (g *Group) Slow(id core.UpstreamID, factor int) { g.with(id, func(n *node) { n.slow = factor }) }
+
+// SetLeaving sets the leaving mark in the upstream's status.
+func (g *Group) SetLeaving(id core.UpstreamID, leaving bool) {
+	g.with(id, func(n *node) { n.leaving = leaving })
+}
+
+// Cut loses, or no longer loses, the messages from one place to another.
+func (g *Group) Cut(from, to string, cut bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.cuts[route{from, to}] = cut
+}
+
+// Isolate cuts, or heals, all routes between the upstream and the other upstreams and the sites.
+func (g *Group) Isolate(id core.UpstreamID, cut bool, sites ...string) {
+	for _, place := range g.others(id, sites) {
+		g.Cut(place, string(id), cut)
+		g.Cut(string(id), place, cut)
+	}
+}
+
+// Mute cuts, or heals, all routes from the upstream: it hears the others but isn't heard.
+func (g *Group) Mute(id core.UpstreamID, cut bool, sites ...string) {
+	for _, place := range g.others(id, sites) {
+		g.Cut(string(id), place, cut)
+	}
+}
+
+// others returns the places other than the upstream.
+func (g *Group) others(id core.UpstreamID, sites []string) []string {
+	var places []string
+	for _, other := range g.IDs() {
+		if other != id {
+			places = append(places, string(other))
+		}
+	}
+	return append(places, sites...)
+}
+
+// FaultAnswers applies the fault to the next count answers of the kind, from one upstream or from
+// all if only is empty.
+func (g *Group) FaultAnswers(c Call, only core.UpstreamID, count int, f AnswerFault) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.answers[c] = &answerFault{fault: f, count: count, only: only}
+}
+
+func (g *Group) takeAnswerFaultLocked(c Call, id core.UpstreamID) AnswerFault {
+	f := g.answers[c]
+	if f == nil || f.count == 0 || (f.only != "" && f.only != id) {
+		return AnswerFault{}
+	}
+	f.count--
+	return f.fault
+}
+
+// Heal ends all faults: it starts, thaws and connects everything.
+func (g *Group) Heal() {
+	for _, id := range g.IDs() {
+		g.Start(id)
+		g.Thaw(id)
+		g.Slow(id, 1)
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	clear(g.cuts)
+	clear(g.answers)
+}
+
+func (g *Group) with(id core.UpstreamID, f func(n *node)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	f(g.node(id))
+}
+
+func (g *Group) isCut(r route) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.cuts[r]
+}
+
+func (g *Group) isDown(n *node) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return n.down
+}
+
+func (g *Group) processing(n *node) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.cfg.Processing * time.Duration(n.slow)
+}
+
+// awaitThaw waits while the node is frozen and reports whether the group is still open.
+func (g *Group) awaitThaw(n *node) bool {
+	for {
+		g.mu.Lock()
+		thawed := n.thawed
+		g.mu.Unlock()
+		if thawed == nil {
+			return true
+		}
+		select {
+		case <-g.closed:
+			return false
+		case <-thawed:
+		}
+	}
+}
--- /dev/null
+++ b/core/fakes/store.go
@@ -0,0 +1,190 @@
+package fakes
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"snipewall/core"
+)
+
+// errStoreDown is the store's answer while it is down.
+var errStoreDown = errors.New("store is down")
+
+// Store is a platform store in memory. It implements core.Store.
+type Store struct {
+	mu      sync.Mutex
+	entries map[string]core.Entry
+	leases  map[core.LeaseID]*time.Timer
+	next    uint64
+	down    bool
+	delay   time.Duration
+	lose    int
+	calls   int
+}
+
+var _ core.Store = (*Store)(nil)
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{entries: make(map[string]core.Entry), leases: make(map[core.LeaseID]*time.Timer)}
+}
+
+// SetDown makes all calls fail.
+func (s *Store) SetDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+// SetDelay sets the time that a call takes.
+func (s *Store) SetDelay(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delay = d
+}
+
+// LoseAnswers makes the next n calls take effect without an answer.
+func (s *Store) LoseAnswers(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lose = n
+}
+
+// Expire ends all leases.
+func (s *Store) Expire() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id := range s.leases {
+		s.endLocked(id)
+	}
+}
+
+// Close stops the timers of the leases.
+func (s *Store) Close() { s.Expire() }
+
+// Calls returns the number of calls so far.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// do runs one call under the store's faults.
+func (s *Store) do(ctx context.Context, f func() error) error {
+	s.mu.Lock()
+	s.calls++
+	delay, down := s.delay, s.down
+	s.mu.Unlock()
+	if delay > 0 {
+		timer := time.NewTimer(delay)
+		defer timer.Stop()
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-timer.C:
+		}
+	}
+	if down {
+		return errStoreDown
+	}
+	s.mu.Lock()
+	err := f()
+	lost := s.lose > 0
+	if lost {
+		s.lose--
+	}
+	s.mu.Unlock()
+	if lost {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return err
+}
+
+// Get implements core.Store.
+func (s *Store) Get(ctx context.Context, key string) (core.Entry, error) {
+	var e core.Entry
+	err := s.do(ctx, func() error {
+		var ok bool
+		if e, ok = s.entries[key]; !ok {
+			return core.ErrNotFound
+		}
+		return nil
+	})
+	return e, err
+}
+
+// CompareAndSwap implements core.Store.
+func (s *Store) CompareAndSwap(ctx context.Context, key string, value []byte, expect core.Version, lease core.LeaseID) (core.Version, error) {
+	var v core.Version
+	err := s.do(ctx, func() error {
+		if s.entries[key].Version != expect {
+			return core.ErrVersionConflict
+		}
+		if _, ok := s.leases[lease]; lease != "" && !ok {
+			return core.ErrLeaseLost
+		}
+		s.next++
+		v = core.Version(s.next)
+		s.entries[key] = core.Entry{Key: key, Value: value, Version: v, Lease: lease}
+		return nil
+	})
+	return v, err
+}
+
+// Watch implements core.Store. It returns the entry at once.
+func (s *Store) Watch(ctx context.Context, key string, _ core.Version) (core.Entry, error) {
+	return s.Get(ctx, key)
+}
+
+// Grant implements core.Store.
+func (s *Store) Grant(ctx context.Context, ttl time.Duration) (core.LeaseID, error) {
+	var id core.LeaseID
+	err := s.do(ctx, func() error {
+		s.next++
+		id = core.LeaseID(fmt.Sprintf("lease-%d", s.next))
+		s.leases[id] = time.AfterFunc(ttl, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.endLocked(id)
+		})
+		return nil
+	})
+	return id, err
+}
+
+// KeepAlive implements core.Store. It doesn't extend the lease's time, which tests end themselves.
+func (s *Store) KeepAlive(ctx context.Context, id core.LeaseID) error {
+	return s.do(ctx, func() error {
+		if _, ok := s.leases[id]; !ok {
+			return core.ErrLeaseLost
+		}
+		return nil
+	})
+}
+
+// Revoke implements core.Store.
+func (s *Store) Revoke(ctx context.Context, id core.LeaseID) error {
+	return s.do(ctx, func() error {
+		s.endLocked(id)
+		return nil
+	})
+}
+
+// VMs implements core.Store.
+func (s *Store) VMs(context.Context) ([]core.VM, error) { return nil, nil }
+
+func (s *Store) endLocked(id core.LeaseID) {
+	if t := s.leases[id]; t != nil {
+		t.Stop()
+	}
+	delete(s.leases, id)
+	for key, e := range s.entries {
+		if e.Lease == id {
+			delete(s.entries, key)
+		}
+	}
+}
--- /dev/null
+++ b/core/quorum/config.go
@@ -0,0 +1,66 @@
+package quorum
+
+import (
+	"time"
+
+	"snipewall/core"
+)
+
+// Defaults of Config.
+const (
+	DefaultPollInterval   = 100 * time.Millisecond
+	DefaultDemandInterval = time.Millisecond
+	DefaultPollTimeout    = 500 * time.Millisecond
+	DefaultStatusLife     = 1200 * time.Millisecond
+)
+
+// Config constructs a Monitor. Zero durations take the defaults.
+type Config struct {
+	Group     core.GroupID
+	Upstreams []core.Upstream
+	// PollInterval is the time between polls when nobody waits.
+	PollInterval time.Duration
+	// DemandInterval is the shortest time between polls of one upstream when somebody waits.
+	DemandInterval time.Duration
+	// PollTimeout limits one poll. Two timeouts fit into the 1.2 s after which a failover starts, so
+	// that one lost poll alone never causes one.
+	PollTimeout time.Duration
+	// StatusLife is how long a status counts as recent for Primary.
+	StatusLife time.Duration
+}
+
+func (cfg *Config) setDefaults() {
+	if cfg.PollInterval <= 0 {
+		cfg.PollInterval = DefaultPollInterval
+	}
+	if cfg.DemandInterval <= 0 {
+		cfg.DemandInterval = DefaultDemandInterval
+	}
+	if cfg.PollTimeout <= 0 {
+		cfg.PollTimeout = DefaultPollTimeout
+	}
+	if cfg.StatusLife <= 0 {
+		cfg.StatusLife = DefaultStatusLife
+	}
+}
+
+// New returns a monitor that starts polling when Run is called.
+func New(cfg Config) *Monitor {
+	cfg.setDefaults()
+	n := len(cfg.Upstreams)
+	m := &Monitor{
+		cfg:      cfg,
+		majority: n/2 + 1,
+		members:  make([]member, n),
+		index:    make(map[core.UpstreamID]int, n),
+		results:  make(chan pollResult, n),
+		kick:     make(chan struct{}, 1),
+		changed:  make(chan struct{}, 1),
+	}
+	for i, up := range cfg.Upstreams {
+		id := up.Info().ID
+		m.members[i] = member{upstream: up, id: id}
+		m.index[id] = i
+	}
+	return m
+}
--- /dev/null
+++ b/core/quorum/quorum_test.go
@@ -0,0 +1,157 @@
+package quorum_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"snipewall/core"
+	"snipewall/core/fakes"
+	"snipewall/core/quorum"
+)
+
+// run runs the body in a bubble with a monitored group of three.
+func run(t *testing.T, cfg fakes.GroupConfig, body func(ctx context.Context, g *fakes.Group, m *quorum.Monitor)) {
+	synctest.Test(t, func(t *testing.T) {
+		cfg.Group = "g"
+		cfg.Size = 3
+		cfg.Delay = time.Millisecond
+		g := fakes.NewGroup(cfg)
+		defer g.Close()
+		m := quorum.New(quorum.Config{Group: "g", Upstreams: g.View("vm")})
+		ctx, cancel := context.WithCancel(context.Background())
+		end := make(chan error, 1)
+		go func() { end <- m.Run(ctx) }()
+		time.Sleep(time.Second)
+		body(ctx, g, m)
+		cancel()
+		assert.NilError(t, <-end)
+	})
+}
+
+// write commits to the primary of a new group.
+func write(t *testing.T, g *fakes.Group) core.Position {
+	p, err := g.Remote("vm", "u1").Write(context.Background(), "k", 1)
+	assert.NilError(t, err)
+	return p
+}
+
+// Guards against an acknowledgment before a majority holds the write, and against one that waits
+// for the idle poll.
+func TestConfirmFollowsReplication(t *testing.T) {
+	run(t, fakes.GroupConfig{Lag: 40 * time.Millisecond}, func(ctx context.Context, g *fakes.Group, m *quorum.Monitor) {
+		p := write(t, g)
+		start := time.Now()
+		assert.NilError(t, m.Confirm(ctx, p))
+		took := time.Since(start)
+		assert.Assert(t, took >= 40*time.Millisecond && took < 55*time.Millisecond, "took %s", took)
+	})
+}
+
+// Guards against an acknowledgment by an isolated primary.
+func TestConfirmFailsOnceTermIsPassed(t *testing.T) {
+	run(t, fakes.GroupConfig{}, func(ctx context.Context, g *fakes.Group, m *quorum.Monitor) {
+		for _, id := range []core.UpstreamID{"u2", "u3"} {
+			_, err := g.Remote("vm", id).Prepare(ctx, 2)
+			assert.NilError(t, err)
+		}
+		p := write(t, g)
+		err := m.Confirm(ctx, p)
+		var unknown *core.UnknownOutcomeError
+		assert.Assert(t, errors.As(err, &unknown), "got %v", err)
+	})
+}
+
+// Guards against a read index taken from a poll that began before the call.
+func TestReadIndexCoversEarlierWrites(t *testing.T) {
+	run(t, fakes.GroupConfig{}, func(ctx context.Context, g *fakes.Group, m *quorum.Monitor) {
+		for range 50 {
+			p := write(t, g)
+			q, err := m.ReadIndex(ctx)
+			assert.NilError(t, err)
+			assert.Assert(t, q.Covers(p), "%s does not cover %s", q, p)
+		}
+	})
+}
+
+// Guards against a read index while no majority can be reached.
+func TestReadIndexNeedsMajority(t *testing.T) {
+	run(t, fakes.GroupConfig{}, func(ctx context.Context, g *fakes.Group, m *quorum.Monitor) {
+		g.Cut("vm", "u2", true)
+		g.Cut("u3", "vm", true)
+		ctx, cancel := context.WithTimeout(ctx, 5*time.Second)
+		defer cancel()
+		_, err := m.ReadIndex(ctx)
+		assert.ErrorIs(t, err, context.DeadlineExceeded)
+	})
+}
+
+// Guards against a replica's data passing for newer than it is.
+func TestAgeGrowsWithLag(t *testing.T) {
+	run(t, fakes.GroupConfig{Lag: 300 * time.Millisecond}, func(ctx context.Context, g *fakes.Group, m *quorum.Monitor) {
+		stop := time.Now().Add(3 * time.Second)
+		for time.Now().Before(stop) {
+			write(t, g)
+			time.Sleep(10 * time.Millisecond)
+		}
+		age, ok := m.Age("u2")
+		assert.Assert(t, ok)
+		assert.Assert(t, age >= 300*time.Millisecond && age < 600*time.Millisecond, "age %s", age)
+		g.Cut("u1", "u2", true)
+		before, _ := m.Age("u2")
+		for range 100 {
+			write(t, g)
+			time.Sleep(100 * time.Millisecond)
+		}
+		after, ok := m.Age("u2")
+		assert.Assert(t, ok)
+		assert.Assert(t, after >= before+9*time.Second, "before %s, after %s", before, after)
+	})
+}
+
+// Guards against a wait for a replica that ends early or never.
+func TestWaitApplied(t *testing.T) {
+	run(t, fakes.GroupConfig{Lag: 100 * time.Millisecond}, func(ctx context.Context, g *fakes.Group, m *quorum.Monitor) {
+		p := write(t, g)
+		assert.NilError(t, m.WaitApplied(ctx, "u3", p))
+		assert.Assert(t, g.State("u3").Applied.Covers(p))
+		assert.ErrorContains(t, m.WaitApplied(ctx, "u9", p), "no upstream")
+	})
+}
+
+// Guards against a silent upstream that delays the polls of the others.
+func TestSilentUpstreamDelaysNobody(t *testing.T) {
+	run(t, fakes.GroupConfig{}, func(ctx context.Context, g *fakes.Group, m *quorum.Monitor) {
+		g.Freeze("u3")
+		for range 20 {
+			p := write(t, g)
+			start := time.Now()
+			assert.NilError(t, m.Confirm(ctx, p))
+			assert.Assert(t, time.Since(start) < 10*time.Millisecond)
+			time.Sleep(50 * time.Millisecond)
+		}
+		g.Thaw("u3")
+	})
+}
+
+// Guards against callers that wait forever for a monitor that has stopped.
+func TestStopEndsWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := fakes.NewGroup(fakes.GroupConfig{Group: "g", Size: 3})
+		defer g.Close()
+		m := quorum.New(quorum.Config{Group: "g", Upstreams: g.View("vm")})
+		ctx, cancel := context.WithCancel(context.Background())
+		end := make(chan error, 1)
+		go func() { end <- m.Run(ctx) }()
+		waited := make(chan error, 1)
+		go func() { waited <- m.Confirm(context.Background(), core.Position{Term: 1, Offset: 99}) }()
+		time.Sleep(time.Second)
+		cancel()
+		assert.ErrorContains(t, <-waited, "stopped")
+		assert.NilError(t, <-end)
+	})
+}
