--- /dev/null
+++ b/stand/platform.go
@@ -0,0 +1,66 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"snipewall/stand/kvsim"
+)
+
+// platformStopTime bounds the wait for calls in flight when the process stops.
+const platformStopTime = time.Second
+
+// platformCommand runs the simulated platform until it is interrupted.
+func platformCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "platform",
+		Usage: "simulate the platform's store and list of VMs over HTTP",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "listen", Value: "127.0.0.1:8500", Usage: "address to listen on"},
+			&cli.DurationFlag{Name: "list-lag", Usage: "how far the list of VMs lags behind"},
+			&cli.IntFlag{Name: "max-value", Usage: "limit of a value in bytes, 0 for 1 MiB"},
+			&cli.IntFlag{Name: "read-rate", Usage: "reads per second above which calls are refused, 0 for no limit"},
+			&cli.IntFlag{Name: "write-rate", Usage: "writes per second above which calls are refused, 0 for no limit"},
+		},
+		Action: runPlatform,
+	}
+}
+
+func runPlatform(ctx context.Context, cmd *cli.Command) error {
+	sim := kvsim.New(kvsim.Config{
+		MaxValue:  cmd.Int("max-value"),
+		ListLag:   cmd.Duration("list-lag"),
+		ReadRate:  cmd.Int("read-rate"),
+		WriteRate: cmd.Int("write-rate"),
+	})
+	var lc net.ListenConfig
+	l, err := lc.Listen(ctx, "tcp", cmd.String("listen"))
+	if err != nil {
+		return err
+	}
+	// Canceling the requests' base context ends waiting watches, so that Shutdown doesn't wait for them.
+	srv := &http.Server{
+		Handler:           sim,
+		ReadHeaderTimeout: 10 * time.Second,
+		BaseContext:       func(net.Listener) context.Context { return ctx },
+	}
+	end := make(chan error, 1)
+	go func() { end <- srv.Serve(l) }()
+	select {
+	case err := <-end:
+		return err
+	case <-ctx.Done():
+	}
+	stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), platformStopTime)
+	defer cancel()
+	err = srv.Shutdown(stop)
+	if errors.Is(err, context.DeadlineExceeded) {
+		return srv.Close()
+	}
+	return err
+}
