Add dbconn and dbsim, thin versions

Cause: the modules above io/dbconn need an upstream that they can dial, run requests on and control, and tests need one that replicates, promotes and fails on demand.

Ruled out: a third-party server (not allowed here), and a map of canned answers in place of a SQL engine, since sessions, request ids and read-your-writes checks need real transactions.

Change: dbsim serves the PostgreSQL protocol with a small SQL engine, a log with terms, replication, the control functions, slots and faults. dbconn implements core.Upstream and core.Conn with pgconn for dialing, TLS and authentication, and its own pipelining on the hijacked connection. `standin upstream` runs dbsim as a process.

Conclusion: usable by the other modules; replication and faults are written but have no tests yet.

--- /dev/null
+++ b/io/dbconn/answer.go
@@ -0,0 +1,220 @@
+package dbconn
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"snipewall/core"
+)
+
+// SQLSTATEs that tell that a prepared statement can't be used any longer.
+const (
+	stateNoStatement = "26000"
+	statePlanChanged = "0A000"
+)
+
+// answer reads the answer to a plan and passes on what belongs to the request.
+type answer struct {
+	c *Conn
+	w core.ResponseWriter
+	// steps are the expected answers that haven't come yet.
+	steps  []step
+	names  []string
+	result core.Result
+	// ownErr is the first error of a message that the adapter added.
+	ownErr *pgproto3.ErrorResponse
+	// commitFailed tells that ownErr answers the COMMIT at the end of the plan.
+	commitFailed bool
+	// holdBack keeps a CommandComplete until the commit after it is known to have succeeded.
+	holdBack bool
+	held     bool
+	complete pgproto3.CommandComplete
+}
+
+func (a *answer) start(req *core.Request, w core.ResponseWriter, p *plan) {
+	a.w = w
+	a.steps = p.steps
+	a.names = p.names
+	a.result = core.Result{Upstream: a.c.id}
+	a.ownErr = nil
+	a.commitFailed = false
+	a.holdBack = req.Class == core.ClassWrite && !req.InTx
+	a.held = false
+}
+
+// done reports whether the last ReadyForQuery has come.
+func (a *answer) done() bool { return len(a.steps) == 0 }
+
+// handle takes the next message of the upstream.
+func (a *answer) handle(msg pgproto3.BackendMessage) error {
+	if err := a.makeUp(); err != nil {
+		return err
+	}
+	switch msg := msg.(type) {
+	case *pgproto3.ReadyForQuery:
+		return a.ready(msg)
+	case *pgproto3.ErrorResponse:
+		return a.fail(msg)
+	case *pgproto3.ParameterStatus:
+		return a.parameter(msg)
+	case *pgproto3.NotificationResponse:
+		return nil
+	case *pgproto3.NoticeResponse:
+		return a.pass(msg)
+	case *pgproto3.CopyInResponse, *pgproto3.CopyBothResponse:
+		return errors.New("COPY FROM STDIN is not supported")
+	}
+	kind, ends := endOf(msg)
+	if !ends || a.head().kind == stepQuery {
+		return a.pass(msg)
+	}
+	s := a.head()
+	if s.kind != kind {
+		return fmt.Errorf("message %T doesn't belong to the request", msg)
+	}
+	if kind == stepParse {
+		a.c.remember(s.name)
+	}
+	if err := a.pass(msg); err != nil {
+		return err
+	}
+	a.steps = a.steps[1:]
+	return a.makeUp()
+}
+
+func (a *answer) head() step { return a.steps[0] }
+
+// endOf returns which kind of step the message ends, if any.
+func endOf(msg pgproto3.BackendMessage) (stepKind, bool) {
+	switch msg.(type) {
+	case *pgproto3.ParseComplete:
+		return stepParse, true
+	case *pgproto3.BindComplete:
+		return stepBind, true
+	case *pgproto3.CloseComplete:
+		return stepClose, true
+	case *pgproto3.RowDescription, *pgproto3.NoData:
+		return stepDescribe, true
+	case *pgproto3.CommandComplete, *pgproto3.EmptyQueryResponse, *pgproto3.PortalSuspended:
+		return stepExecute, true
+	}
+	return 0, false
+}
+
+// makeUp answers messages that were not sent.
+func (a *answer) makeUp() error {
+	for len(a.steps) > 0 && a.steps[0].omitted {
+		var msg pgproto3.BackendMessage = parseComplete
+		if a.steps[0].kind == stepClose {
+			msg = closeComplete
+		}
+		if err := a.pass(msg); err != nil {
+			return err
+		}
+		a.steps = a.steps[1:]
+	}
+	return nil
+}
+
+var (
+	parseComplete = &pgproto3.ParseComplete{}
+	closeComplete = &pgproto3.CloseComplete{}
+)
+
+// pass hands a message to the caller unless it answers a message that the adapter added.
+func (a *answer) pass(msg pgproto3.BackendMessage) error {
+	if a.head().own || a.ownErr != nil {
+		return nil
+	}
+	if err := a.release(); err != nil {
+		return err
+	}
+	if cc, ok := msg.(*pgproto3.CommandComplete); ok && a.holdBack {
+		a.complete.CommandTag = append(a.complete.CommandTag[:0], cc.CommandTag...)
+		a.held = true
+		return nil
+	}
+	return a.w.Send(msg)
+}
+
+// release passes on the CommandComplete that was held back.
+func (a *answer) release() error {
+	if !a.held {
+		return nil
+	}
+	a.held = false
+	return a.w.Send(&a.complete)
+}
+
+// parameter takes the commit position. Other parameters are passed on.
+func (a *answer) parameter(msg *pgproto3.ParameterStatus) error {
+	if msg.Name != commitParameter {
+		return a.pass(msg)
+	}
+	pos, err := core.ParsePosition(msg.Value)
+	if err != nil {
+		return err
+	}
+	a.result.Position = pos
+	return nil
+}
+
+// fail takes an error. The upstream then skips everything up to the next ReadyForQuery.
+func (a *answer) fail(msg *pgproto3.ErrorResponse) error {
+	if msg.SeverityUnlocalized == "FATAL" || msg.SeverityUnlocalized == "PANIC" || msg.Severity == "FATAL" {
+		return fmt.Errorf("connection ended: %s (SQLSTATE %s)", msg.Message, msg.Code)
+	}
+	s := a.head()
+	a.skipToEnd()
+	if msg.Code == stateNoStatement || msg.Code == statePlanChanged {
+		for _, name := range a.names {
+			a.c.forget(name)
+		}
+	}
+	if s.own {
+		if a.ownErr == nil && a.result.Err == nil {
+			a.ownErr = copyError(msg)
+			a.commitFailed = len(a.steps) == 1
+		}
+		return nil
+	}
+	if a.ownErr != nil {
+		return nil
+	}
+	if s.kind == stepSync {
+		// The commit at the end of the request failed, so that its CommandComplete is void.
+		a.held = false
+	}
+	a.result.Err = &core.SQLError{State: msg.Code, Message: msg.Message}
+	if err := a.release(); err != nil {
+		return err
+	}
+	return a.w.Send(msg)
+}
+
+// skipToEnd drops the steps before the next ReadyForQuery.
+func (a *answer) skipToEnd() {
+	for a.head().kind != stepSync && a.head().kind != stepQuery {
+		a.steps = a.steps[1:]
+	}
+}
+
+func (a *answer) ready(msg *pgproto3.ReadyForQuery) error {
+	k := a.head().kind
+	if k != stepSync && k != stepQuery {
+		return errors.New("the upstream ended the answer too early")
+	}
+	a.steps = a.steps[1:]
+	a.result.Status = core.TxStatus(msg.TxStatus)
+	if len(a.steps) > 0 || a.ownErr != nil {
+		return nil
+	}
+	return a.release()
+}
+
+func copyError(msg *pgproto3.ErrorResponse) *pgproto3.ErrorResponse {
+	e := *msg
+	return &e
+}
--- /dev/null
+++ b/io/dbconn/conn.go
@@ -0,0 +1,189 @@
+package dbconn
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"snipewall/core"
+)
+
+// commitParameter is the ParameterStatus that reports the position of a commit.
+const commitParameter = "snipewall.commit_position"
+
+// Conn implements core.Conn. It is used by one goroutine at a time, except for Close.
+type Conn struct {
+	id    core.UpstreamID
+	cfg   *Config
+	conn  net.Conn
+	front *pgproto3.Frontend
+	// broken tells that the connection must not be used again.
+	broken bool
+	// lastUsed is when the last request ended.
+	lastUsed time.Time
+	status   core.TxStatus
+	// prepared holds the names of the statements that the upstream has on this connection.
+	prepared map[string]struct{}
+	// closing holds the names of statements to be closed with the next extended request.
+	closing []string
+	plan    plan
+	answer  answer
+	// interrupt is the method value that wakes a blocked read or write.
+	interrupt func()
+}
+
+var _ core.Conn = (*Conn)(nil)
+
+func newConn(u *Upstream, hc *pgconn.HijackedConn) *Conn {
+	c := &Conn{
+		id:       u.cfg.Info.ID,
+		cfg:      &u.cfg,
+		conn:     hc.Conn,
+		front:    hc.Frontend,
+		lastUsed: time.Now(),
+		status:   core.TxIdle,
+		prepared: make(map[string]struct{}),
+	}
+	c.answer.c = c
+	c.interrupt = func() { _ = c.conn.SetDeadline(time.Unix(1, 0)) }
+	return c
+}
+
+// errUnusable says that the connection failed before; nothing was sent.
+var errUnusable = errors.New("connection is closed")
+
+// Run sends the request and passes the answer on, except ReadyForQuery and the commit position.
+//
+// A write with a request id outside of a transaction runs in a transaction that records the id; a
+// repeated id is a *core.DuplicateError, after which the connection is still usable. After any
+// other error it is closed. If req.Attempt is not marked then, nothing was sent.
+func (c *Conn) Run(ctx context.Context, req *core.Request, w core.ResponseWriter) (core.Result, error) {
+	if !c.usable() {
+		return core.Result{}, c.fail(ctx, errUnusable)
+	}
+	if needsRecord(req) {
+		return c.runOnce(ctx, req, w)
+	}
+	if err := c.plan.request(c, req); err != nil {
+		return core.Result{}, c.fail(ctx, err)
+	}
+	return c.perform(ctx, req, w)
+}
+
+// perform sends the plan and reads its answer.
+func (c *Conn) perform(ctx context.Context, req *core.Request, w core.ResponseWriter) (core.Result, error) {
+	stop, err := c.watch(ctx, req)
+	if err != nil {
+		return core.Result{}, c.fail(ctx, err)
+	}
+	if req.Attempt != nil {
+		req.Attempt.MarkSent()
+	}
+	err = c.exchange(req, w)
+	if !stop() {
+		// The request was canceled, perhaps just after its end. The deadline may be set in the past
+		// at any moment from now on.
+		return core.Result{}, c.fail(ctx, ctx.Err())
+	}
+	if err != nil {
+		return core.Result{}, c.fail(ctx, err)
+	}
+	c.lastUsed = time.Now()
+	return c.answer.result, nil
+}
+
+func (c *Conn) exchange(req *core.Request, w core.ResponseWriter) error {
+	if _, err := c.conn.Write(c.plan.buf); err != nil {
+		return err
+	}
+	c.answer.start(req, w, &c.plan)
+	for !c.answer.done() {
+		msg, err := c.front.Receive()
+		if err != nil {
+			return err
+		}
+		if err := c.answer.handle(msg); err != nil {
+			return err
+		}
+	}
+	c.status = c.answer.result.Status
+	return nil
+}
+
+// watch sets the deadline of all reads and writes and makes the end of ctx interrupt them. The
+// returned function ends that; it returns false if ctx ended before.
+func (c *Conn) watch(ctx context.Context, req *core.Request) (stop func() bool, err error) {
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
+	deadline, ok := ctx.Deadline()
+	if !req.Deadline.IsZero() && (!ok || req.Deadline.Before(deadline)) {
+		deadline, ok = req.Deadline, true
+	}
+	if !ok {
+		deadline = time.Now().Add(c.cfg.RequestTimeout)
+	}
+	if err := c.conn.SetDeadline(deadline); err != nil {
+		return nil, err
+	}
+	if ctx.Done() == nil {
+		return alwaysStopped, nil
+	}
+	return context.AfterFunc(ctx, c.interrupt), nil
+}
+
+func alwaysStopped() bool { return true }
+
+// fail closes the connection and describes the error.
+func (c *Conn) fail(ctx context.Context, err error) error {
+	c.broken = true
+	_ = c.conn.Close()
+	if ctxErr := ctx.Err(); ctxErr != nil && !errors.Is(err, ctxErr) {
+		return core.ErrUpstream.New("upstream %s: %w: %w", c.id, ctxErr, err)
+	}
+	return core.ErrUpstream.New("upstream %s: %w", c.id, err)
+}
+
+// Ping checks that the connection still answers. It needs no slot on the upstream.
+func (c *Conn) Ping(ctx context.Context) error {
+	_, err := c.Run(ctx, pingRequest, discard{})
+	return err
+}
+
+var pingRequest = &core.Request{Messages: []pgproto3.FrontendMessage{&pgproto3.Sync{}}}
+
+// discard drops an answer.
+type discard struct{}
+
+// Send implements core.ResponseWriter.
+func (discard) Send(pgproto3.BackendMessage) error { return nil }
+
+// Close ends the connection. The upstream rolls back an open transaction.
+func (c *Conn) Close() error { return c.conn.Close() }
+
+// idleCheck is the idle time after which a connection is checked before its next use. An upstream
+// that restarted in the meantime is then noticed before the request is marked as sent.
+const idleCheck = 10 * time.Millisecond
+
+// usable reports whether the connection can take a request, as far as that is known without
+// sending anything.
+func (c *Conn) usable() bool {
+	if c.broken {
+		return false
+	}
+	if time.Since(c.lastUsed) < idleCheck {
+		return true
+	}
+	nc := c.conn
+	encrypted := false
+	if t, ok := nc.(*tls.Conn); ok {
+		nc = t.NetConn()
+		encrypted = true
+	}
+	return connected(nc, encrypted)
+}
--- /dev/null
+++ b/io/dbconn/once.go
@@ -0,0 +1,108 @@
+package dbconn
+
+import (
+	"context"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"snipewall/core"
+)
+
+// The record of request ids is kept in the database, so that it commits with the write.
+const (
+	recordStatement = "snipewall_record"
+	recordInsert    = "INSERT INTO snipewall_requests(id) VALUES ($1)"
+	recordCreate    = "CREATE TABLE IF NOT EXISTS snipewall_requests(id text PRIMARY KEY)"
+)
+
+// SQLSTATEs of the record.
+const (
+	stateUnique  = "23505"
+	stateNoTable = "42P01"
+)
+
+// needsRecord reports whether the request's id has to be recorded with its write.
+func needsRecord(req *core.Request) bool {
+	return req.RequestID != "" && req.Class == core.ClassWrite && !req.InTx
+}
+
+var (
+	recordParse   = &pgproto3.Parse{Name: recordStatement, Query: recordInsert}
+	recordExecute = &pgproto3.Execute{}
+	beginQuery    = &pgproto3.Query{String: "BEGIN"}
+	commitQuery   = &pgproto3.Query{String: "COMMIT"}
+	syncMessage   = &pgproto3.Sync{}
+)
+
+// once plans BEGIN, the record of the request id, the request and COMMIT. If the record fails, the
+// upstream runs no part of the request: an extended request is skipped up to its Sync, a simple
+// query meets a failed transaction. COMMIT then rolls back.
+func (p *plan) once(c *Conn, req *core.Request) error {
+	p.reset()
+	p.send(beginQuery, step{kind: stepQuery, own: true})
+	p.closeStatements(c, req)
+	if c.has(recordStatement) {
+		p.names = append(p.names, recordStatement)
+	} else {
+		p.parse(c, recordParse, true)
+	}
+	bind := pgproto3.Bind{PreparedStatement: recordStatement, Parameters: [][]byte{[]byte(req.RequestID)}}
+	p.send(&bind, step{kind: stepBind, own: true})
+	p.send(recordExecute, step{kind: stepExecute, own: true})
+	if len(req.Messages) == 1 {
+		p.send(syncMessage, step{kind: stepSync, own: true})
+	}
+	for _, msg := range req.Messages {
+		p.message(c, req, msg)
+	}
+	p.send(commitQuery, step{kind: stepQuery, own: true})
+	return p.err
+}
+
+// runOnce runs a write whose request id must be recorded. The table of the records is created when
+// an upstream turns out to lack it.
+func (c *Conn) runOnce(ctx context.Context, req *core.Request, w core.ResponseWriter) (core.Result, error) {
+	for created := false; ; created = true {
+		if err := c.plan.once(c, req); err != nil {
+			return core.Result{}, c.fail(ctx, err)
+		}
+		res, err := c.perform(ctx, req, w)
+		if err != nil {
+			return res, err
+		}
+		a := &c.answer
+		failure := a.ownErr
+		if failure == nil {
+			return res, nil
+		}
+		switch {
+		case a.commitFailed:
+		case failure.Code == stateUnique:
+			return res, &core.DuplicateError{ID: req.RequestID}
+		case failure.Code == stateNoTable && !created:
+			if req.Attempt != nil {
+				req.Attempt.ConfirmNotRun()
+			}
+			if err := c.createRecords(ctx, req); err != nil {
+				return core.Result{}, err
+			}
+			continue
+		}
+		// The record or the commit failed: the request had no effect, and the error is its answer.
+		res.Err = &core.SQLError{State: failure.Code, Message: failure.Message}
+		return res, w.Send(failure)
+	}
+}
+
+// createRecords creates the table of the records. Two connections may do so at once; an error of
+// the upstream shows up again when the record is inserted.
+func (c *Conn) createRecords(ctx context.Context, req *core.Request) error {
+	create := &core.Request{
+		Class:    core.ClassWrite,
+		InTx:     req.InTx,
+		Deadline: req.Deadline,
+		Messages: []pgproto3.FrontendMessage{&pgproto3.Query{String: recordCreate}},
+	}
+	_, err := c.Run(ctx, create, discard{})
+	return err
+}
--- /dev/null
+++ b/io/dbconn/upstream.go
@@ -0,0 +1,270 @@
+package dbconn
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"snipewall/core"
+)
+
+// Upstream implements core.Upstream. It keeps one connection for control functions.
+type Upstream struct {
+	cfg      Config
+	data     *pgconn.Config
+	controls *pgconn.Config
+	// control holds the kept connection, or nil if there is none, while no call uses it.
+	control chan *Conn
+}
+
+var _ core.Upstream = (*Upstream)(nil)
+
+// Info returns the description from the settings.
+func (u *Upstream) Info() core.UpstreamInfo { return u.cfg.Info }
+
+// Dial opens a connection for requests. It returns *core.RefusedError if the upstream is at its
+// connection limit.
+func (u *Upstream) Dial(ctx context.Context) (core.Conn, error) {
+	c, err := u.dial(ctx, u.data)
+	if err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+func (u *Upstream) dial(ctx context.Context, cc *pgconn.Config) (*Conn, error) {
+	if _, ok := ctx.Deadline(); !ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, u.cfg.RequestTimeout)
+		defer cancel()
+	}
+	pc, err := pgconn.ConnectConfig(ctx, cc)
+	if err != nil {
+		return nil, u.dialError(err)
+	}
+	hc, err := pc.Hijack()
+	if err != nil {
+		return nil, core.ErrUpstream.Wrap(err)
+	}
+	return newConn(u, hc), nil
+}
+
+func (u *Upstream) dialError(err error) error {
+	var pgErr *pgconn.PgError
+	if errors.As(err, &pgErr) && pgErr.Code == core.StateTooManyConnections {
+		return &core.RefusedError{Upstream: u.cfg.Info.ID, Message: pgErr.Message}
+	}
+	return core.ErrUpstream.New("upstream %s: %w", u.cfg.Info.ID, err)
+}
+
+// Close closes the kept control connection. The upstream stays usable.
+func (u *Upstream) Close() error {
+	c := <-u.control
+	u.control <- nil
+	if c == nil {
+		return nil
+	}
+	return c.Close()
+}
+
+// Status asks for the upstream's place in its group.
+func (u *Upstream) Status(ctx context.Context) (core.UpstreamStatus, error) {
+	return u.call(ctx, "status()", true)
+}
+
+// Prepare makes the upstream accept the term. A refusal is a *core.SQLError. After any other error
+// the upstream may have accepted it.
+func (u *Upstream) Prepare(ctx context.Context, term core.Term) (core.UpstreamStatus, error) {
+	return u.call(ctx, "prepare("+formatTerm(term)+")", false)
+}
+
+// Promote makes the upstream primary of the term. A refusal is a *core.SQLError. After any other
+// error it may have taken effect; repeating it is safe.
+func (u *Upstream) Promote(ctx context.Context, term core.Term) (core.UpstreamStatus, error) {
+	return u.call(ctx, "promote("+formatTerm(term)+")", false)
+}
+
+// Follow makes the upstream a replica of the primary. A refusal is a *core.SQLError. After any other
+// error it may have taken effect; repeating it is safe.
+func (u *Upstream) Follow(ctx context.Context, term core.Term, primary core.UpstreamInfo) (core.UpstreamStatus, error) {
+	return u.call(ctx, "follow("+formatTerm(term)+", "+quote(primary.Address)+")", false)
+}
+
+func formatTerm(t core.Term) string { return strconv.FormatUint(uint64(t), 10) }
+
+// quote returns a SQL literal.
+func quote(s string) string { return "'" + strings.ReplaceAll(s, "'", "''") + "'" }
+
+// call runs a control function on the kept connection. A connection that turns out to be broken is
+// replaced; the call is repeated on the new one only if it may run twice.
+func (u *Upstream) call(ctx context.Context, function string, repeat bool) (core.UpstreamStatus, error) {
+	if _, ok := ctx.Deadline(); !ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, u.cfg.ControlTimeout)
+		defer cancel()
+	}
+	var c *Conn
+	select {
+	case c = <-u.control:
+	case <-ctx.Done():
+		return core.UpstreamStatus{}, core.ErrUpstream.New("upstream %s: control connection is busy: %w", u.cfg.Info.ID, ctx.Err())
+	}
+	defer func() { u.control <- c }()
+	kept := c != nil && c.usable()
+	if !kept {
+		var err error
+		if c, err = u.replace(ctx, c); err != nil {
+			return core.UpstreamStatus{}, err
+		}
+	}
+	s, err := c.control(ctx, function)
+	if err == nil || isRefusal(err) {
+		return s, err
+	}
+	if !kept || !repeat || ctx.Err() != nil {
+		return s, err
+	}
+	if c, err = u.replace(ctx, c); err != nil {
+		return core.UpstreamStatus{}, err
+	}
+	return c.control(ctx, function)
+}
+
+// replace closes the old control connection, if any, and opens a new one.
+func (u *Upstream) replace(ctx context.Context, old *Conn) (*Conn, error) {
+	if old != nil {
+		_ = old.Close()
+	}
+	return u.dial(ctx, u.controls)
+}
+
+// isRefusal reports whether the upstream answered the call with an error.
+func isRefusal(err error) bool {
+	var sqlErr *core.SQLError
+	return errors.As(err, &sqlErr)
+}
+
+// control runs one control function and reads its row.
+func (c *Conn) control(ctx context.Context, function string) (core.UpstreamStatus, error) {
+	var row statusRow
+	req := &core.Request{Messages: []pgproto3.FrontendMessage{
+		&pgproto3.Query{String: "SELECT * FROM snipewall." + function},
+	}}
+	res, err := c.Run(ctx, req, &row)
+	if err != nil {
+		return core.UpstreamStatus{}, err
+	}
+	if res.Err != nil {
+		return core.UpstreamStatus{}, res.Err
+	}
+	s, err := row.status()
+	if err != nil {
+		return s, core.ErrUpstream.New("upstream %s: %s: %w", c.id, function, err)
+	}
+	return s, nil
+}
+
+// statusRow collects the row that a control function answers.
+type statusRow struct {
+	names  []string
+	values []string
+	rows   int
+}
+
+// Send implements core.ResponseWriter.
+func (r *statusRow) Send(msg pgproto3.BackendMessage) error {
+	switch msg := msg.(type) {
+	case *pgproto3.RowDescription:
+		r.names = r.names[:0]
+		for _, f := range msg.Fields {
+			r.names = append(r.names, string(f.Name))
+		}
+	case *pgproto3.DataRow:
+		r.rows++
+		r.values = r.values[:0]
+		for _, v := range msg.Values {
+			r.values = append(r.values, string(v))
+		}
+	}
+	return nil
+}
+
+// status converts the row.
+func (r *statusRow) status() (core.UpstreamStatus, error) {
+	var s core.UpstreamStatus
+	if r.rows != 1 || len(r.values) != len(r.names) {
+		return s, errors.New("want one row, got " + strconv.Itoa(r.rows))
+	}
+	seen := 0
+	for i, name := range r.names {
+		known, err := setStatus(&s, name, r.values[i])
+		if err != nil {
+			return s, err
+		}
+		if known {
+			seen++
+		}
+	}
+	if seen != statusColumns {
+		return s, errors.New("the row lacks columns")
+	}
+	return s, nil
+}
+
+// statusColumns is the number of columns that setStatus knows.
+const statusColumns = 8
+
+// setStatus sets the field that a column stands for. Unknown columns are ignored, so that upstreams
+// can add some.
+func setStatus(s *core.UpstreamStatus, name, value string) (known bool, err error) {
+	switch name {
+	case "role":
+		switch value {
+		case "primary":
+			s.Role = core.RolePrimary
+		case "replica":
+			s.Role = core.RoleReplica
+		default:
+			return false, errors.New("unknown role " + strconv.Quote(value))
+		}
+		return true, nil
+	case "leaving":
+		s.Leaving = value == "t"
+		return true, nil
+	case "heard_ms":
+		ms, err := strconv.ParseInt(value, 10, 64)
+		s.Heard = time.Duration(ms) * time.Millisecond
+		if ms < 0 {
+			s.Heard = -1
+		}
+		return true, err
+	}
+	target := statusNumber(s, name)
+	if target == nil {
+		return false, nil
+	}
+	*target, err = strconv.ParseUint(value, 10, 64)
+	return true, err
+}
+
+// statusNumber returns the field of an unsigned column, nil if the name is unknown.
+func statusNumber(s *core.UpstreamStatus, name string) *uint64 {
+	switch name {
+	case "promised_term":
+		return (*uint64)(&s.Promised)
+	case "log_term":
+		return (*uint64)(&s.Log.Term)
+	case "log_offset":
+		return (*uint64)(&s.Log.Offset)
+	case "applied_term":
+		return (*uint64)(&s.Applied.Term)
+	case "applied_offset":
+		return (*uint64)(&s.Applied.Offset)
+	}
+	return nil
+}
--- /dev/null
+++ b/stand/dbsim/accept.go
@@ -0,0 +1,117 @@
+package dbsim
+
+import (
+	"crypto/tls"
+	"net"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+// replicateParameter is the start-up parameter of a replica's connection. Its value is ignored.
+const replicateParameter = "snipewall.replicate"
+
+// accept performs the start-up of a connection and serves it to its end.
+func (s *Server) accept(l *link) error {
+	if err := l.SetDeadline(time.Now().Add(handshakeTime)); err != nil {
+		return err
+	}
+	var c net.Conn = l
+	be := pgproto3.NewBackend(c, c)
+	for {
+		msg, err := be.ReceiveStartupMessage()
+		if err != nil {
+			return err
+		}
+		switch msg := msg.(type) {
+		case *pgproto3.SSLRequest:
+			if c, err = s.answerSSL(c); err != nil {
+				return err
+			}
+			be = pgproto3.NewBackend(c, c)
+		case *pgproto3.GSSEncRequest:
+			if _, err := c.Write([]byte{'N'}); err != nil {
+				return err
+			}
+		case *pgproto3.StartupMessage:
+			return s.start(l, c, be, msg.Parameters)
+		default:
+			return nil
+		}
+	}
+}
+
+// answerSSL starts TLS if the server is set up for it.
+func (s *Server) answerSSL(c net.Conn) (net.Conn, error) {
+	if s.cfg.TLS == nil {
+		_, err := c.Write([]byte{'N'})
+		return c, err
+	}
+	if _, err := c.Write([]byte{'S'}); err != nil {
+		return nil, err
+	}
+	return tls.Server(c, s.cfg.TLS), nil
+}
+
+// start admits the connection and serves it.
+func (s *Server) start(l *link, c net.Conn, be *pgproto3.Backend, params map[string]string) error {
+	if _, ok := params[replicateParameter]; ok {
+		l.classify(linkUpstream)
+		return s.serveReplica(l, c, be)
+	}
+	l.classify(linkCaller)
+	control := params["application_name"] == ControlName
+	count, limit := &s.callers, s.cfg.Connections
+	if control {
+		count, limit = &s.controls, s.cfg.Reserved
+	}
+	defer count.Add(-1)
+	if n := count.Add(1); limit > 0 && n > int64(limit) {
+		be.Send(errorResponse("FATAL", sqlErrorf(stateTooMany, "sorry, too many clients already")))
+		return be.Flush()
+	}
+	if err := sleep(l.ctx, s.faults.scale(s.cfg.ConnectTime)); err != nil {
+		return err
+	}
+	if err := s.greet(be, params); err != nil {
+		return err
+	}
+	if err := l.SetDeadline(time.Time{}); err != nil {
+		return err
+	}
+	ss := newSession(s, l, be, control)
+	defer ss.close()
+	return ss.run()
+}
+
+// greet ends the start-up.
+func (s *Server) greet(be *pgproto3.Backend, params map[string]string) error {
+	be.Send(&pgproto3.AuthenticationOk{})
+	for _, p := range startParameters {
+		be.Send(&pgproto3.ParameterStatus{Name: p[0], Value: p[1]})
+	}
+	be.Send(&pgproto3.ParameterStatus{Name: "application_name", Value: params["application_name"]})
+	pid := s.nextPID.Add(1)
+	be.Send(&pgproto3.BackendKeyData{ProcessID: pid, SecretKey: []byte{0, 0, 0, 1}})
+	be.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
+	return be.Flush()
+}
+
+var startParameters = [][2]string{
+	{"server_version", "17.0"},
+	{"server_encoding", "UTF8"},
+	{"client_encoding", "UTF8"},
+	{"standard_conforming_strings", "on"},
+	{"integer_datetimes", "on"},
+	{"DateStyle", "ISO, MDY"},
+	{"TimeZone", "UTC"},
+}
+
+func errorResponse(severity string, err *SQLError) *pgproto3.ErrorResponse {
+	return &pgproto3.ErrorResponse{
+		Severity:            severity,
+		SeverityUnlocalized: severity,
+		Code:                err.State,
+		Message:             err.Message,
+	}
+}
--- /dev/null
+++ b/stand/dbsim/dbsim_test.go
@@ -0,0 +1,76 @@
+package dbsim
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"gotest.tools/v3/assert"
+)
+
+// testTime limits each scenario.
+const testTime = 20 * time.Second
+
+// start serves a database on loopback until the test ends.
+func start(t *testing.T, cfg Config, db *Database) (srv *Server, address string) {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	srv = cfg.New(db)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- srv.Serve(ctx, lis) }()
+	t.Cleanup(func() {
+		cancel()
+		assert.NilError(t, <-done)
+	})
+	return srv, lis.Addr().String()
+}
+
+func connect(ctx context.Context, t *testing.T, address string) *pgx.Conn {
+	t.Helper()
+	c, err := pgx.Connect(ctx, "postgres://app@"+address+"/berth-ledger?sslmode=disable")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = c.Close(context.Background()) })
+	return c
+}
+
+func testContext(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), testTime)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// Guards against a simulator that real clients can't use with prepared statements.
+func TestClientSession(t *testing.T) {
+	ctx := testContext(t)
+	_, address := start(t, Config{Slots: 2}, NewPrimary(1))
+	c := connect(ctx, t, address)
+	_, err := c.Exec(ctx, "CREATE TABLE berths (id bigint PRIMARY KEY, name text NOT NULL, open bool, kwh int DEFAULT 0)")
+	assert.NilError(t, err)
+	for i, name := range []string{"quay", "pier", "slip"} {
+		tag, err := c.Exec(ctx, "INSERT INTO berths (id, name, open) VALUES ($1, $2, $3)", i+1, name, i != 1)
+		assert.NilError(t, err)
+		assert.Equal(t, tag.String(), "INSERT 0 1")
+	}
+	var name string
+	var open bool
+	var kwh int64
+	assert.NilError(t, c.QueryRow(ctx, "UPDATE berths SET kwh = kwh + $2 WHERE id = $1 RETURNING name, open, kwh", 2, 40).Scan(&name, &open, &kwh))
+	assert.Equal(t, name, "pier")
+	assert.Equal(t, open, false)
+	assert.Equal(t, kwh, int64(40))
+	rows, err := c.Query(ctx, "SELECT * FROM berths WHERE open = $1 ORDER BY name DESC LIMIT 5", true)
+	assert.NilError(t, err)
+	list, err := pgx.CollectRows(rows, pgx.RowToMap)
+	assert.NilError(t, err)
+	assert.Equal(t, len(list), 2)
+	assert.Equal(t, list[0]["name"], "slip")
+	_, err = c.Exec(ctx, "INSERT INTO berths (id, name) VALUES (1, 'again')")
+	var pgErr *pgconn.PgError
+	assert.Assert(t, asError(err, &pgErr))
+	assert.Equal(t, pgErr.Code, "23505")
+}
--- /dev/null
+++ b/stand/dbsim/doc.go
@@ -0,0 +1,21 @@
+// Package dbsim simulates one upstream of a replicated database group: a small SQL engine, a log
+// with terms and offsets, asynchronous replication, the control functions of the design page and
+// faults that can be switched on while it runs. It speaks the PostgreSQL protocol.
+//
+// A Database holds what a real server keeps on disk: the log, the promised term and the role. A
+// Server is the process around it. Closing a Server and starting another one over the same
+// Database simulates a crash and a restart.
+//
+// # Usage
+//
+//	db := dbsim.NewPrimary(1)
+//	srv := dbsim.Config{Slots: 3, Connections: 20}.New(db)
+//	lis, err := net.Listen("tcp", "127.0.0.1:0")
+//	if err != nil {
+//		return err
+//	}
+//	return srv.Serve(ctx, lis)
+//
+// A replica is NewReplica(term, address of the primary). Config.Dial replaces the network between
+// upstreams, so that a whole group can run in one process on in-memory connections.
+package dbsim
--- /dev/null
+++ b/stand/dbsim/help_test.go
@@ -0,0 +1,5 @@
+package dbsim
+
+import "errors"
+
+func asError[T error](err error, target *T) bool { return errors.As(err, target) }
--- a/stand/main.go
+++ b/stand/main.go
@@ -2,4 +2,30 @@
 // platform.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+)
+
+// subcommands is filled by the file of each subcommand.
+var subcommands []*cli.Command
+
+func main() {
+	if err := run(os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "standin:", err)
+		os.Exit(1)
+	}
+}
+
+// run runs a subcommand until it ends or the process is told to stop.
+func run(args []string) error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	cmd := &cli.Command{Name: "standin", Usage: "stand-ins for the systems around snipewall", Commands: subcommands}
+	return cmd.Run(ctx, args)
+}
--- /dev/null
+++ b/stand/upstream.go
@@ -0,0 +1,94 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/urfave/cli/v3"
+
+	"snipewall/core"
+	"snipewall/stand/dbsim"
+)
+
+func init() { subcommands = append(subcommands, upstreamCommand()) }
+
+func upstreamCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "upstream",
+		Usage: "simulates a database server",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "listen", Value: "127.0.0.1:0", Usage: "address for the PostgreSQL protocol"},
+			&cli.StringFlag{Name: "admin", Usage: "address for HTTP: POST /fault, GET /status"},
+			&cli.StringFlag{Name: "follow", Usage: "start as a replica of this primary, none for nobody"},
+			&cli.Uint64Flag{Name: "term", Value: 1, Usage: "first term"},
+			&cli.IntFlag{Name: "slots", Usage: "statements that execute at once, 0 for no limit"},
+			&cli.IntFlag{Name: "connections", Usage: "connection limit, 0 for none"},
+			&cli.IntFlag{Name: "reserved", Usage: "further connections for control functions"},
+			&cli.DurationFlag{Name: "connect-time", Usage: "time to open a connection"},
+			&cli.DurationFlag{Name: "service-time", Usage: "time that a statement occupies its slot"},
+			&cli.DurationFlag{Name: "control-time", Usage: "time that a control function takes"},
+			&cli.DurationFlag{Name: "delay", Usage: "network delay to callers, one way"},
+			&cli.DurationFlag{Name: "ship-lag", Usage: "delay before entries enter a replica's log"},
+			&cli.DurationFlag{Name: "apply-lag", Usage: "delay before reads on a replica see entries"},
+			&cli.DurationFlag{Name: "heartbeat", Usage: "interval of a primary's heartbeats"},
+			&cli.BoolFlag{Name: "verbose", Usage: "log the end of each connection"},
+		},
+		Action: runUpstream,
+	}
+}
+
+func runUpstream(ctx context.Context, cmd *cli.Command) error {
+	lis, err := new(net.ListenConfig).Listen(ctx, "tcp", cmd.String("listen"))
+	if err != nil {
+		return err
+	}
+	srv := upstreamConfig(cmd).New(upstreamDatabase(cmd))
+	if address := cmd.String("admin"); address != "" {
+		admin := &http.Server{Addr: address, Handler: srv.AdminHandler(), ReadHeaderTimeout: time.Second}
+		defer func() { _ = admin.Close() }()
+		go func() {
+			if err := admin.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+				fmt.Fprintln(os.Stderr, "standin: admin port:", err)
+			}
+		}()
+	}
+	fmt.Println("listening on", lis.Addr())
+	return srv.Serve(ctx, lis)
+}
+
+func upstreamDatabase(cmd *cli.Command) *dbsim.Database {
+	term := core.Term(cmd.Uint64("term"))
+	switch primary := cmd.String("follow"); primary {
+	case "":
+		return dbsim.NewPrimary(term)
+	case "none":
+		return dbsim.NewReplica(term, "")
+	default:
+		return dbsim.NewReplica(term, primary)
+	}
+}
+
+func upstreamConfig(cmd *cli.Command) dbsim.Config {
+	cfg := dbsim.Config{
+		Slots:       cmd.Int("slots"),
+		Connections: cmd.Int("connections"),
+		Reserved:    cmd.Int("reserved"),
+		ConnectTime: cmd.Duration("connect-time"),
+		ServiceTime: cmd.Duration("service-time"),
+		ControlTime: cmd.Duration("control-time"),
+		Delay:       cmd.Duration("delay"),
+		ShipLag:     cmd.Duration("ship-lag"),
+		ApplyLag:    cmd.Duration("apply-lag"),
+		Heartbeat:   cmd.Duration("heartbeat"),
+	}
+	if cmd.Bool("verbose") {
+		cfg.Logger = log.NewJSONLogger(log.NewSyncWriter(os.Stderr))
+	}
+	return cfg
+}
