--- a/stand/main.go
+++ b/stand/main.go
@@ -12,19 +12,21 @@
 	"github.com/urfave/cli/v3"
 )
 
-func main() { os.Exit(run(os.Args)) }
+func main() {
+	if err := run(os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "standin:", err)
+		os.Exit(1)
+	}
+}
 
-func run(args []string) int {
+// run runs a subcommand until it ends or the process is told to stop.
+func run(args []string) error {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	cmd := &cli.Command{
 		Name:     "standin",
 		Usage:    "stand-ins for the systems around snipewall",
-		Commands: []*cli.Command{platformCommand()},
-	}
-	if err := cmd.Run(ctx, args); err != nil {
-		fmt.Fprintln(os.Stderr, "standin:", err)
-		return 1
+		Commands: []*cli.Command{platformCommand(), upstreamCommand()},
 	}
-	return 0
+	return cmd.Run(ctx, args)
 }
