--- /dev/null
+++ b/io/front/batch.go
@@ -0,0 +1,443 @@
+package front
+
+import (
+	"fmt"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"snipewall/core"
+	"snipewall/core/stmt"
+)
+
+// messageOverhead is added to the size of each message of a batch, so that the limit also bounds
+// the memory of many small messages.
+const messageOverhead = 256
+
+// op is one message of a batch.
+type op struct {
+	// typ is the type of the message. Describe and Close of portals are 'd' and 'c'.
+	typ byte
+	// local tells that the listener answers the message itself.
+	local bool
+	st    *statement
+	// name is the caller's name of the statement that Parse or Close concerns.
+	name string
+	// formats are the result formats of the portal.
+	formats []int16
+}
+
+// portal is a portal that the batch has bound.
+type portal struct {
+	st      *statement
+	local   bool
+	formats []int16
+}
+
+// batch collects the messages of the extended protocol up to Flush or Sync.
+type batch struct {
+	s    *session
+	ops  []op
+	size int
+	// defined holds the statements that the batch parsed, by the caller's name; nil if closed.
+	defined map[string]*statement
+	// sentUnnamed is the statement that the unnamed one is on the upstream within this batch.
+	sentUnnamed *statement
+	portals     map[string]portal
+	unit        unit
+	// remote counts the messages for the upstream, executes counts Bind and Execute among them.
+	remote, executes int
+	// err is the first error that the listener found. Nothing of the batch runs then.
+	err error
+}
+
+// openBatch returns the batch that collects messages.
+func (s *session) openBatch() *batch {
+	if s.batch == nil {
+		s.batch = &batch{s: s}
+	}
+	return s.batch
+}
+
+// fail records the first error and drops the messages.
+func (b *batch) fail(err error) {
+	if b.err == nil {
+		*b = batch{s: b.s, err: err}
+	}
+}
+
+// add takes a message.
+func (b *batch) add(msg pgproto3.FrontendMessage, size int) {
+	if b.err != nil {
+		return
+	}
+	b.size += size + messageOverhead
+	if b.size > b.s.srv.cfg.MaxMessage+messageOverhead {
+		b.fail(&callerError{State: stateLimitExceeded,
+			Message: fmt.Sprintf("messages up to Sync exceed %d bytes", b.s.srv.cfg.MaxMessage),
+			Hint:    "Send Sync more often."})
+		return
+	}
+	var err error
+	switch m := msg.(type) {
+	case *pgproto3.Parse:
+		err = b.parse(m)
+	case *pgproto3.Bind:
+		err = b.bind(m)
+	case *pgproto3.Describe:
+		err = b.describe(m)
+	case *pgproto3.Execute:
+		err = b.execute(m)
+	case *pgproto3.Close:
+		b.close(m)
+	}
+	if err != nil {
+		b.fail(err)
+	}
+}
+
+// push adds an operation, and its message if it is for the upstream.
+func (b *batch) push(o op, msg pgproto3.FrontendMessage) {
+	b.ops = append(b.ops, o)
+	if o.local {
+		return
+	}
+	b.remote++
+	b.unit.messages = append(b.unit.messages, msg)
+}
+
+// lookup returns the statement of the caller's name.
+func (b *batch) lookup(name string) (*statement, error) {
+	st, ok := b.defined[name]
+	if !ok {
+		st = b.s.stmts[name]
+	}
+	if st == nil {
+		what := "unnamed prepared statement"
+		if name != "" {
+			what = fmt.Sprintf("prepared statement %q", name)
+		}
+		return nil, &callerError{State: stateUndefinedStatement, Message: what + " does not exist"}
+	}
+	return st, nil
+}
+
+// isLocal reports whether the listener answers for the statement. COMMIT and ROLLBACK without a
+// transaction are local too.
+func (b *batch) isLocal(st *statement) bool {
+	return st.isLocal() || b.s.endsNothing(st.info) && !b.unit.info.Begins
+}
+
+// upstreamName returns the statement's name on the upstream, and sees to it that a connection which
+// lacks the statement can prepare it.
+func (b *batch) upstreamName(name string, st *statement) string {
+	if name == "" && b.sentUnnamed == st {
+		return ""
+	}
+	if b.unit.prepared == nil {
+		b.unit.prepared = make(map[string]*pgproto3.Parse, 1)
+	}
+	b.unit.prepared[st.name] = st.parse
+	return st.name
+}
+
+func (b *batch) define(name string, st *statement) {
+	if b.defined == nil {
+		b.defined = make(map[string]*statement, 1)
+	}
+	b.defined[name] = st
+}
+
+func (b *batch) parse(m *pgproto3.Parse) error {
+	if m.Name != "" {
+		if st, _ := b.lookup(m.Name); st != nil {
+			return &callerError{State: stateDuplicateStatement,
+				Message: fmt.Sprintf("prepared statement %q already exists", m.Name)}
+		}
+		if len(b.s.stmts)+len(b.defined) >= b.s.srv.cfg.MaxStatements {
+			return &callerError{State: stateLimitExceeded,
+				Message: fmt.Sprintf("more than %d prepared statements", b.s.srv.cfg.MaxStatements),
+				Hint:    "Close prepared statements that are no longer used."}
+		}
+	}
+	st, err := newStatement(m)
+	if err != nil {
+		return err
+	}
+	if b.s.failed && !b.isLocal(st) {
+		return errInFailedTx
+	}
+	b.define(m.Name, st)
+	o := op{typ: 'P', local: b.isLocal(st), st: st, name: m.Name}
+	if m.Name != "" {
+		if !o.local {
+			b.upstreamName(m.Name, st)
+		}
+		b.push(o, st.parse)
+		return nil
+	}
+	b.sentUnnamed = nil
+	if !o.local {
+		b.sentUnnamed = st
+	}
+	b.push(o, &pgproto3.Parse{Query: st.parse.Query, ParameterOIDs: st.parse.ParameterOIDs})
+	return nil
+}
+
+func (b *batch) bind(m *pgproto3.Bind) error {
+	st, err := b.lookup(m.PreparedStatement)
+	if err != nil {
+		return err
+	}
+	p := portal{st: st, local: b.isLocal(st), formats: m.ResultFormatCodes}
+	if b.s.failed && !p.local {
+		return errInFailedTx
+	}
+	if b.portals == nil {
+		b.portals = make(map[string]portal, 1)
+	}
+	b.portals[m.DestinationPortal] = p
+	if !p.local {
+		m.PreparedStatement = b.upstreamName(m.PreparedStatement, st)
+		b.executes++
+	}
+	b.push(op{typ: 'B', local: p.local, st: st}, m)
+	return nil
+}
+
+func (b *batch) describe(m *pgproto3.Describe) error {
+	if m.ObjectType == 'P' {
+		p := b.portals[m.Name]
+		b.push(op{typ: 'd', local: p.local, st: p.st, formats: p.formats}, m)
+		return nil
+	}
+	st, err := b.lookup(m.Name)
+	if err != nil {
+		return err
+	}
+	o := op{typ: 'D', local: b.isLocal(st), st: st}
+	if b.s.failed && !o.local {
+		return errInFailedTx
+	}
+	if !o.local {
+		m.Name = b.upstreamName(m.Name, st)
+	}
+	b.push(o, m)
+	return nil
+}
+
+func (b *batch) execute(m *pgproto3.Execute) error {
+	p, bound := b.portals[m.Portal]
+	if !bound {
+		// The portal may be open in the transaction; otherwise the upstream reports it as unknown.
+		if b.s.failed {
+			return errInFailedTx
+		}
+		b.executes++
+		b.push(op{typ: 'E'}, m)
+		return nil
+	}
+	o := op{typ: 'E', local: p.local, st: p.st, formats: p.formats}
+	if o.local {
+		for i := range p.st.info.Locals {
+			if b.s.failed {
+				return errInFailedTx
+			}
+			if err := b.s.apply(&p.st.info.Locals[i]); err != nil {
+				return err
+			}
+		}
+	} else {
+		b.executes++
+		if p.st.info.NeedsTx != "" && b.s.tx == nil && !b.unit.info.Begins {
+			return errNeedsTx(p.st.info.NeedsTx)
+		}
+		b.unit.info = b.unit.info.Then(p.st.info)
+		if b.unit.info.Unsupported != nil {
+			return b.unit.info.Unsupported
+		}
+		b.unit.tags = p.st.tags.Or(b.unit.tags)
+	}
+	b.push(o, m)
+	return nil
+}
+
+// close handles Close. The statement stays prepared on upstreams, since other callers share it.
+func (b *batch) close(m *pgproto3.Close) {
+	if m.ObjectType == 'P' {
+		p := b.portals[m.Name]
+		delete(b.portals, m.Name)
+		// Outside of a transaction, a portal that the batch hasn't bound doesn't exist.
+		local := p.local || p.st == nil && b.s.tx == nil
+		b.push(op{typ: 'c', local: local}, m)
+		return
+	}
+	b.define(m.Name, nil)
+	b.push(op{typ: 'C', local: true, name: m.Name}, nil)
+}
+
+// done takes over the effect of an operation on the session's prepared statements.
+func (o *op) done(s *session) {
+	switch o.typ {
+	case 'P':
+		s.forget(o.name)
+		if s.stmts == nil {
+			s.stmts = make(map[string]*statement, 1)
+		}
+		s.stmts[o.name] = s.srv.stmts.hold(o.st)
+	case 'C':
+		s.forget(o.name)
+	}
+}
+
+// forget removes a prepared statement.
+func (s *session) forget(name string) {
+	if st, ok := s.stmts[name]; ok {
+		delete(s.stmts, name)
+		s.srv.stmts.release(st)
+	}
+	if len(s.stmts) == 0 {
+		s.stmts = nil
+	}
+}
+
+// emit answers a local operation. It returns false after an error.
+func (a *answer) emit(o *op) bool {
+	switch o.typ {
+	case 'P':
+		a.put(&pgproto3.ParseComplete{})
+	case 'B':
+		a.put(&pgproto3.BindComplete{})
+	case 'C', 'c':
+		a.put(&pgproto3.CloseComplete{})
+	case 'D':
+		a.put(&pgproto3.ParameterDescription{})
+		a.describe(o)
+	case 'd':
+		a.describe(o)
+	case 'E':
+		switch {
+		case o.st.info.Statements == 0:
+			a.put(&pgproto3.EmptyQueryResponse{})
+		case len(o.st.info.Locals) == 0:
+			a.endBlock(o.st.info)
+		}
+		for i := range o.st.info.Locals {
+			a.result(&o.st.info.Locals[i])
+		}
+	}
+	return true
+}
+
+// describe puts the row description of a local statement.
+func (a *answer) describe(o *op) {
+	for i := range o.st.info.Locals {
+		if l := &o.st.info.Locals[i]; l.Action == stmt.ActionShow {
+			a.put(a.s.showDescription(l, o.formats))
+			return
+		}
+	}
+	a.put(&pgproto3.NoData{})
+}
+
+// sync ends a batch.
+func (s *session) sync() bool {
+	b := s.batch
+	s.batch = nil
+	if s.skipping || b == nil {
+		s.skipping = false
+		a := newAnswer(s, nil)
+		s.endImplicit(a)
+		return s.ready(a)
+	}
+	if b.err != nil {
+		return s.answerError(b.err, true)
+	}
+	a := newAnswer(s, b.ops)
+	s.serveBatch(b, a)
+	s.endImplicit(a)
+	return s.ready(a)
+}
+
+// serveBatch runs the batch as one request, or answers it without an upstream.
+func (s *session) serveBatch(b *batch, a *answer) bool {
+	if b.remote == 0 {
+		s.srv.metrics.local.Inc(1)
+		a.finish()
+		return !a.failed
+	}
+	b.unit.messages = append(b.unit.messages, &pgproto3.Sync{})
+	return s.run(&b.unit, a)
+}
+
+// flush answers the messages of a batch so far. They run as a request of their own. If the batch
+// has executed something outside of a transaction, what precedes and follows the Flush must still
+// take effect as a whole, so that a transaction is opened for it.
+func (s *session) flush() bool {
+	b := s.batch
+	s.batch = nil
+	if b == nil || s.skipping {
+		return true
+	}
+	if b.err != nil {
+		s.skipping = true
+		return s.answerError(b.err, false)
+	}
+	a := newAnswer(s, b.ops)
+	if b.executes > 0 && s.tx == nil && !b.unit.info.Begins && !s.beginImplicit(a) ||
+		!s.serveBatch(b, a) {
+		s.skipping = true
+	}
+	if a.refused {
+		_ = a.flush()
+		return false
+	}
+	return a.flush() == nil
+}
+
+// beginImplicit opens the transaction of a batch that is cut by Flush.
+func (s *session) beginImplicit(a *answer) bool {
+	u := unit{
+		info:     stmt.Info{Class: core.ClassBegin, Statements: 1, Begins: true},
+		messages: []pgproto3.FrontendMessage{&pgproto3.Query{String: "BEGIN"}},
+	}
+	quiet := newAnswer(s, nil)
+	defer quiet.discard()
+	if !s.run(&u, quiet) || s.tx == nil {
+		a.adopt(quiet)
+		return false
+	}
+	s.implicit = true
+	return true
+}
+
+// endImplicit commits or rolls back the transaction of a batch that was cut by Flush.
+func (s *session) endImplicit(a *answer) {
+	if !s.implicit || s.tx == nil {
+		return
+	}
+	u := unit{info: stmt.Info{Class: core.ClassEnd, Statements: 1, Ends: true, Commits: true},
+		messages: []pgproto3.FrontendMessage{&pgproto3.Query{String: "COMMIT"}}}
+	if a.failed || s.txStatus == core.TxFailed {
+		s.endTx()
+		return
+	}
+	quiet := newAnswer(s, nil)
+	defer quiet.discard()
+	if !s.run(&u, quiet) {
+		a.adopt(quiet)
+		s.endTx()
+		return
+	}
+	if !s.pos.IsZero() {
+		a.put(&pgproto3.ParameterStatus{Name: paramPosition, Value: s.pos.String()})
+	}
+}
+
+// adopt takes over the error of a request that the listener added.
+func (a *answer) adopt(quiet *answer) {
+	a.refused = quiet.refused
+	if !a.failed {
+		*a.buf = append(*a.buf, *quiet.buf...)
+		a.failed = true
+	}
+}
--- /dev/null
+++ b/io/front/metrics.go
@@ -0,0 +1,49 @@
+package front
+
+import (
+	"sync"
+
+	"github.com/uber-go/tally/v4"
+
+	"snipewall/core"
+)
+
+// metrics holds the counters, so that the hot path doesn't look them up by name.
+type metrics struct {
+	scope          tally.Scope
+	opened, closed tally.Counter
+	requests       [core.ClassEnd + 1]tally.Counter
+	local          tally.Counter
+
+	mu     sync.RWMutex
+	errors map[string]tally.Counter
+}
+
+func newMetrics(scope tally.Scope) *metrics {
+	m := &metrics{
+		scope:  scope,
+		opened: scope.Counter("CallerConnectionsOpened"),
+		closed: scope.Counter("CallerConnectionsClosed"),
+		local:  scope.Counter("CallerLocalStatements"),
+		errors: make(map[string]tally.Counter),
+	}
+	for c := range m.requests {
+		m.requests[c] = scope.Tagged(map[string]string{"Class": core.Class(c).String()}).
+			Counter("CallerRequests")
+	}
+	return m
+}
+
+// failed counts an error that the front itself reports, by SQLSTATE.
+func (m *metrics) failed(state string) {
+	m.mu.RLock()
+	c := m.errors[state]
+	m.mu.RUnlock()
+	if c == nil {
+		m.mu.Lock()
+		c = m.scope.Tagged(map[string]string{"State": state}).Counter("CallerErrors")
+		m.errors[state] = c
+		m.mu.Unlock()
+	}
+	c.Inc(1)
+}
--- /dev/null
+++ b/io/front/params.go
@@ -0,0 +1,245 @@
+package front
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"snipewall/core"
+	"snipewall/core/stmt"
+)
+
+// Names of snipewall's own parameters.
+const (
+	paramSession   = stmt.Prefix + "session"
+	paramKind      = stmt.Prefix + "kind"
+	paramPosition  = stmt.Prefix + "position"
+	paramRequestID = stmt.Prefix + "request_id"
+)
+
+// maxName limits the length of a session name and of a request id, in bytes.
+const maxName = 256
+
+// fixedParam is a parameter that all upstream connections have in common. Setting it to a value
+// with the same meaning has no effect; any other value is refused.
+type fixedParam struct {
+	// display is the name in reports to the caller, empty if the parameter isn't reported.
+	display string
+	value   string
+	// same lists further values with the same meaning, normalized. nil accepts any value.
+	same []string
+	any  bool
+}
+
+// fixedParams holds them by lower-case name.
+var fixedParams = map[string]fixedParam{
+	"application_name":            {display: "application_name", any: true},
+	"client_encoding":             {display: "client_encoding", value: "UTF8", same: []string{"utf-8", "unicode"}},
+	"server_encoding":             {display: "server_encoding", value: "UTF8"},
+	"datestyle":                   {display: "DateStyle", value: "ISO, MDY", same: []string{"iso"}},
+	"intervalstyle":               {display: "IntervalStyle", value: "postgres"},
+	"timezone":                    {display: "TimeZone", value: "UTC", same: []string{"etc/utc", "gmt", "z", "0"}},
+	"integer_datetimes":           {display: "integer_datetimes", value: "on"},
+	"standard_conforming_strings": {display: "standard_conforming_strings", value: "on", same: []string{"true", "1", "yes"}},
+	// From PostgreSQL 12 on, all values above 0 give the same output.
+	"extra_float_digits":            {value: "1", same: []string{"2", "3"}},
+	"bytea_output":                  {value: "hex"},
+	"client_min_messages":           {value: "notice"},
+	"default_transaction_isolation": {value: "read committed"},
+	"default_transaction_read_only": {value: "off", same: []string{"false", "0", "no"}},
+	"statement_timeout":             {value: "0"},
+	"lock_timeout":                  {value: "0"},
+	"search_path":                   {value: `"$user", public`, same: []string{`$user,public`}},
+}
+
+// reportedParams is the order of the reports at start-up.
+var reportedParams = []string{"application_name", "client_encoding", "datestyle",
+	"integer_datetimes", "intervalstyle", "server_encoding", "standard_conforming_strings",
+	"timezone"}
+
+// normalize makes values comparable.
+func normalize(v string) string {
+	return strings.ToLower(strings.ReplaceAll(strings.TrimSpace(v), ", ", ","))
+}
+
+func (p fixedParam) accepts(v string) bool {
+	if p.any {
+		return true
+	}
+	v = normalize(v)
+	if v == normalize(p.value) {
+		return true
+	}
+	for _, same := range p.same {
+		if v == same {
+			return true
+		}
+	}
+	return false
+}
+
+// setParam sets a parameter for the session.
+func (s *session) setParam(name, value string) error {
+	if strings.HasPrefix(name, stmt.Prefix) {
+		return s.setOwn(name, value)
+	}
+	p, ok := fixedParams[name]
+	switch {
+	case !ok:
+		return &callerError{State: core.StateUnsupported,
+			Message: fmt.Sprintf("setting %q for the session is not supported", name),
+			Hint:    "Use SET LOCAL inside a transaction, or set it for the database or the role."}
+	case !p.accepts(value):
+		return &callerError{State: core.StateUnsupported,
+			Message: fmt.Sprintf("setting %q to %q for the session is not supported", name, value),
+			Hint:    fmt.Sprintf("Leave it at %q, or use SET LOCAL inside a transaction.", p.value)}
+	}
+	return nil
+}
+
+// setOwn sets one of snipewall's parameters.
+func (s *session) setOwn(name, value string) error {
+	switch name {
+	case paramSession, paramRequestID:
+		if len(value) > maxName {
+			return invalidParameter(fmt.Sprintf("%s is longer than %d bytes", name, maxName))
+		}
+	}
+	switch name {
+	case paramSession:
+		if core.SessionID(value) != s.name {
+			s.name, s.brought = core.SessionID(strings.Clone(value)), false
+		}
+	case paramRequestID:
+		s.requestID = core.RequestID(strings.Clone(value))
+	case paramKind:
+		policy, ok := s.srv.cfg.Policies.Policy(core.Kind(value))
+		if !ok {
+			return unknownKind(value)
+		}
+		s.kind = policy.Kind
+	case paramPosition:
+		pos, err := core.ParsePosition(value)
+		if err != nil {
+			return invalidParameter(err.Error())
+		}
+		s.pos, s.brought = s.pos.Max(pos), true
+	default:
+		return &callerError{State: stateUndefinedParameter,
+			Message: fmt.Sprintf("unrecognized configuration parameter %q", name),
+			Hint: "The parameters are snipewall.session, snipewall.kind, snipewall.position and" +
+				" snipewall.request_id."}
+	}
+	return nil
+}
+
+// resetParam resets a parameter of the session.
+func (s *session) resetParam(name string) error {
+	switch name {
+	case "all":
+		s.kind, s.name, s.requestID, s.brought = "", "", "", false
+	case paramSession:
+		s.name, s.brought = "", false
+	case paramKind:
+		s.kind = ""
+	case paramRequestID:
+		s.requestID = ""
+	case paramPosition:
+		s.brought = false
+	default:
+		if strings.HasPrefix(name, stmt.Prefix) {
+			return s.setOwn(name, "")
+		}
+	}
+	return nil
+}
+
+// apply executes a local statement. SHOW has no effect.
+func (s *session) apply(l *stmt.Local) error {
+	switch l.Action {
+	case stmt.ActionSet:
+		if l.Default {
+			return s.resetParam(l.Name)
+		}
+		return s.setParam(l.Name, l.Value)
+	case stmt.ActionReset:
+		return s.resetParam(l.Name)
+	case stmt.ActionShow:
+		_, err := s.showParam(l.Name)
+		return err
+	case stmt.ActionDiscard:
+		return s.discardState(l.Name)
+	}
+	return nil
+}
+
+// discardState executes DISCARD. Only DISCARD ALL concerns state that the session keeps.
+func (s *session) discardState(what string) error {
+	switch what {
+	case "plans", "sequences", "temp", "temporary":
+		return nil
+	case "all":
+	default:
+		return &callerError{State: "42601", Message: fmt.Sprintf("syntax error at DISCARD %s", what)}
+	}
+	if s.tx != nil {
+		return &callerError{State: "25001", Message: "DISCARD ALL cannot run inside a transaction block"}
+	}
+	for _, st := range s.stmts {
+		s.srv.stmts.release(st)
+	}
+	s.stmts = nil
+	return s.resetParam("all")
+}
+
+// showParam returns the value of one of snipewall's parameters.
+func (s *session) showParam(name string) (string, error) {
+	switch name {
+	case paramSession:
+		return string(s.name), nil
+	case paramKind:
+		return string(s.srv.policy(s.kind).Kind), nil
+	case paramPosition:
+		return s.pos.String(), nil
+	case paramRequestID:
+		return string(s.requestID), nil
+	}
+	return "", s.setOwn(name, "")
+}
+
+// textOID is the type of the values that SHOW returns.
+const textOID = 25
+
+// showDescription describes the row of SHOW. Text has the same form in both formats.
+func (s *session) showDescription(l *stmt.Local, formats []int16) *pgproto3.RowDescription {
+	field := pgproto3.FieldDescription{Name: []byte(l.Name), DataTypeOID: textOID,
+		DataTypeSize: -1, TypeModifier: -1}
+	if len(formats) == 1 {
+		field.Format = formats[0]
+	}
+	return &pgproto3.RowDescription{Fields: []pgproto3.FieldDescription{field}}
+}
+
+// result puts the rows and the completion of a local statement that was applied.
+func (a *answer) result(l *stmt.Local) {
+	tag := "SET"
+	switch l.Action {
+	case stmt.ActionReset:
+		tag = "RESET"
+	case stmt.ActionDiscard:
+		tag = "DISCARD " + strings.ToUpper(l.Name)
+	case stmt.ActionShow:
+		tag = "SHOW"
+		value, err := a.s.showParam(l.Name)
+		if err != nil {
+			a.fail(err)
+			return
+		}
+		a.put(&pgproto3.DataRow{Values: [][]byte{[]byte(value)}})
+	}
+	if l.Action == stmt.ActionSet && l.Name == "application_name" {
+		a.put(&pgproto3.ParameterStatus{Name: l.Name, Value: l.Value})
+	}
+	a.put(&pgproto3.CommandComplete{CommandTag: []byte(tag)})
+}
--- /dev/null
+++ b/io/front/params_test.go
@@ -0,0 +1,130 @@
+package front
+
+import (
+	"crypto/rand"
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"gotest.tools/v3/assert"
+
+	"snipewall/core"
+)
+
+func pos(term core.Term, offset core.Offset) core.Position {
+	return core.Position{Term: term, Offset: offset}
+}
+
+// A named session needs a read index until its caller brings a position, and a connection's own
+// writes always count.
+func TestReadYourWrites(t *testing.T) {
+	srv := startServer(t)
+	conn := srv.connect(t, "&snipewall.session=desk-4")
+	read := func(position core.Position, needIndex bool) {
+		t.Helper()
+		_, err := conn.Exec(t.Context(), "select 1")
+		assert.NilError(t, err)
+		assert.Equal(t, srv.router.last().Position, position)
+		assert.Equal(t, srv.router.last().NeedIndex, needIndex)
+	}
+	exec := func(sql string) {
+		t.Helper()
+		_, err := conn.Exec(t.Context(), sql)
+		assert.NilError(t, err)
+	}
+	read(core.Position{}, true)
+	exec("insert into t values (1)")
+	assert.Equal(t, conn.PgConn().ParameterStatus("snipewall.position"), "1/1")
+	read(pos(1, 1), true)
+	exec("set snipewall.position = '1/7'")
+	read(pos(1, 7), false)
+	exec("set snipewall.position = '1/3'")
+	read(pos(1, 7), false)
+	exec("set snipewall.session = 'desk-5'")
+	read(pos(1, 7), true)
+	exec("/* position='2/9' */ select 1")
+	assert.Equal(t, srv.router.last().Position, pos(2, 9))
+	assert.Assert(t, !srv.router.last().NeedIndex)
+	exec("reset snipewall.session")
+	read(pos(1, 7), false)
+	exec("/* session='desk-6' */ select 1")
+	assert.Equal(t, srv.router.last().Session, core.SessionID("desk-6"))
+	assert.Assert(t, srv.router.last().NeedIndex)
+	var shown string
+	assert.NilError(t, conn.QueryRow(t.Context(), "show snipewall.position").Scan(&shown))
+	assert.Equal(t, shown, "1/7")
+}
+
+// The policy is looked up per request, and a request id protects one write only.
+func TestKindAndRequestID(t *testing.T) {
+	srv := startServer(t)
+	conn := srv.connect(t, "&options=-c%20snipewall.kind%3Dquote")
+	exec := func(sql string) *core.Request {
+		t.Helper()
+		_, err := conn.Exec(t.Context(), sql)
+		assert.NilError(t, err)
+		return srv.router.last()
+	}
+	req := exec("select 1")
+	assert.Equal(t, req.Kind, core.Kind("quote"))
+	assert.Equal(t, req.Rank, core.RankMiddle)
+	assert.Equal(t, req.AcceptedAge, time.Second)
+	assert.Assert(t, req.Idempotent)
+	assert.Assert(t, time.Until(req.Deadline) < 5*time.Second)
+	assert.Equal(t, exec("/* kind='booking' */ select 1").Kind, core.Kind("booking"))
+	exec("set snipewall.request_id to 'r-81'")
+	assert.Equal(t, exec("select 1").RequestID, core.RequestID(""))
+	assert.Equal(t, exec("insert into t values (1)").RequestID, core.RequestID("r-81"))
+	assert.Equal(t, exec("insert into t values (1)").RequestID, core.RequestID(""))
+	assert.Equal(t, exec("/* request_id='r%2D82' */ insert into t values (1)").RequestID, core.RequestID("r-82"))
+	for sql, state := range map[string]string{
+		"set snipewall.kind = 'nothing'":       "22023",
+		"/* kind='nothing' */ select 1":        "22023",
+		"/* kind='%zz' */ select 1":            "22023",
+		"set snipewall.position = 'x'":         "22023",
+		"set snipewall.colour = 'x'":           "42704",
+		"set search_path = other":              "0A000",
+		"set client_encoding = 'LATIN1'":       "0A000",
+		"listen updates":                       "0A000",
+		"select currval('s')":                  "0A000",
+		"set snipewall.kind = quote; select 1": "0A000",
+	} {
+		_, err := conn.Exec(t.Context(), sql)
+		var pgErr *pgconn.PgError
+		assert.Assert(t, errors.As(err, &pgErr), "%s: %v", sql, err)
+		assert.Equal(t, pgErr.Code, state, "%s", sql)
+	}
+	for _, sql := range []string{"set client_encoding = 'UTF8'", "set names utf8", "set time zone 'UTC'",
+		"set extra_float_digits = 3", "set application_name = 'x'", "set datestyle to iso, mdy", "discard all"} {
+		exec(sql)
+	}
+	assert.Equal(t, exec("select 1").Kind, core.Kind("booking"), "DISCARD ALL must reset the kind")
+}
+
+func TestStartupRefusals(t *testing.T) {
+	srv := startServer(t, func(c *Config) { c.MaxMessage = 1000 })
+	for params, state := range map[string]string{
+		"&snipewall.kind=nothing":                        "22023",
+		"&snipewall.position=1":                          "22023",
+		"&database=other":                                "3D000",
+		"&search_path=other":                             "0A000",
+		"&replication=database":                          "0A000",
+		"&options=-c%20broken":                           "22023",
+		"&snipewall.session=" + strings.Repeat("x", 300): "22023",
+	} {
+		_, err := pgx.Connect(t.Context(), srv.url(params))
+		var pgErr *pgconn.PgError
+		assert.Assert(t, errors.As(err, &pgErr), "%s: %v", params, err)
+		assert.Equal(t, pgErr.Code, state, "%s", params)
+	}
+	conn := srv.connect(t, "")
+	for _, mode := range []pgx.QueryExecMode{pgx.QueryExecModeExec, pgx.QueryExecModeSimpleProtocol} {
+		_, err := conn.Exec(t.Context(), "select $1", mode, rand.Text()+strings.Repeat("x", 2000))
+		assert.ErrorContains(t, err, "54000")
+		_, err = conn.Exec(t.Context(), "select 1")
+		assert.NilError(t, err, "the connection must stay usable after a message that is too large")
+	}
+}
--- /dev/null
+++ b/io/front/pgx_test.go
@@ -0,0 +1,55 @@
+package front
+
+import (
+	"testing"
+
+	"github.com/jackc/pgx/v5"
+	"gotest.tools/v3/assert"
+
+	"snipewall/core"
+)
+
+// A driver in its default mode caches named prepared statements, which must keep working although
+// every request may run on another upstream connection.
+func TestPgxModes(t *testing.T) {
+	for _, mode := range []pgx.QueryExecMode{pgx.QueryExecModeCacheStatement,
+		pgx.QueryExecModeCacheDescribe, pgx.QueryExecModeDescribeExec, pgx.QueryExecModeExec,
+		pgx.QueryExecModeSimpleProtocol} {
+		t.Run(mode.String(), func(t *testing.T) {
+			srv := startServer(t)
+			conn := srv.connect(t, "")
+			for range 3 {
+				var v string
+				err := conn.QueryRow(t.Context(), "select v from t where id = $1", mode, "a").Scan(&v)
+				assert.NilError(t, err)
+				assert.Equal(t, v, "1")
+				assert.Equal(t, srv.router.last().Class, core.ClassRead)
+				_, err = conn.Exec(t.Context(), "insert into t values ($1)", mode, "b")
+				assert.NilError(t, err)
+				assert.Equal(t, srv.router.last().Class, core.ClassWrite)
+			}
+		})
+	}
+}
+
+func TestPgxTransaction(t *testing.T) {
+	srv := startServer(t)
+	conn := srv.connect(t, "")
+	tx, err := conn.Begin(t.Context())
+	assert.NilError(t, err)
+	_, err = tx.Exec(t.Context(), "insert into t values ($1)", "b")
+	assert.NilError(t, err)
+	assert.Assert(t, srv.router.last().InTx)
+	assert.NilError(t, tx.Commit(t.Context()))
+	assert.Equal(t, conn.PgConn().ParameterStatus("snipewall.position"), "1/1")
+	assert.Equal(t, conn.PgConn().TxStatus(), byte('I'))
+
+	tx, err = conn.Begin(t.Context())
+	assert.NilError(t, err)
+	_, err = tx.Exec(t.Context(), "insert into missing values (1)")
+	assert.ErrorContains(t, err, "42P01")
+	_, err = tx.Exec(t.Context(), "insert into t values (1)")
+	assert.ErrorContains(t, err, "25P02")
+	assert.NilError(t, tx.Rollback(t.Context()))
+	assert.Equal(t, conn.PgConn().TxStatus(), byte('I'))
+}
--- /dev/null
+++ b/io/front/session.go
@@ -0,0 +1,370 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"snipewall/core"
+	"snipewall/core/stmt"
+)
+
+// States of a session, as Drain sees them.
+const (
+	stateBusy int32 = iota
+	// stateIdle: waiting for the first byte of a request, outside of a transaction.
+	stateIdle
+	// stateClosing: Drain has asked the session to end.
+	stateClosing
+)
+
+// lingerTime is how long a closing connection reads what the caller sent before. Closing a TCP
+// connection with unread bytes resets it, which can destroy the last message on its way.
+const lingerTime = 200 * time.Millisecond
+
+// session is one caller's connection. Only its own goroutine uses it, except for the fields that
+// say otherwise. There are thousands of idle ones, so it holds no buffers.
+type session struct {
+	srv *Server
+	// conn is replaced when the caller starts TLS. raw is the connection that was accepted; other
+	// goroutines use it.
+	conn net.Conn
+	raw  net.Conn
+	rd   reader
+
+	key    uint32
+	secret uint32
+	// state is atomic.
+	state atomic.Int32
+	// running is the request in flight, for CancelRequest. It is atomic.
+	running atomic.Pointer[running]
+
+	group     core.GroupID
+	kind      core.Kind
+	name      core.SessionID
+	requestID core.RequestID
+	// pos covers what the caller brought and what its own writes reached.
+	pos core.Position
+	// brought tells that the caller supplied a position for the session name.
+	brought bool
+
+	// stmts holds the prepared statements by the caller's name; nil if there are none.
+	stmts map[string]*statement
+	// batch collects the messages of the extended protocol up to Sync; nil if there are none.
+	batch *batch
+	// skipping tells that messages up to the next Sync are ignored after an error.
+	skipping bool
+
+	tx       core.Tx
+	txStatus core.TxStatus
+	// failed tells that a transaction ended by an error while the caller's transaction block is
+	// still open: everything is refused with 25P02 until the caller ends the block.
+	failed bool
+	// implicit tells that tx was opened for a batch that is cut by Flush, and ends at Sync.
+	implicit bool
+	// broken is the error that made the connection unusable.
+	broken error
+}
+
+// running is a request in flight.
+type running struct {
+	cancel   context.CancelFunc
+	canceled atomic.Bool
+}
+
+func newSession(srv *Server, conn net.Conn) *session {
+	return &session{srv: srv, conn: conn, raw: conn, rd: newReader(conn), txStatus: core.TxIdle}
+}
+
+// setConn continues on an encrypted connection.
+func (s *session) setConn(conn net.Conn) {
+	s.conn = conn
+	s.rd = newReader(conn)
+}
+
+// close releases everything. An open transaction is rolled back.
+func (s *session) close() {
+	s.endTx()
+	for _, st := range s.stmts {
+		s.srv.stmts.release(st)
+	}
+	s.stmts = nil
+	s.rd.drop()
+	_ = s.conn.Close()
+}
+
+// endTx rolls the transaction back if one is open.
+func (s *session) endTx() {
+	if s.tx == nil {
+		return
+	}
+	if err := s.tx.Close(); err != nil {
+		_ = s.srv.cfg.Log.Log("Level", "warn", "Msg", "closing a transaction failed", "Err", err)
+	}
+	s.tx = nil
+	s.txStatus = core.TxIdle
+	s.implicit = false
+}
+
+// cancelRunning cancels the request in flight. It may be called from any goroutine.
+func (s *session) cancelRunning() {
+	if r := s.running.Load(); r != nil {
+		r.canceled.Store(true)
+		r.cancel()
+	}
+}
+
+// wakeIfIdle ends the session if it waits for a request. It may be called from any goroutine.
+func (s *session) wakeIfIdle() {
+	if s.state.CompareAndSwap(stateIdle, stateClosing) {
+		_ = s.raw.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// loop serves messages until the connection ends.
+func (s *session) loop() {
+	for s.broken == nil {
+		if !s.await() {
+			return
+		}
+		msg, n, err := s.rd.message(s.srv.cfg.MaxMessage)
+		if err != nil {
+			if !s.readFailed(err) {
+				return
+			}
+			continue
+		}
+		if !s.handle(msg, n) {
+			return
+		}
+	}
+}
+
+// await waits for the first byte of a message. It returns false if the session ends.
+func (s *session) await() bool {
+	if s.rd.buffered() > 0 {
+		return true
+	}
+	idle := s.tx == nil && s.batch == nil && !s.skipping
+	if idle {
+		s.state.Store(stateIdle)
+		// Drain may have walked over the sessions before this one became idle.
+		if s.srv.draining.Load() {
+			s.state.CompareAndSwap(stateIdle, stateClosing)
+		}
+	}
+	var err error
+	if !idle || s.state.Load() == stateIdle {
+		err = s.rd.fill()
+	}
+	if idle && !s.state.CompareAndSwap(stateIdle, stateBusy) {
+		s.goodbye()
+		return false
+	}
+	return err == nil
+}
+
+// goodbye ends an idle connection because of Drain. Bytes that arrived meanwhile are discarded, so
+// that the message is true for them too.
+func (s *session) goodbye() {
+	s.rd.drop()
+	s.fatal(errStopping)
+	s.linger()
+}
+
+// linger closes the sending side and reads what is left for a short time.
+func (s *session) linger() {
+	if c, ok := s.conn.(interface{ CloseWrite() error }); ok {
+		if err := c.CloseWrite(); err != nil {
+			return
+		}
+		if err := s.conn.SetReadDeadline(time.Now().Add(lingerTime)); err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, s.conn)
+	}
+}
+
+// readFailed handles an error of reading a message. It returns true if the connection goes on.
+func (s *session) readFailed(err error) bool {
+	var large *errTooLarge
+	if errors.As(err, &large) {
+		refusal := &callerError{State: stateLimitExceeded, Message: large.Error(),
+			Hint: "Send less data in one message."}
+		switch large.typ {
+		case 'Q':
+			s.answerError(refusal, true)
+			return true
+		case 'P', 'B', 'D', 'E', 'C':
+			s.openBatch().fail(refusal)
+			return true
+		case 'd', 'c', 'f':
+			return true
+		case 'F':
+			s.answerError(refusal, true)
+			return true
+		}
+		s.fatal(refusal)
+		return false
+	}
+	var proto *errProtocol
+	if errors.As(err, &proto) {
+		s.fatal(&callerError{State: core.StateProtocolViolation, Message: proto.reason})
+		s.linger()
+	}
+	return false
+}
+
+// handle serves one message. It returns false at the end of the session.
+func (s *session) handle(msg pgproto3.FrontendMessage, size int) bool {
+	switch m := msg.(type) {
+	case *pgproto3.Query:
+		return s.query(m)
+	case *pgproto3.Parse, *pgproto3.Bind, *pgproto3.Describe, *pgproto3.Execute, *pgproto3.Close:
+		if !s.skipping {
+			s.openBatch().add(msg, size)
+		}
+	case *pgproto3.Flush:
+		return s.flush()
+	case *pgproto3.Sync:
+		return s.sync()
+	case *pgproto3.Terminate:
+		return false
+	case *pgproto3.FunctionCall:
+		s.answerError(&callerError{State: core.StateUnsupported,
+			Message: "the function call protocol is not supported", Hint: "Use SELECT."}, true)
+	case *pgproto3.CopyData, *pgproto3.CopyDone, *pgproto3.CopyFail:
+		// As PostgreSQL does, ignore what is left of a COPY that failed.
+	default:
+		s.fatal(&callerError{State: core.StateProtocolViolation, Message: "unexpected message"})
+		return false
+	}
+	return true
+}
+
+// query serves a simple query.
+func (s *session) query(q *pgproto3.Query) bool {
+	if s.batch != nil {
+		s.batch = nil
+		return s.answerError(&callerError{State: core.StateProtocolViolation,
+			Message: "Query message inside a batch of the extended protocol",
+			Hint:    "Send Sync first."}, true)
+	}
+	s.skipping = false
+	s.forget("")
+	tags, head, err := stmt.ParseTags(q.String)
+	if err != nil {
+		return s.answerError(invalidParameter(err.Error()), true)
+	}
+	info := stmt.Classify(q.String[head:])
+	switch {
+	case info.Unsupported != nil:
+		return s.answerError(info.Unsupported, true)
+	case info.Statements == 0 || len(info.Locals) > 0 || s.endsNothing(info):
+		return s.queryLocal(info)
+	case s.failed:
+		return s.answerError(errInFailedTx, true)
+	case info.NeedsTx != "" && s.tx == nil && info.Statements == 1:
+		return s.answerError(errNeedsTx(info.NeedsTx), true)
+	}
+	u := unit{info: info, tags: tags, messages: []pgproto3.FrontendMessage{q}}
+	a := newAnswer(s, nil)
+	s.run(&u, a)
+	return s.ready(a)
+}
+
+// endsNothing reports whether the statement is a COMMIT or ROLLBACK without a transaction.
+func (s *session) endsNothing(info stmt.Info) bool {
+	return s.tx == nil && info.Class == core.ClassEnd && info.Statements == 1
+}
+
+// queryLocal answers a simple query that needs no upstream.
+func (s *session) queryLocal(info stmt.Info) bool {
+	a := newAnswer(s, nil)
+	switch {
+	case info.Statements == 0:
+		a.put(&pgproto3.EmptyQueryResponse{})
+	case len(info.Locals) == 0:
+		a.endBlock(info)
+	case s.failed:
+		a.fail(errInFailedTx)
+	default:
+		for i := range info.Locals {
+			l := &info.Locals[i]
+			if err := s.apply(l); err != nil {
+				s.failBlock()
+				a.fail(err)
+				break
+			}
+			if l.Action == stmt.ActionShow {
+				a.put(s.showDescription(l, nil))
+			}
+			a.result(l)
+		}
+	}
+	s.srv.metrics.local.Inc(1)
+	return s.ready(a)
+}
+
+// failBlock puts the caller's transaction block, if it has one, into the failed state, as any error
+// inside a transaction does.
+func (s *session) failBlock() {
+	if s.tx == nil {
+		return
+	}
+	explicit := !s.implicit
+	s.endTx()
+	s.failed = explicit
+}
+
+// status is the transaction status of the caller's connection.
+func (s *session) status() core.TxStatus {
+	switch {
+	case s.failed:
+		return core.TxFailed
+	case s.tx != nil:
+		return s.txStatus
+	}
+	return core.TxIdle
+}
+
+// ready ends an answer with ReadyForQuery. It returns false if the session ends.
+func (s *session) ready(a *answer) bool {
+	if s.broken != nil {
+		a.discard()
+		return false
+	}
+	if s.srv.draining.Load() && a.refused {
+		a.discard()
+		return false
+	}
+	a.put(&pgproto3.ReadyForQuery{TxStatus: byte(s.status())})
+	return a.flush() == nil
+}
+
+// answerError answers with an error, and with ReadyForQuery if asked. An open transaction fails. It
+// returns false if the session ends.
+func (s *session) answerError(err error, ready bool) bool {
+	s.failBlock()
+	a := newAnswer(s, nil)
+	a.fail(err)
+	if ready {
+		return s.ready(a)
+	}
+	return a.flush() == nil
+}
+
+// fatal tells the caller why its connection ends.
+func (s *session) fatal(err *callerError) {
+	resp := err.response()
+	resp.Severity, resp.SeverityUnlocalized = "FATAL", "FATAL"
+	s.srv.metrics.failed(err.State)
+	a := newAnswer(s, nil)
+	a.put(resp)
+	_ = a.flush()
+}
--- /dev/null
+++ b/io/front/unit.go
@@ -0,0 +1,182 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"snipewall/core"
+	"snipewall/core/stmt"
+)
+
+// unit is what becomes one core.Request.
+type unit struct {
+	info     stmt.Info
+	tags     stmt.Tags
+	messages []pgproto3.FrontendMessage
+	prepared map[string]*pgproto3.Parse
+}
+
+// run executes the unit and puts the answer, except ReadyForQuery, into a. It returns true if the
+// unit ran without an error of any kind.
+func (s *session) run(u *unit, a *answer) bool {
+	if s.srv.draining.Load() && s.tx == nil {
+		a.refused = true
+		a.fatal(errStopping)
+		return false
+	}
+	req, err := s.request(u)
+	if err != nil {
+		s.failBlock()
+		a.fail(err)
+		return false
+	}
+	ctx, cancel := context.WithDeadline(s.srv.ctx, req.Deadline)
+	defer cancel()
+	r := &running{cancel: cancel}
+	s.running.Store(r)
+	defer s.running.Store(nil)
+	a.deadline = req.Deadline
+	s.srv.metrics.requests[req.Class].Inc(1)
+
+	inTx := s.tx != nil
+	var res core.Result
+	if inTx {
+		res, err = s.tx.Run(ctx, req, a)
+	} else {
+		res, err = s.srv.cfg.Router.Execute(ctx, req, a)
+	}
+	if err != nil {
+		failure := failureOf(err, &attempt{req: req, info: &u.info, inTx: inTx,
+			canceled: r.canceled.Load(), expired: errors.Is(ctx.Err(), context.DeadlineExceeded)})
+		s.lost(u, inTx)
+		a.fail(failure)
+		return false
+	}
+	s.ended(res)
+	a.finish()
+	if !res.Position.IsZero() {
+		s.pos = s.pos.Max(res.Position)
+		a.put(&pgproto3.ParameterStatus{Name: paramPosition, Value: s.pos.String()})
+	}
+	return !a.failed && res.Err == nil
+}
+
+// ended takes over the state after a unit that ran.
+func (s *session) ended(res core.Result) {
+	if res.Status == core.TxIdle || res.Status == 0 {
+		s.tx, s.txStatus, s.implicit = nil, core.TxIdle, false
+		return
+	}
+	if res.Tx != nil {
+		s.tx = res.Tx
+	}
+	if s.tx != nil {
+		s.txStatus = res.Status
+	}
+}
+
+// lost ends the transaction after an executor's error. The caller's transaction block remains open
+// in the failed state, unless the unit was about to end it: a caller that has already sent the next
+// statement would otherwise run it outside of the transaction. The same holds after a BEGIN that
+// failed, if more was sent behind it.
+func (s *session) lost(u *unit, inTx bool) {
+	explicit := inTx && !s.implicit
+	s.endTx()
+	if u.info.Ends {
+		return
+	}
+	s.failed = explicit || !inTx && u.info.Begins && s.rd.buffered() > 0
+}
+
+// request builds the request of the unit from the state of the session and the kind's policy.
+func (s *session) request(u *unit) (*core.Request, error) {
+	kind := s.kind
+	if u.tags.Kind != "" {
+		kind = core.Kind(u.tags.Kind)
+		if _, ok := s.srv.cfg.Policies.Policy(kind); !ok {
+			return nil, unknownKind(u.tags.Kind)
+		}
+	}
+	policy := s.srv.policy(kind)
+	deadline := policy.Deadline
+	if deadline <= 0 {
+		deadline = s.srv.cfg.Deadline
+	}
+	req := &core.Request{
+		ID:          s.srv.requests.Add(1),
+		Group:       s.group,
+		Kind:        policy.Kind,
+		Rank:        policy.Rank,
+		Class:       u.info.Class,
+		Session:     s.name,
+		Position:    s.pos,
+		NeedIndex:   s.name != "" && !s.brought,
+		AcceptedAge: policy.AcceptedAge,
+		Idempotent:  policy.Idempotent,
+		InTx:        s.tx != nil,
+		Deadline:    time.Now().Add(deadline),
+		Messages:    u.messages,
+		Prepared:    u.prepared,
+		Attempt:     &core.Attempt{},
+	}
+	if err := s.tagRequest(req, u); err != nil {
+		return nil, err
+	}
+	switch {
+	case req.InTx && u.info.Ends:
+		req.Class = core.ClassEnd
+	case req.Class == core.ClassEnd:
+		// Without a transaction, COMMIT and ROLLBACK only warn.
+		req.Class = core.ClassRead
+	}
+	return req, nil
+}
+
+// tagRequest applies the comment tags and the request id.
+func (s *session) tagRequest(req *core.Request, u *unit) error {
+	if u.tags.Session != "" && core.SessionID(u.tags.Session) != s.name {
+		req.Session = core.SessionID(u.tags.Session)
+		req.NeedIndex = true
+	}
+	if u.tags.Position != "" {
+		pos, err := core.ParsePosition(u.tags.Position)
+		if err != nil {
+			return invalidParameter(err.Error())
+		}
+		req.Position = req.Position.Max(pos)
+		req.NeedIndex = false
+	}
+	id := core.RequestID(u.tags.RequestID)
+	if u.info.Writes {
+		if id == "" {
+			id = s.requestID
+		}
+		s.requestID = ""
+		if id != "" && u.info.Begins && u.info.Ends {
+			return errRequestIDInTx
+		}
+		req.RequestID = id
+	}
+	return nil
+}
+
+// policy returns the row of the kind. A kind that was removed from the table gets the row of the
+// default kind, but with current data and without repetition, which are safe for any kind.
+func (s *Server) policy(kind core.Kind) core.KindPolicy {
+	if kind == "" {
+		kind = s.cfg.DefaultKind
+	}
+	if p, ok := s.cfg.Policies.Policy(kind); ok {
+		return p
+	}
+	p, ok := s.cfg.Policies.Policy(s.cfg.DefaultKind)
+	if !ok {
+		return core.KindPolicy{Kind: s.cfg.DefaultKind, Rank: core.RankLast, Weight: 1}
+	}
+	p.AcceptedAge = 0
+	p.Idempotent = false
+	return p
+}
