Add the membership of entry VMs and its control calls

Cause: owners, leaving marks and table versions depend on which entry VMs are alive. Ruled out: heartbeats of all to all and full states in each ping, whose traffic grows with the fleet; giving up a member because the other side of a cut calls it dead, which would empty both sides when a cut heals. Change: core/peers (pings, suspicion, refutation, marks, digest comparison, table fetch, platform's list) and io/ctrl (net/rpc with deadlines, size limit and bounded idle connections).

--- /dev/null
+++ b/core/peers/probe.go
@@ -0,0 +1,283 @@
+package peers
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"snipewall/core"
+)
+
+// gossip builds the gossip of the next message.
+func (p *Peers) gossip() Gossip {
+	updates, marks := p.state.queue.take(p.state.size())
+	g := Gossip{Self: p.state.selfUpdate(), Updates: updates, Marks: marks}
+	if p.cfg.Table != nil {
+		g.Table = p.cfg.Table.Version()
+	}
+	return g
+}
+
+// receive merges gossip that the member itself sent.
+func (p *Peers) receive(g Gossip) {
+	now := time.Now()
+	p.mu.Lock()
+	changed := p.state.apply(g.Self, now)
+	changed = p.state.confirm(g.Self, now) || changed
+	for _, u := range g.Updates {
+		changed = p.state.apply(u, now) || changed
+	}
+	for _, m := range g.Marks {
+		changed = p.state.applyMark(m, now) || changed
+	}
+	if changed {
+		p.refresh()
+	}
+	p.mu.Unlock()
+	if g.Self.VM.ID != p.cfg.Self.ID {
+		p.fetch(g.Self.VM, g.Table)
+	}
+}
+
+// ping sends a ping and merges the answer. A member that is not the expected one is an error.
+func (p *Peers) ping(ctx context.Context, vm core.VM) error {
+	ctx, cancel := context.WithTimeout(ctx, p.cfg.PingTimeout)
+	defer cancel()
+	p.mu.Lock()
+	req := &PingRequest{To: vm.ID, Gossip: p.gossip()}
+	// The member must hear what is said about it, to refute it in its answer.
+	req.Updates = append(req.Updates, p.accusations(vm.ID)...)
+	p.mu.Unlock()
+	p.stats.pings.Add(1)
+	answer, err := p.cfg.Transport.Ping(ctx, vm.Control, req)
+	if err != nil {
+		p.stats.failures.Add(1)
+		return err
+	}
+	if answer.Self.VM.ID == p.cfg.Self.ID {
+		p.dropCandidate(vm.Control)
+		return core.ErrPeer.New("%s is this entry VM itself", vm.Control)
+	}
+	p.receive(answer.Gossip)
+	if vm.ID != "" && answer.Self.VM.ID != vm.ID {
+		return core.ErrPeer.New("%s is now %s instead of %s", vm.Control, answer.Self.VM.ID, vm.ID)
+	}
+	return nil
+}
+
+// accusations returns the record that the member has to refute, if any. The caller holds mu.
+func (p *Peers) accusations(id core.VMID) []Update {
+	m := p.state.members[id]
+	if m == nil || (m.status == StatusAlive && !m.accused) {
+		return nil
+	}
+	u := Update{VM: core.VM{ID: id}, Status: m.status, Incarnation: m.incarnation}
+	if m.accused {
+		u.Status = StatusDead
+	}
+	return []Update{u}
+}
+
+// probeNext pings the next member in a goroutine.
+func (p *Peers) probeNext(ctx context.Context) {
+	vm, ok := p.nextTarget()
+	if !ok {
+		return
+	}
+	select {
+	case p.probes <- struct{}{}:
+	default:
+		return
+	}
+	p.start(func() {
+		defer func() { <-p.probes }()
+		p.probe(ctx, vm)
+	})
+}
+
+// nextTarget returns an accused member, or the next one in a shuffled order, so that each is pinged
+// once per round.
+func (p *Peers) nextTarget() (core.VM, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, m := range p.state.members {
+		if m.accused && m.isAlive() {
+			return m.vm, true
+		}
+	}
+	for range 2 {
+		for len(p.order) > 0 {
+			id := p.order[len(p.order)-1]
+			p.order = p.order[:len(p.order)-1]
+			if m := p.state.members[id]; m != nil && m.isAlive() {
+				return m.vm, true
+			}
+		}
+		for id, m := range p.state.members {
+			if m.isAlive() {
+				p.order = append(p.order, id)
+			}
+		}
+		rand.Shuffle(len(p.order), func(i, j int) { p.order[i], p.order[j] = p.order[j], p.order[i] })
+	}
+	return core.VM{}, false
+}
+
+// probe pings a member, directly and then through others, and suspects it if nothing is heard.
+func (p *Peers) probe(ctx context.Context, vm core.VM) {
+	if p.ping(ctx, vm) == nil || ctx.Err() != nil {
+		return
+	}
+	if p.probeIndirect(ctx, vm) || ctx.Err() != nil {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.state.suspect(vm.ID, time.Now()) {
+		_ = p.cfg.Logger.Log("Msg", "member is suspect", "VM", vm.ID)
+	}
+}
+
+// probeIndirect asks others to ping the member and reports whether it answered one of them.
+func (p *Peers) probeIndirect(ctx context.Context, vm core.VM) bool {
+	ctx, cancel := context.WithTimeout(ctx, 2*p.cfg.PingTimeout)
+	defer cancel()
+	ask := p.sample(helpers, vm.ID)
+	answers := make(chan bool, len(ask))
+	for _, helper := range ask {
+		go func() { answers <- p.askHelper(ctx, helper, vm) }()
+	}
+	answered := false
+	for range ask {
+		if <-answers {
+			answered = true
+			cancel()
+		}
+	}
+	return answered
+}
+
+// askHelper lets the helper ping the member and merges what that answered.
+func (p *Peers) askHelper(ctx context.Context, helper, vm core.VM) bool {
+	p.stats.probes.Add(1)
+	answer, err := p.cfg.Transport.Probe(ctx, helper.Control, &ProbeRequest{Target: vm})
+	if err != nil || !answer.Answered || answer.Self.VM.ID != vm.ID {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.state.apply(answer.Self, time.Now()) {
+		p.refresh()
+	}
+	return true
+}
+
+// others returns the other members that count as alive.
+func (p *Peers) others() []core.VM {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var list []core.VM
+	for _, m := range p.state.members {
+		if m.isAlive() {
+			list = append(list, m.vm)
+		}
+	}
+	return list
+}
+
+// sample returns up to n random other members that count as alive.
+func (p *Peers) sample(n int, without core.VMID) []core.VM {
+	list := p.others()
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	picked := make([]core.VM, 0, n)
+	for _, vm := range list {
+		if len(picked) < n && vm.ID != without {
+			picked = append(picked, vm)
+		}
+	}
+	return picked
+}
+
+// spread pings a few members at once.
+func (p *Peers) spread(ctx context.Context, n int) {
+	for _, vm := range p.sample(n, "") {
+		p.start(func() { _ = p.ping(ctx, vm) })
+	}
+}
+
+// Ping implements Handler.
+func (p *Peers) Ping(_ context.Context, req *PingRequest) (*PingAnswer, error) {
+	p.mu.Lock()
+	accusations := p.accusations(req.Self.VM.ID)
+	p.mu.Unlock()
+	p.receive(req.Gossip)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	answer := &PingAnswer{Gossip: p.gossip()}
+	answer.Updates = append(answer.Updates, accusations...)
+	return answer, nil
+}
+
+// Probe implements Handler.
+func (p *Peers) Probe(ctx context.Context, req *ProbeRequest) (*ProbeAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, p.cfg.PingTimeout)
+	defer cancel()
+	if err := p.ping(ctx, req.Target); err != nil {
+		// The failure is an answer to the question, not of the call.
+		return &ProbeAnswer{}, nil
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m := p.state.members[req.Target.ID]
+	if m == nil {
+		return &ProbeAnswer{}, nil
+	}
+	return &ProbeAnswer{Answered: true, Self: m.update()}, nil
+}
+
+// retry tries a dead member or a candidate, or several of them as long as no member is known.
+func (p *Peers) retry(ctx context.Context, alone bool) {
+	n := 1
+	if alone {
+		n = fanout
+	}
+	for _, vm := range p.missing(n) {
+		p.start(func() {
+			if p.ping(ctx, vm) == nil {
+				// A member that was away, or a new one, has seen other changes than this one.
+				p.sync(ctx, vm)
+			}
+		})
+	}
+}
+
+// missing returns up to n random dead members and candidates that are not alive here.
+func (p *Peers) missing(n int) []core.VM {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := map[string]bool{p.cfg.Self.Control: true}
+	var list []core.VM
+	for _, m := range p.state.members {
+		if m.isAlive() {
+			known[m.vm.Control] = true
+		}
+	}
+	for _, m := range p.state.members {
+		if m.status == StatusDead && !known[m.vm.Control] {
+			known[m.vm.Control] = true
+			list = append(list, m.vm)
+		}
+	}
+	for address := range p.candidates {
+		if !known[address] {
+			list = append(list, core.VM{Control: address})
+		}
+	}
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list[:min(n, len(list))]
+}
+
+// stats counts calls for the dump. They are written without a lock.
+type stats struct {
+	pings, failures, probes, syncs, fetches counter
+}
--- /dev/null
+++ b/core/peers/queue.go
@@ -0,0 +1,84 @@
+package peers
+
+import (
+	"cmp"
+	"math/bits"
+	"slices"
+)
+
+// Limits of what one message carries.
+const (
+	minUpdates = 6
+	// maxUpdates is used while many updates wait, as after a cut. It keeps a ping below 2 KB.
+	maxUpdates = 20
+	// backlogShare is the part of the waiting updates that one message may carry.
+	backlogShare = 8
+	maxMarks     = 6
+	// sendFactor times the logarithm of the fleet is how often an update is sent.
+	sendFactor = 3
+)
+
+// queue holds the updates that are still to be sent. A newer update about the same subject replaces
+// the older one.
+type queue struct {
+	updates map[string]*item[Update]
+	marks   map[markKey]*item[Mark]
+	// pushed orders items of the same count, the newest first.
+	pushed uint64
+}
+
+// item is something to send and how often it was sent.
+type item[T any] struct {
+	value  T
+	sent   int
+	pushed uint64
+}
+
+func newQueue() *queue {
+	return &queue{updates: make(map[string]*item[Update]), marks: make(map[markKey]*item[Mark])}
+}
+
+func (q *queue) push(u Update) {
+	q.pushed++
+	q.updates[string(u.VM.ID)] = &item[Update]{value: u, pushed: q.pushed}
+}
+
+func (q *queue) pushMark(m Mark) {
+	q.pushed++
+	q.marks[m.key()] = &item[Mark]{value: m, pushed: q.pushed}
+}
+
+// take returns what the next message to a fleet of the size carries.
+func (q *queue) take(size int) ([]Update, []Mark) {
+	limit := sendFactor * bits.Len(uint(size))
+	n := min(max(len(q.updates)/backlogShare, minUpdates), maxUpdates)
+	return takeItems(q.updates, n, limit), takeItems(q.marks, maxMarks, limit)
+}
+
+// takeItems picks the n items that were sent least and drops those that were sent often enough.
+func takeItems[K comparable, T any](items map[K]*item[T], n, limit int) []T {
+	if len(items) == 0 {
+		return nil
+	}
+	type keyed struct {
+		key K
+		*item[T]
+	}
+	list := make([]keyed, 0, len(items))
+	for key, it := range items {
+		list = append(list, keyed{key: key, item: it})
+	}
+	slices.SortFunc(list, func(a, b keyed) int {
+		return cmp.Or(cmp.Compare(a.sent, b.sent), cmp.Compare(b.pushed, a.pushed))
+	})
+	list = list[:min(n, len(list))]
+	values := make([]T, len(list))
+	for i, it := range list {
+		values[i] = it.value
+		it.sent++
+		if it.sent >= limit {
+			delete(items, it.key)
+		}
+	}
+	return values
+}
--- /dev/null
+++ b/core/peers/state.go
@@ -0,0 +1,361 @@
+package peers
+
+import (
+	"cmp"
+	"encoding/binary"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"snipewall/core"
+)
+
+// maxIncarnation bounds incarnations from the network, so that they can't overflow.
+const maxIncarnation = 1 << 62
+
+// member is the record of one member other than this one.
+type member struct {
+	vm          core.VM
+	status      Status
+	incarnation uint64
+	// since is when the status was adopted here.
+	since time.Time
+	// accused tells that another member believes it is dead, so that it is probed next.
+	accused bool
+}
+
+func (m *member) update() Update {
+	u := Update{VM: m.vm, Status: m.status, Incarnation: m.incarnation}
+	if m.status != StatusAlive {
+		u.VM = core.VM{ID: m.vm.ID}
+	}
+	return u
+}
+
+func (m *member) isAlive() bool { return m.status <= StatusSuspect }
+
+// markKey identifies a mark.
+type markKey struct {
+	upstream core.UpstreamID
+	vm       core.VMID
+	source   Source
+}
+
+func (m Mark) key() markKey { return markKey{upstream: m.Upstream, vm: m.VM, source: m.Source} }
+
+// timedMark is a mark and when it was adopted here.
+type timedMark struct {
+	Mark
+	since time.Time
+}
+
+// state is the replicated state. The owner serializes access.
+type state struct {
+	self        core.VM
+	incarnation uint64
+	left        bool
+	members     map[core.VMID]*member
+	marks       map[markKey]timedMark
+	queue       *queue
+}
+
+func newState(self core.VM, incarnation uint64) *state {
+	return &state{
+		self:        self,
+		incarnation: incarnation,
+		members:     make(map[core.VMID]*member),
+		marks:       make(map[markKey]timedMark),
+		queue:       newQueue(),
+	}
+}
+
+// size is the number of members that count as alive, this one included.
+func (s *state) size() int {
+	n := 1
+	for _, m := range s.members {
+		if m.isAlive() {
+			n++
+		}
+	}
+	return n
+}
+
+func (s *state) selfUpdate() Update {
+	u := Update{VM: s.self, Incarnation: s.incarnation}
+	if s.left {
+		u.Status = StatusLeft
+	}
+	return u
+}
+
+// apply merges a record and reports whether it changed anything.
+func (s *state) apply(u Update, now time.Time) bool {
+	if u.VM.ID == "" || u.Status > StatusLeft || u.Incarnation > maxIncarnation {
+		return false
+	}
+	if u.VM.ID == s.self.ID {
+		return s.refute(u)
+	}
+	m := s.members[u.VM.ID]
+	if m == nil {
+		return s.add(u, now)
+	}
+	if u.Incarnation < m.incarnation || (u.Incarnation == m.incarnation && u.Status <= m.status) {
+		return false
+	}
+	if u.Status == StatusDead && m.status == StatusAlive {
+		return s.accuse(m, u)
+	}
+	if u.Status == StatusAlive {
+		m.vm = u.VM
+	}
+	s.set(m, u.Status, u.Incarnation, now)
+	return true
+}
+
+// refute raises the own incarnation if a record about this member is wrong or comes from an earlier
+// process with the same id.
+func (s *state) refute(u Update) bool {
+	own := s.selfUpdate()
+	isOld := u.Incarnation < own.Incarnation
+	isSame := u.Incarnation == own.Incarnation && u.Status == own.Status
+	if isOld || isSame || (u.Incarnation == own.Incarnation && s.left) {
+		return false
+	}
+	s.incarnation = u.Incarnation + 1
+	s.queue.push(s.selfUpdate())
+	return true
+}
+
+// add takes up a member that is alive. Others are of no use without an address.
+func (s *state) add(u Update, now time.Time) bool {
+	if u.Status != StatusAlive || u.VM.Control == "" {
+		return false
+	}
+	s.members[u.VM.ID] = &member{vm: u.VM, incarnation: u.Incarnation, since: now}
+	s.queue.push(u)
+	return true
+}
+
+// accuse handles a record that says that a member is dead, which is alive here and not even suspect.
+// It can come from the other side of a cut. The member isn't given up: the record is passed on until
+// the member refutes it, and it is probed soon, so that it becomes suspect if it is really dead.
+func (s *state) accuse(m *member, u Update) bool {
+	if m.accused {
+		return false
+	}
+	m.accused = true
+	s.queue.push(Update{VM: core.VM{ID: m.vm.ID}, Status: StatusDead, Incarnation: u.Incarnation})
+	return true
+}
+
+func (s *state) set(m *member, status Status, incarnation uint64, now time.Time) {
+	if m.status != status || m.incarnation != incarnation {
+		m.since = now
+	}
+	m.status, m.incarnation, m.accused = status, incarnation, false
+	s.queue.push(m.update())
+}
+
+// confirm notes that a member answered this one with the incarnation. It clears a suspicion that the
+// member has not refuted yet.
+func (s *state) confirm(u Update, now time.Time) bool {
+	m := s.members[u.VM.ID]
+	if m == nil || u.Status != StatusAlive || u.Incarnation < m.incarnation || m.status == StatusLeft {
+		return false
+	}
+	m.accused = false
+	if m.status == StatusAlive {
+		return false
+	}
+	m.status, m.since = StatusAlive, now
+	// The member hears of the suspicion from its pings and refutes it itself.
+	delete(s.queue.updates, string(u.VM.ID))
+	return true
+}
+
+// suspect notes that a member didn't answer.
+func (s *state) suspect(id core.VMID, now time.Time) bool {
+	m := s.members[id]
+	if m == nil || m.status != StatusAlive {
+		return false
+	}
+	s.set(m, StatusSuspect, m.incarnation, now)
+	return true
+}
+
+// expireSuspects returns the members that are dead now.
+func (s *state) expireSuspects(now time.Time, limit time.Duration) []core.VMID {
+	var dead []core.VMID
+	for id, m := range s.members {
+		if m.status == StatusSuspect && now.Sub(m.since) >= limit {
+			s.set(m, StatusDead, m.incarnation, now)
+			dead = append(dead, id)
+		}
+	}
+	return dead
+}
+
+// forget drops records of members that have been away, and marks that have been withdrawn, since
+// before the time.
+func (s *state) forget(before time.Time) {
+	for id, m := range s.members {
+		if !m.isAlive() && m.since.Before(before) {
+			delete(s.members, id)
+		}
+	}
+	for key, m := range s.marks {
+		_, known := s.members[key.vm]
+		isGone := key.vm != "" && key.vm != s.self.ID && !known
+		if (isGone || !m.Leaving) && m.since.Before(before) {
+			delete(s.marks, key)
+		}
+	}
+}
+
+// leave marks this member as left and returns false if it was already.
+func (s *state) leave() bool {
+	if s.left {
+		return false
+	}
+	s.left = true
+	s.queue.push(s.selfUpdate())
+	return true
+}
+
+// setMark changes a mark and reports whether that is news.
+func (s *state) setMark(m Mark) bool {
+	old, known := s.marks[m.key()]
+	if old.Leaving == m.Leaving {
+		return false
+	}
+	m.Stamp = 1
+	if known {
+		m.Stamp = old.Stamp + 1
+	}
+	return s.applyMark(m, time.Now())
+}
+
+// applyMark merges a mark and reports whether it changed anything.
+func (s *state) applyMark(m Mark, now time.Time) bool {
+	if (m.Upstream == "") == (m.VM == "") || m.Source > SourcePlatform || m.Stamp > maxIncarnation {
+		return false
+	}
+	old := s.marks[m.key()]
+	if m.Stamp < old.Stamp || (m.Stamp == old.Stamp && (old.Leaving || !m.Leaving)) {
+		return false
+	}
+	s.marks[m.key()] = timedMark{Mark: m, since: now}
+	s.queue.pushMark(m)
+	return true
+}
+
+// digest sums up what two members should agree on.
+func (s *state) digest() uint64 {
+	var sum uint64
+	add := func(kind byte, id string, n uint64) {
+		b := append(binary.BigEndian.AppendUint64([]byte{kind}, n), id...)
+		// Adding makes the digest independent of the order.
+		sum += xxhash.Sum64(b)
+	}
+	if !s.left {
+		add('m', string(s.self.ID), s.incarnation)
+	}
+	for id, m := range s.members {
+		if m.isAlive() {
+			add('m', string(id), m.incarnation)
+		}
+	}
+	for key, m := range s.marks {
+		if m.Leaving {
+			add('k'+byte(key.source), string(key.upstream)+"\x00"+string(key.vm), m.Stamp)
+		}
+	}
+	return sum
+}
+
+// full returns all records and marks, sorted.
+func (s *state) full() ([]Update, []Mark) {
+	updates := make([]Update, 0, len(s.members))
+	for _, m := range s.members {
+		updates = append(updates, m.update())
+	}
+	slices.SortFunc(updates, func(a, b Update) int { return cmp.Compare(a.VM.ID, b.VM.ID) })
+	marks := make([]Mark, 0, len(s.marks))
+	for _, m := range s.marks {
+		marks = append(marks, m.Mark)
+	}
+	return updates, marks
+}
+
+// news returns the records and marks that the sender of the given ones lacks.
+func (s *state) news(from Gossip) ([]Update, []Mark) {
+	theirs := make(map[core.VMID]Update, len(from.Updates)+1)
+	for _, u := range from.Updates {
+		theirs[u.VM.ID] = u
+	}
+	theirs[from.Self.VM.ID] = from.Self
+	updates, marks := s.full()
+	updates = slices.DeleteFunc(updates, func(u Update) bool {
+		t, ok := theirs[u.VM.ID]
+		if !ok {
+			return u.Status != StatusAlive
+		}
+		return t.Incarnation > u.Incarnation || (t.Incarnation == u.Incarnation && t.Status >= u.Status)
+	})
+	known := make(map[markKey]Mark, len(from.Marks))
+	for _, m := range from.Marks {
+		known[m.key()] = m
+	}
+	marks = slices.DeleteFunc(marks, func(m Mark) bool { return known[m.key()].Stamp >= m.Stamp })
+	return updates, marks
+}
+
+// view is what core.Members shows. It doesn't change.
+type view struct {
+	generation uint64
+	alive      []core.VM
+	leaving    map[core.UpstreamID]bool
+}
+
+// refresh computes the view anew. The caller holds mu.
+func (p *Peers) refresh() {
+	old := p.view.Load()
+	next := p.state.view()
+	if slices.Equal(old.alive, next.alive) && maps.Equal(old.leaving, next.leaving) {
+		return
+	}
+	next.generation = old.generation + 1
+	p.view.Store(next)
+}
+
+func (s *state) view() *view {
+	v := &view{leaving: make(map[core.UpstreamID]bool)}
+	vms := make(map[core.VMID]bool)
+	for key, m := range s.marks {
+		if !m.Leaving {
+			continue
+		}
+		if key.vm != "" {
+			vms[key.vm] = true
+			continue
+		}
+		v.leaving[key.upstream] = true
+	}
+	add := func(vm core.VM) {
+		vm.Leaving = vm.Leaving || vms[vm.ID]
+		v.alive = append(v.alive, vm)
+	}
+	if !s.left {
+		add(s.self)
+	}
+	for _, m := range s.members {
+		if m.isAlive() {
+			add(m.vm)
+		}
+	}
+	slices.SortFunc(v.alive, func(a, b core.VM) int { return cmp.Compare(a.ID, b.ID) })
+	return v
+}
--- a/core/table/record.go
+++ b/core/table/record.go
@@ -120,8 +120,8 @@
 	}
 }
 
-// trim drops the oldest edits beyond the limits. The newest one stays, as its id resolves a lost
-// answer; if its rows are too long, they are dropped, and its base can't be restored for a merge.
+// trim drops the oldest edits beyond the limits. The newest one stays in any case, since its id
+// resolves a lost answer.
 func trim(list []recentEdit) []recentEdit {
 	size := 0
 	for i := len(list) - 1; i >= 0; i-- {
--- /dev/null
+++ b/io/ctrl/codec.go
@@ -0,0 +1,102 @@
+package ctrl
+
+import (
+	"bufio"
+	"encoding/gob"
+	"errors"
+	"io"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+)
+
+// errTooLarge says that a request is above the size limit.
+var errTooLarge = errors.New("request is too large")
+
+// codec is net/rpc's server codec for encoding/gob with deadlines and a limit of a request's size,
+// which the standard one doesn't have.
+type codec struct {
+	conn     net.Conn
+	limit    *limitReader
+	dec      *gob.Decoder
+	enc      *gob.Encoder
+	buf      *bufio.Writer
+	idle     time.Duration
+	timeout  time.Duration
+	maxBytes int64
+	close    sync.Once
+}
+
+var _ rpc.ServerCodec = (*codec)(nil)
+
+func newCodec(conn net.Conn, idle, timeout time.Duration, maxBytes int64) *codec {
+	limit := &limitReader{r: conn}
+	buf := bufio.NewWriter(conn)
+	return &codec{
+		conn: conn, limit: limit, dec: gob.NewDecoder(limit), enc: gob.NewEncoder(buf), buf: buf,
+		idle: idle, timeout: timeout, maxBytes: maxBytes,
+	}
+}
+
+// ReadRequestHeader implements rpc.ServerCodec. It waits for the next request.
+func (c *codec) ReadRequestHeader(r *rpc.Request) error {
+	if err := c.conn.SetReadDeadline(time.Now().Add(c.idle)); err != nil {
+		return err
+	}
+	c.limit.left = c.maxBytes
+	return c.dec.Decode(r)
+}
+
+// ReadRequestBody implements rpc.ServerCodec. A nil body is skipped.
+func (c *codec) ReadRequestBody(body any) error {
+	if err := c.conn.SetReadDeadline(time.Now().Add(c.timeout)); err != nil {
+		return err
+	}
+	return c.dec.Decode(body)
+}
+
+// WriteResponse implements rpc.ServerCodec.
+func (c *codec) WriteResponse(r *rpc.Response, body any) error {
+	err := c.conn.SetWriteDeadline(time.Now().Add(c.timeout))
+	if err == nil {
+		err = c.enc.Encode(r)
+	}
+	if err == nil {
+		err = c.enc.Encode(body)
+	}
+	if err == nil {
+		err = c.buf.Flush()
+	}
+	if err != nil {
+		// net/rpc only logs a failed answer. Closing the connection lets the caller know.
+		_ = c.Close()
+	}
+	return err
+}
+
+// Close implements rpc.ServerCodec.
+func (c *codec) Close() error {
+	var err error
+	c.close.Do(func() { err = c.conn.Close() })
+	return err
+}
+
+// limitReader fails when a request is longer than its limit.
+type limitReader struct {
+	r    io.Reader
+	left int64
+}
+
+// Read implements io.Reader.
+func (l *limitReader) Read(p []byte) (int, error) {
+	if l.left <= 0 {
+		return 0, errTooLarge
+	}
+	if int64(len(p)) > l.left {
+		p = p[:l.left]
+	}
+	n, err := l.r.Read(p)
+	l.left -= int64(n)
+	return n, err
+}
--- /dev/null
+++ b/io/ctrl/doc.go
@@ -0,0 +1,18 @@
+// Package ctrl carries the control calls between entry VMs: net/rpc with encoding/gob over TCP,
+// behind a wrapper that gives each call a deadline, ends it with its context, and limits the size of
+// messages and the number of connections. Statements don't use it, since net/rpc can't stream.
+//
+// A connection carries one call at a time and is kept for the next one. The number of idle
+// connections is bounded, so that an entry VM doesn't hold connections to the whole fleet.
+//
+// # Usage
+//
+//	server := ctrl.NewServer(ctrl.ServerConfig{Peers: p})
+//	go func() { end <- server.Serve(ctx, listener) }()
+//
+//	client := ctrl.NewClient(ctrl.ClientConfig{})
+//	defer client.Close()
+//	answer, err := client.Ping(ctx, "10.0.0.7:7001", &peers.PingRequest{})
+//
+// Other control services register with Server.Register and call with Client.Call.
+package ctrl
