--- a/core/stmt/classify.go
+++ b/core/stmt/classify.go
@@ -20,7 +20,9 @@
 	buf  [maxWord]byte
 
 	beginsRead bool
-	remote     int
+	// alias tells that the previous word is one after which an alias with a column list may stand.
+	alias  bool
+	remote int
 }
 
 // advance reads the next token.
@@ -90,6 +92,8 @@
 		}
 		c.advance()
 	}
+	// What an unbalanced parenthesis hides is unknown.
+	c.info.Writes = c.info.Writes || depth > 0
 }
 
 // first dispatches on the first word of a statement.
--- a/core/stmt/query.go
+++ b/core/stmt/query.go
@@ -6,7 +6,7 @@
 // scan looks at all words up to the end of the statement.
 func (c *classifier) scan() {
 	depth := 0
-	prevDot, prevAs, prevInto := false, false, false
+	prevDot, prevInto := false, false
 	var schema token
 	for {
 		switch c.tok.kind {
@@ -16,8 +16,9 @@
 			if prevInto {
 				c.intoTarget()
 			}
-			prevInto = c.word(schema, prevDot, prevAs)
-			prevAs = c.isWord("as")
+			prevAlias := c.alias
+			c.alias = false
+			prevInto = c.word(schema, prevDot, prevAlias)
 			if !prevDot {
 				schema = c.tok
 			}
@@ -34,18 +35,14 @@
 				depth--
 			}
 			prevDot = c.tok.punct == '.'
-			prevAs, prevInto = false, false
+			c.alias, prevInto = false, false
 		default:
-			prevDot, prevAs, prevInto = false, false, false
+			prevDot, c.alias, prevInto = false, false, false
 		}
 		c.advance()
 	}
 }
 
-func (c *classifier) isWord(w string) bool {
-	return c.tok.kind == tokenWord && c.tok.end-c.tok.start == len(w) && string(c.wordOf()) == w
-}
-
 // intoTarget refuses SELECT INTO TEMP.
 func (c *classifier) intoTarget() {
 	switch string(c.wordOf()) {
@@ -63,6 +60,8 @@
 			return false
 		}
 		switch string(name) {
+		case "as", "with", "recursive":
+			c.alias = true
 		case "insert", "update", "delete", "merge", "share":
 			c.info.Writes = true
 		case "into":
