--- a/stand/dbsim/parse.go
+++ b/stand/dbsim/parse.go
@@ -267,7 +267,12 @@
 				p.fail(sqlErrorf(stateUnsupported, "only literal defaults are supported"))
 				return c
 			}
-			c.Default = e.Literal
+			v, err := e.Literal.convert(c.Type)
+			if err != nil {
+				p.fail(err)
+				return c
+			}
+			c.Default = v
 		default:
 			return c
 		}
