Test dbconn against faults, pipelines and lost commits

Cause: connection reuse after a late answer, added and omitted Parse messages, request ids and refused commits had no tests.

Ruled out: swallowing every answer to a message that the adapter added. The test of a statement that can't be parsed showed that its error was swallowed with it, so that the caller got an empty answer.

Change: errors of added Parse messages reach the caller; only errors of the request id's record stay inside. A deadline that the connection notices before the context does is reported as DeadlineExceeded. Tests on the fake clock for late, silent, frozen and cut connections; tests for TLS, transactions, concurrent request ids, the prepared set; a fuzz test of the status row; a benchmark.

Conclusion: a connection never serves another request after a failure.

--- a/io/dbconn/answer.go
+++ b/io/dbconn/answer.go
@@ -23,7 +23,7 @@
 	steps  []step
 	names  []string
 	result core.Result
-	// ownErr is the first error of a message that the adapter added.
+	// ownErr is the first error of a step of the record.
 	ownErr *pgproto3.ErrorResponse
 	// commitFailed tells that ownErr answers the COMMIT at the end of the plan.
 	commitFailed bool
@@ -173,7 +173,7 @@
 			a.c.forget(name)
 		}
 	}
-	if s.own {
+	if s.record {
 		if a.ownErr == nil && a.result.Err == nil {
 			a.ownErr = copyError(msg)
 			a.commitFailed = len(a.steps) == 1
--- /dev/null
+++ b/io/dbconn/bench_test.go
@@ -0,0 +1,94 @@
+package dbconn
+
+import (
+	"context"
+	"net"
+	"testing"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"gotest.tools/v3/assert"
+
+	"snipewall/core"
+	"snipewall/stand/dbsim"
+)
+
+// BenchmarkRun measures one request on a connection over loopback, against the simulator and
+// against an upstream that repeats the same bytes, which shows the adapter's own cost.
+func BenchmarkRun(b *testing.B) {
+	tests := []struct {
+		name string
+		req  *core.Request
+	}{
+		{"simple", simple(core.ClassRead, "SELECT name FROM t WHERE id = 1")},
+		{"extended", extended(core.ClassRead, "get", "SELECT name FROM t WHERE id = $1", "1")},
+		{"ping", pingRequest},
+	}
+	for _, tt := range tests {
+		b.Run("dbsim/"+tt.name, func(b *testing.B) {
+			_, up := start(b, dbsim.Config{}, dbsim.NewPrimary(1))
+			c := dial(b.Context(), b, up)
+			run(b.Context(), b, c, simple(core.ClassWrite, "CREATE TABLE t (id int8 PRIMARY KEY, name text); INSERT INTO t VALUES (1, 'quay')"))
+			repeat(b, c, tt.req)
+		})
+		b.Run("canned/"+tt.name, func(b *testing.B) {
+			if tt.req == pingRequest {
+				b.Skip("the answer has no rows")
+			}
+			up := canned(b, len(tt.req.Messages))
+			c := dial(b.Context(), b, up)
+			c.(*Conn).remember("get")
+			repeat(b, c, tt.req)
+		})
+	}
+}
+
+func repeat(b *testing.B, c core.Conn, req *core.Request) {
+	ctx, cancel := context.WithTimeout(b.Context(), testTime)
+	defer cancel()
+	b.ReportAllocs()
+	for b.Loop() {
+		_, err := c.Run(ctx, req, discard{})
+		assert.NilError(b, err)
+	}
+}
+
+// canned serves connections that answer each read with the same row.
+func canned(b *testing.B, messages int) *Upstream {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(b, err)
+	b.Cleanup(func() { _ = lis.Close() })
+	var first pgproto3.BackendMessage = &pgproto3.BindComplete{}
+	if messages == 1 {
+		first = &pgproto3.RowDescription{Fields: []pgproto3.FieldDescription{{Name: []byte("name"), DataTypeOID: 25}}}
+	}
+	answer := encode(b, first,
+		&pgproto3.DataRow{Values: [][]byte{[]byte("quay")}},
+		&pgproto3.CommandComplete{CommandTag: []byte("SELECT 1")},
+		&pgproto3.ReadyForQuery{TxStatus: 'I'})
+	greeting := encode(b, &pgproto3.AuthenticationOk{}, &pgproto3.ReadyForQuery{TxStatus: 'I'})
+	go func() {
+		c, err := lis.Accept()
+		if err != nil {
+			return
+		}
+		p := make([]byte, 4096)
+		for out := greeting; ; out = answer {
+			if _, err := c.Read(p); err != nil {
+				return
+			}
+			if _, err := c.Write(out); err != nil {
+				return
+			}
+		}
+	}()
+	return newUpstream(b, lis.Addr().String())
+}
+
+func encode(b *testing.B, msgs ...pgproto3.BackendMessage) (buf []byte) {
+	var err error
+	for _, m := range msgs {
+		buf, err = m.Encode(buf)
+		assert.NilError(b, err)
+	}
+	return buf
+}
--- a/io/dbconn/conn.go
+++ b/io/dbconn/conn.go
@@ -4,7 +4,9 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"fmt"
 	"net"
+	"os"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgconn"
@@ -143,6 +145,10 @@
 func (c *Conn) fail(ctx context.Context, err error) error {
 	c.broken = true
 	_ = c.conn.Close()
+	if errors.Is(err, os.ErrDeadlineExceeded) && ctx.Err() == nil {
+		// The connection's deadline is the context's or the request's and may be noticed first.
+		err = fmt.Errorf("%w: %w", context.DeadlineExceeded, err)
+	}
 	if ctxErr := ctx.Err(); ctxErr != nil && !errors.Is(err, ctxErr) {
 		return core.ErrUpstream.New("upstream %s: %w: %w", c.id, ctxErr, err)
 	}
--- /dev/null
+++ b/io/dbconn/fault_test.go
@@ -0,0 +1,386 @@
+package dbconn
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"math/big"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"gotest.tools/v3/assert"
+
+	"snipewall/core"
+	"snipewall/stand/dbsim"
+	"snipewall/stand/memnet"
+)
+
+// host is where the upstream of a simulated scenario listens.
+const host = "berth-1:5432"
+
+// simulated runs a scenario on the fake clock against one upstream in memory.
+func simulated(t *testing.T, cfg dbsim.Config, scenario func(ctx context.Context, n *memnet.Network, srv *dbsim.Server, up *Upstream)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		n := memnet.New()
+		lis, err := n.Listen(host)
+		assert.NilError(t, err)
+		cfg.Dial = func(ctx context.Context, addr string) (net.Conn, error) { return n.Dial(ctx, "berth-1", addr) }
+		srv := cfg.New(dbsim.NewPrimary(1))
+		done := make(chan error, 1)
+		go func() { done <- srv.Serve(ctx, lis) }()
+		up, err := Config{Info: core.UpstreamInfo{ID: "berth-1", Group: "berth-ledger", Address: host}, Dial: n.Dialer("entry-1")}.New()
+		assert.NilError(t, err)
+		// Deferred, so that a failed assertion isn't hidden by a deadlock of the fake clock.
+		defer func() {
+			_ = up.Close()
+			cancel()
+			assert.Check(t, <-done)
+		}()
+		scenario(ctx, n, srv, up)
+	})
+}
+
+// within runs a request with a time limit.
+func within(ctx context.Context, d time.Duration, c core.Conn, req *core.Request) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, d)
+	defer cancel()
+	var rec recorder
+	_, err := c.Run(ctx, req, &rec)
+	return rec.String(), err
+}
+
+// Guards against a late answer that reaches the next request on the connection, against connections
+// that hang without a deadline, and against refusals that claim that nothing was sent.
+func TestUnansweredRequests(t *testing.T) {
+	const limit = 200 * time.Millisecond
+	tests := []struct {
+		name string
+		// fault is switched on once the connection is open.
+		fault, value string
+		// deadline is set in the request instead of the context.
+		deadline bool
+		cancel   bool
+		want     error
+	}{
+		{name: "late answer", fault: dbsim.FaultLate, value: "300ms", want: context.DeadlineExceeded},
+		{name: "late answer, request's deadline", fault: dbsim.FaultLate, value: "300ms", deadline: true, want: context.DeadlineExceeded},
+		{name: "canceled", fault: dbsim.FaultLate, value: "300ms", cancel: true, want: context.Canceled},
+		{name: "silent connection", fault: dbsim.FaultSilent, value: "callers", want: context.DeadlineExceeded},
+		{name: "cut off", fault: dbsim.FaultCut, value: "both@1s", want: context.DeadlineExceeded},
+		{name: "frozen", fault: dbsim.FaultFreeze, value: "on@1s", want: context.DeadlineExceeded},
+		{name: "answer lost", fault: dbsim.FaultLose, value: "commit", want: nil},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			simulated(t, dbsim.Config{}, func(ctx context.Context, _ *memnet.Network, srv *dbsim.Server, up *Upstream) {
+				c, err := up.Dial(ctx)
+				assert.NilError(t, err)
+				assert.NilError(t, srv.Fault(tt.fault, tt.value))
+				req := simple(core.ClassWrite, "CREATE TABLE t (id int8)")
+				runCtx, cancel := context.WithTimeout(ctx, limit)
+				defer cancel()
+				if tt.deadline {
+					runCtx = ctx
+					req.Deadline = time.Now().Add(limit)
+				}
+				if tt.cancel {
+					time.AfterFunc(limit/2, cancel)
+				}
+				begin := time.Now()
+				var rec recorder
+				_, err = c.Run(runCtx, req, &rec)
+				assert.Assert(t, err != nil)
+				assert.Assert(t, time.Since(begin) <= limit)
+				if tt.want != nil {
+					assert.ErrorIs(t, err, tt.want)
+				}
+				assert.Equal(t, rec.String(), "")
+				assert.Assert(t, req.Attempt.Sent())
+				time.Sleep(2 * time.Second)
+				next := simple(core.ClassRead, "SELECT 1")
+				_, err = within(ctx, limit, c, next)
+				assert.ErrorIs(t, err, errUnusable)
+				assert.Assert(t, !next.Attempt.Sent())
+				assert.NilError(t, srv.Fault(dbsim.FaultLate, "off"))
+				fresh, err := up.Dial(ctx)
+				assert.NilError(t, err)
+				answer, err := within(ctx, limit, fresh, next)
+				assert.NilError(t, err)
+				assert.Equal(t, answer, "RowDescription | (1) | SELECT 1")
+			})
+		})
+	}
+}
+
+// Guards against control calls that hang on a silent connection, or that never recover.
+func TestControlRecovers(t *testing.T) {
+	simulated(t, dbsim.Config{}, func(ctx context.Context, n *memnet.Network, srv *dbsim.Server, up *Upstream) {
+		status := func() error {
+			ctx, cancel := context.WithTimeout(ctx, 100*time.Millisecond)
+			defer cancel()
+			_, err := up.Status(ctx)
+			return err
+		}
+		assert.NilError(t, status())
+		assert.NilError(t, srv.Fault(dbsim.FaultSilent, "callers"))
+		assert.ErrorIs(t, status(), context.DeadlineExceeded)
+		assert.NilError(t, status())
+		n.CutBoth("entry-1", "berth-1")
+		assert.ErrorIs(t, status(), context.DeadlineExceeded)
+		n.HealBoth("entry-1", "berth-1")
+		assert.NilError(t, status())
+		assert.NilError(t, srv.Fault(dbsim.FaultLose, "status"))
+		assert.NilError(t, status(), "a status may be asked again")
+		for i, name := range []string{"prepare", "promote", "follow"} {
+			assert.NilError(t, srv.Fault(dbsim.FaultLose, name))
+			term := core.Term(2)
+			calls := []func() (core.UpstreamStatus, error){
+				func() (core.UpstreamStatus, error) { return up.Prepare(ctx, term) },
+				func() (core.UpstreamStatus, error) { return up.Promote(ctx, term) },
+				func() (core.UpstreamStatus, error) {
+					return up.Follow(ctx, term+1, core.UpstreamInfo{Address: "x:1"})
+				},
+			}
+			_, err := calls[i]()
+			assert.Assert(t, err != nil && !isRefusal(err), "%s: %v", name, err)
+			s, err := calls[i]()
+			assert.Equal(t, err == nil, name != "prepare", "the lost %s took effect: %v", name, err)
+			assert.Assert(t, s.Promised == 0 || s.Promised >= term)
+		}
+		n.Crash("berth-1")
+		assert.ErrorContains(t, status(), "refused")
+	})
+}
+
+// Guards against a connection that died while idle and makes the next request's outcome unknown.
+func TestRestartWhileIdle(t *testing.T) {
+	ctx := testContext(t)
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	serveCtx, stop := context.WithCancel(ctx)
+	done := make(chan error, 1)
+	go func() { done <- dbsim.Config{}.New(dbsim.NewPrimary(1)).Serve(serveCtx, lis) }()
+	c := dial(ctx, t, newUpstream(t, lis.Addr().String()))
+	stop()
+	assert.NilError(t, <-done)
+	time.Sleep(2 * idleCheck)
+	req := simple(core.ClassWrite, "CREATE TABLE t (id int8)")
+	_, err = c.Run(ctx, req, &recorder{})
+	assert.ErrorIs(t, err, errUnusable)
+	assert.Assert(t, !req.Attempt.Sent())
+}
+
+// Guards against requests with the same id that run side by side, and against ids of failed writes
+// that block their repetition.
+func TestRequestIDConcurrent(t *testing.T) {
+	ctx := testContext(t)
+	_, up := start(t, dbsim.Config{}, dbsim.NewPrimary(1))
+	c := dial(ctx, t, up)
+	run(ctx, t, c, simple(core.ClassWrite, "CREATE TABLE bills (id bigserial PRIMARY KEY, n int8)"))
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	ran, duplicates := 0, 0
+	for range 8 {
+		c := dial(ctx, t, up)
+		wg.Go(func() {
+			req := simple(core.ClassWrite, "INSERT INTO bills (n) VALUES (1)")
+			req.RequestID = "r-1"
+			_, err := c.Run(ctx, req, &recorder{})
+			mu.Lock()
+			defer mu.Unlock()
+			var dup *core.DuplicateError
+			switch {
+			case err == nil:
+				ran++
+			case errors.As(err, &dup):
+				duplicates++
+			}
+		})
+	}
+	wg.Wait()
+	assert.Equal(t, ran, 1)
+	assert.Equal(t, duplicates, 7)
+	for _, want := range []string{"22P02", "INSERT 0 1"} {
+		value := map[string]string{"22P02": "'x'", "INSERT 0 1": "2"}[want]
+		req := simple(core.ClassWrite, "INSERT INTO bills (n) VALUES ("+value+")")
+		req.RequestID = "r-2"
+		res, answer := run(ctx, t, c, req)
+		assert.Equal(t, answer, want)
+		assert.Equal(t, res.Err == nil, want != "22P02")
+		assert.Equal(t, res.Status, core.TxIdle)
+	}
+}
+
+// Guards against an acknowledged write whose commit was refused.
+func TestRefusedCommit(t *testing.T) {
+	for _, id := range []core.RequestID{"", "r-1"} {
+		ctx := testContext(t)
+		srv, up := start(t, dbsim.Config{ServiceTime: 100 * time.Millisecond}, dbsim.NewPrimary(1))
+		c := dial(ctx, t, up)
+		run(ctx, t, c, simple(core.ClassWrite, "CREATE TABLE t (id int8); CREATE TABLE snipewall_requests (id text PRIMARY KEY)"))
+		req := extended(core.ClassWrite, "ins", "INSERT INTO t VALUES (1)")
+		wait := extended(core.ClassWrite, "wait", "SELECT pg_sleep(0.5)")
+		req.Messages = append(req.Messages[:2:2], wait.Messages...)
+		req.Prepared["wait"] = wait.Prepared["wait"]
+		req.RequestID = id
+		time.AfterFunc(300*time.Millisecond, func() { _, _ = srv.Database().Prepare(2) })
+		res, answer := run(ctx, t, c, req)
+		assert.Equal(t, res.Err.State, core.StateReadOnly)
+		assert.Equal(t, res.Position, core.Position{})
+		assert.Equal(t, answer, "BindComplete | INSERT 0 1 | BindComplete | () | 25006", "the last CommandComplete is void")
+		assert.Equal(t, c.(*Conn).status, core.TxIdle)
+	}
+}
+
+// Guards against answers out of step with the request when Parse messages are added or left out.
+func TestPreparedStatements(t *testing.T) {
+	ctx := testContext(t)
+	_, up := start(t, dbsim.Config{}, dbsim.NewPrimary(1))
+	up.cfg.MaxPrepared = 2
+	c := dial(ctx, t, up)
+	parse := func(name, sql string) *pgproto3.Parse { return &pgproto3.Parse{Name: name, Query: sql} }
+	bind := func(name string) []pgproto3.FrontendMessage {
+		return []pgproto3.FrontendMessage{&pgproto3.Bind{PreparedStatement: name}, &pgproto3.Execute{}}
+	}
+	one, two, three := parse("s1", "SELECT 1"), parse("s2", "SELECT 2"), parse("s3", "SELECT 3")
+	bad := parse("s4", "SELEC")
+	known := map[string]*pgproto3.Parse{"s1": one, "s2": two, "s3": three, "s4": bad}
+	tests := []struct {
+		name string
+		msgs []pgproto3.FrontendMessage
+		want string
+	}{
+		{"missing", bind("s1"), "BindComplete | (1) | SELECT 1"},
+		{"present", bind("s1"), "BindComplete | (1) | SELECT 1"},
+		{"prepared again", append([]pgproto3.FrontendMessage{one, one}, bind("s1")...), "ParseComplete | ParseComplete | BindComplete | (1) | SELECT 1"},
+		{"parse only", []pgproto3.FrontendMessage{one}, "ParseComplete"},
+		{"several", append(append(bind("s2"), one), bind("s1")...), "BindComplete | (2) | SELECT 1 | ParseComplete | BindComplete | (1) | SELECT 1"},
+		{"described", []pgproto3.FrontendMessage{&pgproto3.Describe{ObjectType: 'S', Name: "s2"}, one}, "ParameterDescription | RowDescription | ParseComplete"},
+		{"beyond the limit", bind("s3"), "BindComplete | (3) | SELECT 1"},
+		{"evicted", append(bind("s1"), bind("s2")...), "BindComplete | (1) | SELECT 1 | BindComplete | (2) | SELECT 1"},
+		{"closed", append([]pgproto3.FrontendMessage{&pgproto3.Close{ObjectType: 'S', Name: "s1"}}, bind("s1")...), "CloseComplete | BindComplete | (1) | SELECT 1"},
+		{"error before", append([]pgproto3.FrontendMessage{&pgproto3.Execute{Portal: "nope"}, one}, bind("s2")...), "34000"},
+		{"error in a missing one", append(bind("s4"), one), "42601"},
+		{"error in a missing one again", bind("s4"), "42601"},
+		{"error after", append([]pgproto3.FrontendMessage{one}, &pgproto3.Execute{Portal: "nope"}, two), "ParseComplete | 34000"},
+		{"unnamed", append([]pgproto3.FrontendMessage{parse("", "SELECT 9")}, bind("")...), "ParseComplete | BindComplete | (9) | SELECT 1"},
+		{"unknown", bind("s9"), "26000"},
+		{"still in step", bind("s1"), "BindComplete | (1) | SELECT 1"},
+	}
+	for _, tt := range tests {
+		req := &core.Request{Attempt: &core.Attempt{}, Prepared: known, Messages: append(tt.msgs[:len(tt.msgs):len(tt.msgs)], &pgproto3.Sync{})}
+		_, answer := run(ctx, t, c, req)
+		assert.Equal(t, answer, tt.want, tt.name)
+	}
+	run(ctx, t, c, simple(core.ClassRead, "DEALLOCATE ALL"))
+	_, answer := run(ctx, t, c, extended(core.ClassRead, "s1", "SELECT 1"))
+	assert.Equal(t, answer, "26000")
+	_, answer = run(ctx, t, c, extended(core.ClassRead, "s1", "SELECT 1"))
+	assert.Equal(t, answer, "BindComplete | (1) | SELECT 1", "a statement that the upstream lost is prepared again")
+}
+
+// Guards against transactions whose status or end gets lost.
+func TestTransaction(t *testing.T) {
+	ctx := testContext(t)
+	_, up := start(t, dbsim.Config{}, dbsim.NewPrimary(1))
+	c := dial(ctx, t, up)
+	steps := []struct {
+		class    core.Class
+		sql      string
+		status   core.TxStatus
+		position bool
+	}{
+		{core.ClassWrite, "CREATE TABLE t (id int8)", core.TxIdle, true},
+		{core.ClassBegin, "BEGIN", core.TxOpen, false},
+		{core.ClassWrite, "INSERT INTO t VALUES (1)", core.TxOpen, false},
+		{core.ClassEnd, "COMMIT", core.TxIdle, true},
+		{core.ClassBegin, "BEGIN", core.TxOpen, false},
+		{core.ClassRead, "SELECT nope FROM t", core.TxFailed, false},
+		{core.ClassEnd, "COMMIT", core.TxIdle, false},
+	}
+	for i, s := range steps {
+		req := simple(s.class, s.sql)
+		req.InTx = i > 1
+		res, _ := run(ctx, t, c, req)
+		assert.Equal(t, res.Status, s.status, s.sql)
+		assert.Equal(t, !res.Position.IsZero(), s.position, s.sql)
+	}
+}
+
+// Guards against requests in clear text to upstreams that must be encrypted.
+func TestTLS(t *testing.T) {
+	ctx := testContext(t)
+	cert, pool := certificate(t)
+	_, plain := start(t, dbsim.Config{}, dbsim.NewPrimary(1))
+	_, encrypted := start(t, dbsim.Config{TLS: &tls.Config{Certificates: []tls.Certificate{cert}}}, dbsim.NewPrimary(1))
+	for _, up := range []*Upstream{plain, encrypted} {
+		cfg := up.cfg
+		cfg.TLS = &tls.Config{RootCAs: pool, ServerName: "berth-1"}
+		secure, err := cfg.New()
+		assert.NilError(t, err)
+		c, err := secure.Dial(ctx)
+		if up == plain {
+			assert.ErrorContains(t, err, "tls error")
+			continue
+		}
+		assert.NilError(t, err)
+		time.Sleep(2 * idleCheck)
+		_, answer := run(ctx, t, c, simple(core.ClassRead, "SELECT 1"))
+		assert.Equal(t, answer, "RowDescription | (1) | SELECT 1")
+		assert.NilError(t, c.Close())
+	}
+}
+
+func certificate(t *testing.T) (tls.Certificate, *x509.CertPool) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	assert.NilError(t, err)
+	template := &x509.Certificate{SerialNumber: big.NewInt(1), DNSNames: []string{"berth-1"}, NotAfter: time.Now().Add(time.Hour)}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	assert.NilError(t, err)
+	parsed, err := x509.ParseCertificate(der)
+	assert.NilError(t, err)
+	pool := x509.NewCertPool()
+	pool.AddCert(parsed)
+	return tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}, pool
+}
+
+// Guards against a status row with missing or malformed columns that passes for a status.
+func FuzzStatusRow(f *testing.F) {
+	f.Add("primary", "1", "2", "-1", "t", uint8(8))
+	f.Add("replica", "x", "2", "7", "f", uint8(3))
+	f.Fuzz(func(t *testing.T, role, term, offset, heard, leaving string, columns uint8) {
+		r := statusRow{
+			rows:   1,
+			names:  []string{"role", "promised_term", "log_term", "log_offset", "applied_term", "applied_offset", "heard_ms", "leaving"},
+			values: []string{role, term, term, offset, term, offset, heard, leaving},
+		}
+		n := min(int(columns), len(r.names))
+		r.names, r.values = r.names[:n], r.values[:n]
+		s, err := r.status()
+		if err != nil {
+			return
+		}
+		assert.Assert(t, s.Role != core.RoleUnknown)
+		assert.Equal(t, n, statusColumns)
+		assert.Equal(t, fmt.Sprint(uint64(s.Promised)), strings.TrimLeft(term, "0")+strings.Repeat("0", b2i(s.Promised == 0)))
+	})
+}
+
+func b2i(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
--- a/io/dbconn/once.go
+++ b/io/dbconn/once.go
@@ -39,23 +39,23 @@
 // query meets a failed transaction. COMMIT then rolls back.
 func (p *plan) once(c *Conn, req *core.Request) error {
 	p.reset()
-	p.send(beginQuery, step{kind: stepQuery, own: true})
+	p.send(beginQuery, step{kind: stepQuery, own: true, record: true})
 	p.closeStatements(c, req)
 	if c.has(recordStatement) {
 		p.names = append(p.names, recordStatement)
 	} else {
-		p.parse(c, recordParse, true)
+		p.parse(c, recordParse, step{own: true, record: true})
 	}
 	bind := pgproto3.Bind{PreparedStatement: recordStatement, Parameters: [][]byte{[]byte(req.RequestID)}}
-	p.send(&bind, step{kind: stepBind, own: true})
-	p.send(recordExecute, step{kind: stepExecute, own: true})
+	p.send(&bind, step{kind: stepBind, own: true, record: true})
+	p.send(recordExecute, step{kind: stepExecute, own: true, record: true})
 	if len(req.Messages) == 1 {
-		p.send(syncMessage, step{kind: stepSync, own: true})
+		p.send(syncMessage, step{kind: stepSync, own: true, record: true})
 	}
 	for _, msg := range req.Messages {
 		p.message(c, req, msg)
 	}
-	p.send(commitQuery, step{kind: stepQuery, own: true})
+	p.send(commitQuery, step{kind: stepQuery, own: true, record: true})
 	return p.err
 }
 
--- a/io/dbconn/plan.go
+++ b/io/dbconn/plan.go
@@ -31,6 +31,9 @@
 	kind stepKind
 	// own tells that the adapter added the message, so that its answer isn't passed on.
 	own bool
+	// record tells that the step belongs to the record of a request id, so that its error isn't the
+	// request's either.
+	record bool
 	// omitted tells that the message was not sent and that its answer is made up.
 	omitted bool
 	// name is the statement that a stepParse prepares.
@@ -106,7 +109,7 @@
 	case *pgproto3.Sync:
 		p.send(msg, step{kind: stepSync})
 	case *pgproto3.Parse:
-		p.parse(c, msg, false)
+		p.parse(c, msg, step{})
 	case *pgproto3.Bind:
 		p.need(c, req, msg.PreparedStatement)
 		p.send(msg, step{kind: stepBind})
@@ -139,22 +142,25 @@
 		return
 	}
 	if msg, ok := req.Prepared[name]; ok {
-		p.parse(c, msg, true)
+		p.parse(c, msg, step{own: true})
 	}
 }
 
 // parse plans a Parse unless the connection has the statement.
-func (p *plan) parse(c *Conn, msg *pgproto3.Parse, own bool) {
+func (p *plan) parse(c *Conn, msg *pgproto3.Parse, s step) {
+	s.kind = stepParse
 	if msg.Name == "" {
-		p.send(msg, step{kind: stepParse, own: own})
+		p.send(msg, s)
 		return
 	}
 	p.names = append(p.names, msg.Name)
 	if c.has(msg.Name) || p.prepares(msg.Name) {
-		p.steps = append(p.steps, step{kind: stepParse, own: own, omitted: true})
+		s.omitted = true
+		p.steps = append(p.steps, s)
 		return
 	}
-	p.send(msg, step{kind: stepParse, own: own, name: msg.Name})
+	s.name = msg.Name
+	p.send(msg, s)
 }
 
 // prepares reports whether the plan prepares the statement.
--- a/stand/dbsim/group_test.go
+++ b/stand/dbsim/group_test.go
@@ -35,12 +35,15 @@
 			}
 			g.start(host, cfg, db)
 		}
+		// Deferred, so that a failed assertion isn't hidden by a deadlock of the fake clock.
+		defer func() {
+			cancel()
+			for _, end := range g.ends {
+				assert.Check(t, <-end)
+			}
+		}()
 		time.Sleep(time.Second)
 		scenario(g)
-		cancel()
-		for _, end := range g.ends {
-			assert.NilError(t, <-end)
-		}
 	})
 }
 
