Read answers while long requests are written

Cause: a pipeline whose request and answers both exceed the buffers on the way made both sides wait until the deadline. Preparing a statement with a request id set used up the id, so that its execution was taken for a repetition.

Ruled out: always writing in a second goroutine; it costs the common small request a goroutine switch.

Change: requests above 32 KB are written while the answer is read. Only requests that execute something record their id. An error of the ResponseWriter has the class core.ErrCaller, so that it isn't counted against the upstream. dbsim sends long answers in parts, as PostgreSQL does, and memnet splits long writes, so that the test can fail.

--- a/io/dbconn/answer.go
+++ b/io/dbconn/answer.go
@@ -136,7 +136,15 @@
 		a.held = true
 		return nil
 	}
-	return a.w.Send(msg)
+	return a.send(msg)
+}
+
+// send hands a message to the caller.
+func (a *answer) send(msg pgproto3.BackendMessage) error {
+	if err := a.w.Send(msg); err != nil {
+		return core.ErrCaller.Wrap(err)
+	}
+	return nil
 }
 
 // release passes on the CommandComplete that was held back.
@@ -145,7 +153,7 @@
 		return nil
 	}
 	a.held = false
-	return a.w.Send(&a.complete)
+	return a.send(&a.complete)
 }
 
 // parameter takes the commit position. Other parameters are passed on.
@@ -191,7 +199,7 @@
 	if err := a.release(); err != nil {
 		return err
 	}
-	return a.w.Send(msg)
+	return a.send(msg)
 }
 
 // skipToEnd drops the steps before the next ReadyForQuery.
--- a/io/dbconn/conn.go
+++ b/io/dbconn/conn.go
@@ -63,7 +63,8 @@
 //
 // A write with a request id outside of a transaction runs in a transaction that records the id; a
 // repeated id is a *core.DuplicateError, after which the connection is still usable. After any
-// other error it is closed. If req.Attempt is not marked then, nothing was sent.
+// other error it is closed. If req.Attempt is not marked then, nothing was sent. An error of w has the
+// class core.ErrCaller, all others core.ErrUpstream.
 func (c *Conn) Run(ctx context.Context, req *core.Request, w core.ResponseWriter) (core.Result, error) {
 	if !c.usable() {
 		return core.Result{}, c.fail(ctx, errUnusable)
@@ -99,10 +100,39 @@
 	return c.answer.result, nil
 }
 
+// exchange writes the plan and reads the answer.
 func (c *Conn) exchange(req *core.Request, w core.ResponseWriter) error {
+	if len(c.plan.buf) > maxPlainWrite {
+		return c.exchangeLarge(req, w)
+	}
 	if _, err := c.conn.Write(c.plan.buf); err != nil {
 		return err
 	}
+	return c.read(req, w)
+}
+
+// maxPlainWrite is the size up to which a request fits into the buffers on the way, so that the
+// upstream takes it even while nobody reads its answer.
+const maxPlainWrite = 32 << 10
+
+// exchangeLarge reads the answer while it writes. Otherwise both sides could wait for each other when
+// a long pipeline has long answers.
+func (c *Conn) exchangeLarge(req *core.Request, w core.ResponseWriter) error {
+	written := make(chan error, 1)
+	go func() {
+		_, err := c.conn.Write(c.plan.buf)
+		written <- err
+	}()
+	err := c.read(req, w)
+	if err != nil {
+		// Closing ends the write.
+		_ = c.conn.Close()
+	}
+	return errors.Join(err, <-written)
+}
+
+// read reads the answer to the plan.
+func (c *Conn) read(req *core.Request, w core.ResponseWriter) error {
 	c.answer.start(req, w, &c.plan)
 	for !c.answer.done() {
 		msg, err := c.front.Receive()
@@ -145,6 +175,9 @@
 func (c *Conn) fail(ctx context.Context, err error) error {
 	c.broken = true
 	_ = c.conn.Close()
+	if core.ErrCaller.Has(err) {
+		return err
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) && ctx.Err() == nil {
 		// The connection's deadline is the context's or the request's and may be noticed first.
 		err = fmt.Errorf("%w: %w", context.DeadlineExceeded, err)
--- a/io/dbconn/fault_test.go
+++ b/io/dbconn/fault_test.go
@@ -212,6 +212,11 @@
 	wg.Wait()
 	assert.Equal(t, ran, 1)
 	assert.Equal(t, duplicates, 7)
+	prepare := &core.Request{Class: core.ClassWrite, RequestID: "r-2", Messages: []pgproto3.FrontendMessage{
+		&pgproto3.Parse{Name: "ins", Query: "INSERT INTO bills (n) VALUES (2)"}, &pgproto3.Sync{},
+	}}
+	_, answer := run(ctx, t, c, prepare)
+	assert.Equal(t, answer, "ParseComplete")
 	for _, want := range []string{"22P02", "INSERT 0 1"} {
 		value := map[string]string{"22P02": "'x'", "INSERT 0 1": "2"}[want]
 		req := simple(core.ClassWrite, "INSERT INTO bills (n) VALUES ("+value+")")
@@ -291,6 +296,50 @@
 	assert.Equal(t, answer, "BindComplete | (1) | SELECT 1", "a statement that the upstream lost is prepared again")
 }
 
+// Guards against long pipelines with long answers that make both sides wait for each other.
+func TestLongPipeline(t *testing.T) {
+	simulated(t, dbsim.Config{}, func(ctx context.Context, _ *memnet.Network, _ *dbsim.Server, up *Upstream) {
+		c, err := up.Dial(ctx)
+		assert.NilError(t, err)
+		const n = 1000
+		text := strings.Repeat("x", 4000)
+		req := extended(core.ClassRead, "echo", "SELECT $1::text", text)
+		part := req.Messages[:2:2]
+		req.Messages = nil
+		for range n {
+			req.Messages = append(req.Messages, part...)
+		}
+		req.Messages = append(req.Messages, &pgproto3.Sync{})
+		_, answer := run(ctx, t, c, req)
+		assert.Equal(t, strings.Count(answer, text), n)
+		_, answer = run(ctx, t, c, simple(core.ClassRead, "SELECT 1"))
+		assert.Equal(t, answer, "RowDescription | (1) | SELECT 1")
+	})
+}
+
+// failing refuses all messages after the first.
+type failing struct{ sent int }
+
+func (f *failing) Send(pgproto3.BackendMessage) error {
+	f.sent++
+	if f.sent > 1 {
+		return errors.New("caller is gone")
+	}
+	return nil
+}
+
+// Guards against a caller that went away and is taken for a fault of the upstream, and against the
+// rest of its answer on the connection.
+func TestCallerGone(t *testing.T) {
+	ctx := testContext(t)
+	_, up := start(t, dbsim.Config{}, dbsim.NewPrimary(1))
+	c := dial(ctx, t, up)
+	_, err := c.Run(ctx, simple(core.ClassRead, "SELECT 1"), &failing{})
+	assert.Assert(t, core.ErrCaller.Has(err) && !core.ErrUpstream.Has(err), "%v", err)
+	_, err = c.Run(ctx, simple(core.ClassRead, "SELECT 1"), &recorder{})
+	assert.ErrorIs(t, err, errUnusable)
+}
+
 // Guards against transactions whose status or end gets lost.
 func TestTransaction(t *testing.T) {
 	ctx := testContext(t)
--- a/io/dbconn/once.go
+++ b/io/dbconn/once.go
@@ -21,9 +21,19 @@
 	stateNoTable = "42P01"
 )
 
-// needsRecord reports whether the request's id has to be recorded with its write.
+// needsRecord reports whether the request's id has to be recorded with its write. A request that only
+// prepares a statement must not use up the id of the one that executes it.
 func needsRecord(req *core.Request) bool {
-	return req.RequestID != "" && req.Class == core.ClassWrite && !req.InTx
+	if req.RequestID == "" || req.Class != core.ClassWrite || req.InTx {
+		return false
+	}
+	for _, msg := range req.Messages {
+		switch msg.(type) {
+		case *pgproto3.Execute, *pgproto3.Query:
+			return true
+		}
+	}
+	return false
 }
 
 var (
@@ -90,7 +100,10 @@
 		}
 		// The record or the commit failed: the request had no effect, and the error is its answer.
 		res.Err = &core.SQLError{State: failure.Code, Message: failure.Message}
-		return res, w.Send(failure)
+		if err := a.send(failure); err != nil {
+			return core.Result{}, c.fail(ctx, err)
+		}
+		return res, nil
 	}
 }
 
--- a/stand/dbsim/session.go
+++ b/stand/dbsim/session.go
@@ -49,7 +49,9 @@
 	// afterFlush holds faults that start once the answer has left.
 	afterFlush []func()
 	buf        []byte
-	row        pgproto3.DataRow
+	// unsent counts the bytes of rows since the last flush.
+	unsent int
+	row    pgproto3.DataRow
 }
 
 // prepared is a prepared statement. stmt is nil for an empty text.
@@ -309,8 +311,16 @@
 		ss.row.Values = append(ss.row.Values, b)
 	}
 	ss.be.Send(&ss.row)
+	if ss.unsent += len(ss.buf); ss.unsent > sendBuffer {
+		ss.unsent = 0
+		// An error shows up again when the answer ends.
+		_ = ss.be.Flush()
+	}
 }
 
+// sendBuffer is the size of the buffer that PostgreSQL fills before it sends part of an answer.
+const sendBuffer = 8 << 10
+
 // formatOf returns the format code of column or parameter i as the protocol defines it: none means
 // text, one applies to all.
 func formatOf(formats []int16, i int) int16 {
--- a/stand/memnet/conn.go
+++ b/stand/memnet/conn.go
@@ -10,6 +10,9 @@
 // bufferSize limits the data on the way in one direction of a connection.
 const bufferSize = 1 << 20
 
+// segmentSize limits the data that is put on the way at once.
+const segmentSize = 64 << 10
+
 // chunk is data on the way.
 type chunk struct {
 	data []byte
@@ -104,8 +107,21 @@
 	return n, 0, nil
 }
 
-// write puts data on the way, waiting for space.
+// write puts data on the way in segments, waiting for space.
 func (s *stream) write(p []byte) (int, error) {
+	sent := 0
+	for {
+		segment := p[sent:min(len(p), sent+segmentSize)]
+		if err := s.writeSegment(segment); err != nil {
+			return sent, err
+		}
+		if sent += len(segment); sent == len(p) {
+			return sent, nil
+		}
+	}
+}
+
+func (s *stream) writeSegment(p []byte) error {
 	_, delay, _ := s.n.state(s.link)
 	for {
 		s.mu.Lock()
@@ -113,11 +129,11 @@
 		changed := s.changed
 		s.mu.Unlock()
 		if err != nil {
-			return 0, err
+			return err
 		}
 		if ok {
 			s.change(func() {})
-			return len(p), nil
+			return nil
 		}
 		await(wait, changed, nil)
 	}
