--- a/stand/upstream.go
+++ b/stand/upstream.go
@@ -50,18 +50,37 @@
 	}
 	srv := upstreamConfig(cmd).New(upstreamDatabase(cmd))
 	if address := cmd.String("admin"); address != "" {
-		admin := &http.Server{Addr: address, Handler: srv.AdminHandler(), ReadHeaderTimeout: time.Second}
-		defer func() { _ = admin.Close() }()
-		go func() {
-			if err := admin.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
-				fmt.Fprintln(os.Stderr, "standin: admin port:", err)
-			}
-		}()
+		stop, err := serveAdmin(ctx, address, srv.AdminHandler())
+		if err != nil {
+			return err
+		}
+		defer stop()
 	}
 	fmt.Println("listening on", lis.Addr())
 	return srv.Serve(ctx, lis)
 }
 
+// serveAdmin serves HTTP until stop is called.
+func serveAdmin(ctx context.Context, address string, h http.Handler) (stop func(), err error) {
+	lis, err := new(net.ListenConfig).Listen(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if err := srv.Serve(lis); !errors.Is(err, http.ErrServerClosed) {
+			fmt.Fprintln(os.Stderr, "standin: admin port:", err)
+		}
+	}()
+	fmt.Println("admin port on", lis.Addr())
+	return func() {
+		_ = srv.Close()
+		<-done
+	}, nil
+}
+
 func upstreamDatabase(cmd *cli.Command) *dbsim.Database {
 	term := core.Term(cmd.Uint64("term"))
 	switch primary := cmd.String("follow"); primary {
