--- a/io/dbconn/answer.go
+++ b/io/dbconn/answer.go
@@ -23,7 +23,7 @@
 	steps  []step
 	names  []string
 	result core.Result
-	// ownErr is the first error of a message that the adapter added.
+	// ownErr is the first error of a step of the record.
 	ownErr *pgproto3.ErrorResponse
 	// commitFailed tells that ownErr answers the COMMIT at the end of the plan.
 	commitFailed bool
@@ -136,7 +136,15 @@
 		a.held = true
 		return nil
 	}
-	return a.w.Send(msg)
+	return a.send(msg)
+}
+
+// send hands a message to the caller.
+func (a *answer) send(msg pgproto3.BackendMessage) error {
+	if err := a.w.Send(msg); err != nil {
+		return core.ErrCaller.Wrap(err)
+	}
+	return nil
 }
 
 // release passes on the CommandComplete that was held back.
@@ -145,7 +153,7 @@
 		return nil
 	}
 	a.held = false
-	return a.w.Send(&a.complete)
+	return a.send(&a.complete)
 }
 
 // parameter takes the commit position. Other parameters are passed on.
@@ -173,7 +181,7 @@
 			a.c.forget(name)
 		}
 	}
-	if s.own {
+	if s.record {
 		if a.ownErr == nil && a.result.Err == nil {
 			a.ownErr = copyError(msg)
 			a.commitFailed = len(a.steps) == 1
@@ -191,7 +199,7 @@
 	if err := a.release(); err != nil {
 		return err
 	}
-	return a.w.Send(msg)
+	return a.send(msg)
 }
 
 // skipToEnd drops the steps before the next ReadyForQuery.
