--- a/io/front/errors.go
+++ b/io/front/errors.go
@@ -85,6 +85,7 @@
 	req      *core.Request
 	info     *stmt.Info
 	inTx     bool
+	blind    bool
 	canceled bool
 	expired  bool
 }
@@ -138,7 +139,7 @@
 // transaction only its end does, since losing the connection rolls it back.
 func (at *attempt) mayHaveCommitted() bool {
 	if at.inTx || at.info.Begins {
-		return at.info.Commits
+		return at.info.Commits || at.blind
 	}
 	return at.req.Class != core.ClassRead
 }
--- a/io/front/errors_test.go
+++ b/io/front/errors_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"testing"
 	"time"
 
@@ -106,3 +107,18 @@
 		})
 	}
 }
+
+// A portal of an earlier batch may hold a COMMIT, so that losing it must not be reported as rolled
+// back.
+func TestLostPortal(t *testing.T) {
+	d := newDialogue(t, startServer(t), nil)
+	d.ready(1)
+	d.exchange("begin", query("begin"))
+	d.exchange("bind", parse("", "commit"), bind("c", ""), syncMsg)
+	d.srv.router.setHook(func(_ context.Context, req *core.Request, _ core.ResponseWriter) (core.Result, error, bool) {
+		req.Attempt.MarkSent()
+		return core.Result{}, errors.New("reset"), true
+	})
+	d.exchange("execute", execute("c"), syncMsg)
+	assert.Assert(t, strings.Contains(d.out.String(), "ERROR 08007"), d.out.String())
+}
--- a/io/front/fake_test.go
+++ b/io/front/fake_test.go
@@ -304,3 +304,10 @@
 	defer f.mu.Unlock()
 	f.hook = h
 }
+
+// failWith is a hook that fails every request.
+func failWith(err error) func(context.Context, *core.Request, core.ResponseWriter) (core.Result, error, bool) {
+	return func(context.Context, *core.Request, core.ResponseWriter) (core.Result, error, bool) {
+		return core.Result{}, err, true
+	}
+}
--- a/io/front/unit.go
+++ b/io/front/unit.go
@@ -13,8 +13,10 @@
 
 // unit is what becomes one core.Request.
 type unit struct {
-	info     stmt.Info
-	tags     stmt.Tags
+	info stmt.Info
+	tags stmt.Tags
+	// blind tells that the unit executes a portal of an earlier batch, which may hold any statement.
+	blind    bool
 	messages []pgproto3.FrontendMessage
 	prepared map[string]*pgproto3.Parse
 }
@@ -49,7 +51,7 @@
 		res, err = s.srv.cfg.Router.Execute(ctx, req, a)
 	}
 	if err != nil {
-		failure := failureOf(err, &attempt{req: req, info: &u.info, inTx: inTx,
+		failure := failureOf(err, &attempt{req: req, info: &u.info, inTx: inTx, blind: u.blind,
 			canceled: r.canceled.Load(), expired: errors.Is(ctx.Err(), context.DeadlineExceeded)})
 		s.lost(u, inTx)
 		a.fail(failure)
