--- a/io/front/connection_test.go
+++ b/io/front/connection_test.go
@@ -24,19 +24,19 @@
 	"snipewall/core"
 )
 
-type hook = func(ctx context.Context, req *core.Request, w core.ResponseWriter) (core.Result, error, bool)
+type hook = func(ctx context.Context, req *core.Request, w core.ResponseWriter) (core.Result, bool, error)
 
 // blocking is a hook that reports each request and blocks it until its context ends or release is
 // closed.
 func blocking(started chan<- *core.Request, release <-chan struct{}) hook {
-	return func(ctx context.Context, req *core.Request, _ core.ResponseWriter) (core.Result, error, bool) {
+	return func(ctx context.Context, req *core.Request, _ core.ResponseWriter) (core.Result, bool, error) {
 		req.Attempt.MarkSent()
 		started <- req
 		select {
 		case <-ctx.Done():
-			return core.Result{}, ctx.Err(), true
+			return core.Result{}, true, ctx.Err()
 		case <-release:
-			return core.Result{}, nil, false
+			return core.Result{}, false, nil
 		}
 	}
 }
@@ -131,11 +131,11 @@
 		d.ready(1)
 		started := make(chan *core.Request, 1)
 		ended := make(chan error, 1)
-		srv.router.setHook(func(ctx context.Context, req *core.Request, _ core.ResponseWriter) (core.Result, error, bool) {
+		srv.router.setHook(func(ctx context.Context, req *core.Request, _ core.ResponseWriter) (core.Result, bool, error) {
 			started <- req
 			<-ctx.Done()
 			ended <- ctx.Err()
-			return core.Result{}, ctx.Err(), true
+			return core.Result{}, true, ctx.Err()
 		})
 		d.send(query("select 1"))
 		<-started
@@ -172,20 +172,20 @@
 func TestPartialAnswer(t *testing.T) {
 	srv := startServer(t)
 	conn := srv.connect(t, "")
-	srv.router.setHook(func(_ context.Context, req *core.Request, w core.ResponseWriter) (core.Result, error, bool) {
+	srv.router.setHook(func(_ context.Context, req *core.Request, w core.ResponseWriter) (core.Result, bool, error) {
 		req.Attempt.MarkSent()
 		if err := w.Send(rowDescription()); err != nil {
-			return core.Result{}, err, true
+			return core.Result{}, true, err
 		}
 		row := &pgproto3.DataRow{Values: [][]byte{[]byte(strings.Repeat("x", 1000))}}
 		for range 100 {
 			if err := w.Send(row); err != nil {
-				return core.Result{}, err, true
+				return core.Result{}, true, err
 			}
 		}
 		// The upstream ends its connection with an error of its own.
 		err := w.Send(&pgproto3.ErrorResponse{Severity: "FATAL", Code: "57P01", Message: "shutdown"})
-		return core.Result{}, errors.Join(errors.New("reset"), err), true
+		return core.Result{}, true, errors.Join(errors.New("reset"), err)
 	})
 	rows, err := conn.Query(t.Context(), "select v from t", pgx.QueryExecModeSimpleProtocol)
 	assert.NilError(t, err)
--- a/io/front/errors_test.go
+++ b/io/front/errors_test.go
@@ -53,8 +53,8 @@
 		t.Run(name, func(t *testing.T) {
 			srv := startServer(t)
 			conn := srv.connect(t, "")
-			srv.router.setHook(func(_ context.Context, req *core.Request, _ core.ResponseWriter) (core.Result, error, bool) {
-				return core.Result{}, tc.err(req), true
+			srv.router.setHook(func(_ context.Context, req *core.Request, _ core.ResponseWriter) (core.Result, bool, error) {
+				return core.Result{}, true, tc.err(req)
 			})
 			_, err := conn.Exec(t.Context(), tc.sql)
 			var pgErr *pgconn.PgError
@@ -84,9 +84,9 @@
 			conn := srv.connect(t, "")
 			_, err := conn.Exec(t.Context(), "begin")
 			assert.NilError(t, err)
-			srv.router.setHook(func(_ context.Context, req *core.Request, _ core.ResponseWriter) (core.Result, error, bool) {
+			srv.router.setHook(func(_ context.Context, req *core.Request, _ core.ResponseWriter) (core.Result, bool, error) {
 				req.Attempt.MarkSent()
-				return core.Result{}, errors.New("reset"), true
+				return core.Result{}, true, errors.New("reset")
 			})
 			_, err = conn.Exec(t.Context(), tc.sql)
 			srv.router.setHook(nil)
@@ -115,9 +115,9 @@
 	d.ready(1)
 	d.exchange("begin", query("begin"))
 	d.exchange("bind", parse("", "commit"), bind("c", ""), syncMsg)
-	d.srv.router.setHook(func(_ context.Context, req *core.Request, _ core.ResponseWriter) (core.Result, error, bool) {
+	d.srv.router.setHook(func(_ context.Context, req *core.Request, _ core.ResponseWriter) (core.Result, bool, error) {
 		req.Attempt.MarkSent()
-		return core.Result{}, errors.New("reset"), true
+		return core.Result{}, true, errors.New("reset")
 	})
 	d.exchange("execute", execute("c"), syncMsg)
 	assert.Assert(t, strings.Contains(d.out.String(), "ERROR 08007"), d.out.String())
--- a/io/front/fake_test.go
+++ b/io/front/fake_test.go
@@ -23,8 +23,10 @@
 	requests []*core.Request
 	pos      core.Position
 	closed   int
+	// quiet keeps no requests.
+	quiet bool
 	// hook, if it returns true, replaces the answer to a request.
-	hook func(ctx context.Context, req *core.Request, w core.ResponseWriter) (core.Result, error, bool)
+	hook func(ctx context.Context, req *core.Request, w core.ResponseWriter) (core.Result, bool, error)
 }
 
 func (f *fakeRouter) Execute(ctx context.Context, req *core.Request, w core.ResponseWriter) (core.Result, error) {
@@ -58,11 +60,13 @@
 
 func (f *fakeRouter) run(ctx context.Context, req *core.Request, w core.ResponseWriter, tx *fakeTx) (core.Result, error) {
 	f.mu.Lock()
-	f.requests = append(f.requests, req)
+	if !f.quiet {
+		f.requests = append(f.requests, req)
+	}
 	hook := f.hook
 	f.mu.Unlock()
 	if hook != nil {
-		if res, err, ok := hook(ctx, req, w); ok {
+		if res, ok, err := hook(ctx, req, w); ok {
 			return res, err
 		}
 	}
@@ -307,7 +311,7 @@
 
 // failWith is a hook that fails every request.
 func failWith(err error) hook {
-	return func(context.Context, *core.Request, core.ResponseWriter) (core.Result, error, bool) {
-		return core.Result{}, err, true
+	return func(context.Context, *core.Request, core.ResponseWriter) (core.Result, bool, error) {
+		return core.Result{}, true, err
 	}
 }
--- /dev/null
+++ b/io/front/fuzz_test.go
@@ -0,0 +1,110 @@
+package front
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"gotest.tools/v3/assert"
+)
+
+// pipeServer starts a server whose connections are pipes.
+func pipeServer(tb testing.TB, change ...func(*Config)) (*testServer, *pipeListener) {
+	l := &pipeListener{conns: make(chan net.Conn)}
+	srv := startServer(tb, append(change, func(c *Config) {
+		assert.NilError(tb, c.Listener.Close())
+		c.Listener = l
+	})...)
+	return srv, l
+}
+
+// feed writes the bytes to a new connection, closes it, and fails if the server doesn't end the
+// connection.
+func feed(t *testing.T, srv *testServer, l *pipeListener, data []byte) {
+	t.Helper()
+	conn, err := l.dial()
+	assert.NilError(t, err)
+	read := make(chan struct{})
+	go func() {
+		defer close(read)
+		_, _ = io.Copy(io.Discard, conn)
+	}()
+	assert.NilError(t, conn.SetDeadline(time.Now().Add(5*time.Second)))
+	_, _ = conn.Write(data)
+	// The end of a pipe also discards answers, so give the server the chance to write them.
+	if _, err := conn.Write(mustEncode(&pgproto3.Terminate{})); err == nil {
+		time.Sleep(time.Millisecond)
+	}
+	_ = conn.Close()
+	<-read
+	deadline := time.Now().Add(5 * time.Second)
+	for srv.open() > 0 {
+		if time.Now().After(deadline) {
+			t.Fatalf("the connection stays open after %q", data)
+		}
+		time.Sleep(50 * time.Microsecond)
+	}
+}
+
+func mustEncode(msgs ...interface{ Encode([]byte) ([]byte, error) }) []byte {
+	var buf []byte
+	for _, m := range msgs {
+		b, err := m.Encode(buf)
+		if err != nil {
+			panic(err)
+		}
+		buf = b
+	}
+	return buf
+}
+
+func startupPacket(params ...string) []byte {
+	m := map[string]string{"user": "desk", "database": "berth-ledger"}
+	for i := 0; i+1 < len(params); i += 2 {
+		m[params[i]] = params[i+1]
+	}
+	return mustEncode(&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: m})
+}
+
+// No bytes before the start-up message may crash the process or keep a connection open.
+func FuzzStartup(f *testing.F) {
+	f.Add(startupPacket())
+	f.Add(startupPacket("options", `-c snipewall.kind=quote --snipewall.session=a\ b`, "_pq_.x", "1"))
+	f.Add(mustEncode(&pgproto3.SSLRequest{}, &pgproto3.GSSEncRequest{}, &pgproto3.SSLRequest{}))
+	f.Add(mustEncode(&pgproto3.CancelRequest{ProcessID: 1, SecretKey: []byte{1, 2, 3, 4}}))
+	f.Add([]byte{0, 0, 0, 8, 0, 3, 0, 0})
+	f.Add([]byte("GET / HTTP/1.1\r\n\r\n"))
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		srv, l := pipeServer(t, func(c *Config) { c.StartupTimeout = time.Second })
+		feed(t, srv, l, data)
+	})
+}
+
+// No messages after the start-up may crash the process or keep a connection open.
+func FuzzMessages(f *testing.F) {
+	for _, msgs := range [][]pgproto3.FrontendMessage{
+		{query("begin; insert into t values (1); commit")},
+		join(run("insert into t values (1)"), flushMsg, run("commit"), syncMsg, closing('S', ""), syncMsg),
+		{parse("a", "select $1"), describe('S', "a"), bind("p", "a", "x"), execute("p"), closing('P', "p"), flushMsg, syncMsg},
+		join(run("set snipewall.kind = 'quote'"), run("show snipewall.kind"), run("begin"), flushMsg, run("rollback"), syncMsg),
+		{&pgproto3.FunctionCall{}, &pgproto3.CopyDone{}, &pgproto3.PasswordMessage{}},
+	} {
+		var buf []byte
+		for _, m := range msgs {
+			buf = append(buf, mustEncode(m)...)
+		}
+		f.Add(buf)
+	}
+	f.Add([]byte{'Q', 0x7f, 0xff, 0xff, 0xff, 'x'})
+	f.Add([]byte{'B', 0, 0, 0, 4})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		srv, l := pipeServer(t, func(c *Config) { c.MaxMessage = 4096 })
+		feed(t, srv, l, append(startupPacket(), data...))
+		if n := srv.stmts.len(); n != 0 {
+			t.Fatalf("%d prepared statements are held without a session", n)
+		}
+	})
+}
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -177,11 +177,13 @@
 	s.metrics.opened.Inc(1)
 	defer s.metrics.closed.Inc(1)
 	ss := newSession(s, conn)
-	defer ss.close()
 	if !s.register(ss) {
+		ss.close()
 		return
 	}
+	// Drain returns after the last unregister, when transactions must have ended.
 	defer s.unregister(ss)
+	defer ss.close()
 	if ss.startup() {
 		ss.loop()
 	}
