Add the pool, the queue and the owner of an upstream

Cause: requests need admission, a connection and a confirmed commit before they are answered; the other parts need the constructors to build against. Ruled out: waiting for a connection while holding a slot that open transactions block: open transactions are limited to connections minus slots. Holding the slot while a commit is confirmed: nothing executes then. ROLLBACK on a failed transaction: dropping the connection rolls back and can't return late answers. Change: core/pool (warm reserve, heartbeat, backoff), core/queue (Scheduler as a plain state machine, Shares and the baselines FCFS, Strict and Equal, Queue for concurrent use), core/owner (check, admission, run, confirm, transactions, drain).

--- /dev/null
+++ b/core/owner/check.go
@@ -0,0 +1,154 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"snipewall/core"
+)
+
+// target is what a request was found to need before it was queued.
+type target struct {
+	// primary tells that the request is served because the upstream is the primary.
+	primary bool
+	// position is what the answer must reflect.
+	position core.Position
+}
+
+// check decides whether the upstream may serve the request. It waits a bounded time for a read
+// index and for a replica to catch up.
+func (o *Owner) check(ctx context.Context, path Path, req *core.Request) (target, error) {
+	t := target{position: req.Position}
+	if err := o.step(ctx, path, StepCheck, req); err != nil {
+		return t, req.Attempt.Refuse(core.StateUnavailable, err.Error(), 0)
+	}
+	primary, _, ok := o.cfg.View.Primary()
+	t.primary = ok && primary == o.id
+	if needsPrimary(req) && !t.primary {
+		return t, o.redirect("the request needs the primary")
+	}
+	if err := o.checkLeaving(t.primary); err != nil {
+		return t, err
+	}
+	if err := o.checkIndex(ctx, path, req, &t); err != nil {
+		return t, err
+	}
+	if err := o.checkCatchUp(ctx, path, req, t); err != nil {
+		return t, err
+	}
+	return t, o.recheck(req, t)
+}
+
+// recheck repeats the part of check that doesn't wait, right before the request runs.
+func (o *Owner) recheck(req *core.Request, t target) error {
+	if t.primary {
+		return o.checkTerm(t.position)
+	}
+	status, _, ok := o.cfg.View.Status(o.id)
+	if !ok || status.Role != core.RoleReplica {
+		return o.redirect("the upstream is not known to be a replica")
+	}
+	if !status.Applied.Covers(t.position) {
+		return o.redirect("the replica has not applied the session's position")
+	}
+	if req.AcceptedAge <= 0 {
+		return nil
+	}
+	if age, ok := o.cfg.View.Age(o.id); !ok || age > req.AcceptedAge {
+		return o.redirect("the replica's data is too old")
+	}
+	return nil
+}
+
+// checkTerm requires that the upstream is the primary of the term that the monitor knows.
+func (o *Owner) checkTerm(p core.Position) error {
+	primary, term, ok := o.cfg.View.Primary()
+	if !ok || primary != o.id {
+		return o.redirect("the upstream is not the primary")
+	}
+	if p.Term > term {
+		return o.redirect("the session has seen a later term")
+	}
+	if status, _, ok := o.cfg.View.Status(o.id); ok && status.Promised > term {
+		return o.redirect("the upstream has accepted a later term")
+	}
+	return nil
+}
+
+// checkLeaving refuses new work on an upstream that is about to be taken away.
+func (o *Owner) checkLeaving(primary bool) error {
+	if !o.cfg.Leaving() {
+		o.leavingSince.Store(0)
+		return nil
+	}
+	now := time.Now()
+	since := o.leavingSince.Load()
+	if since == 0 {
+		since = now.UnixNano()
+		o.leavingSince.Store(since)
+	}
+	if primary && now.Sub(time.Unix(0, since)) < o.cfg.LeaveGrace {
+		return nil
+	}
+	return o.redirect("the upstream is leaving")
+}
+
+// checkIndex obtains a read index if the session's last position is not certain, or if a replica is
+// asked for current data.
+func (o *Owner) checkIndex(ctx context.Context, path Path, req *core.Request, t *target) error {
+	current := !t.primary && req.AcceptedAge <= 0
+	if req.Class == core.ClassWrite || !req.NeedIndex && !current {
+		return nil
+	}
+	index, err := o.readIndex(ctx, path, req)
+	if err == nil {
+		t.position = t.position.Max(index)
+		return nil
+	}
+	if req.NeedIndex {
+		return req.Attempt.Refuse(core.StateUnavailable, "no read index: "+err.Error(), 0)
+	}
+	return o.redirect("no read index: " + err.Error())
+}
+
+func (o *Owner) readIndex(ctx context.Context, path Path, req *core.Request) (core.Position, error) {
+	if err := o.step(ctx, path, StepIndex, req); err != nil {
+		return core.Position{}, err
+	}
+	return o.cfg.View.ReadIndex(ctx)
+}
+
+// checkCatchUp waits until a replica has applied the position.
+func (o *Owner) checkCatchUp(ctx context.Context, path Path, req *core.Request, t target) error {
+	if t.primary || t.position.IsZero() {
+		return nil
+	}
+	if status, _, ok := o.cfg.View.Status(o.id); ok && status.Applied.Covers(t.position) {
+		return nil
+	}
+	if err := o.step(ctx, path, StepCatchUp, req); err != nil {
+		return o.redirect(err.Error())
+	}
+	ctx, cancel := context.WithTimeout(ctx, o.cfg.CatchUp)
+	defer cancel()
+	if err := o.cfg.View.WaitApplied(ctx, o.id, t.position); err != nil {
+		return o.redirect("the replica did not catch up: " + err.Error())
+	}
+	return nil
+}
+
+// needsPrimary reports whether only the primary may serve the request.
+func needsPrimary(req *core.Request) bool {
+	return req.Class == core.ClassWrite || req.Class == core.ClassBegin
+}
+
+// redirect builds the answer for a request that the upstream may not serve. It names the primary
+// unless that is this upstream, which would send the request in a circle.
+func (o *Owner) redirect(reason string) error {
+	o.metrics.redirected.Inc(1)
+	e := &core.RedirectError{Group: o.info.Group, Reason: reason}
+	if primary, _, ok := o.cfg.View.Primary(); ok && primary != o.id {
+		e.Primary = primary
+	}
+	return e
+}
--- /dev/null
+++ b/core/pool/config.go
@@ -0,0 +1,65 @@
+package pool
+
+import (
+	"context"
+	"time"
+)
+
+// Defaults of Config.
+const (
+	defaultDialTime      = 3 * time.Second
+	defaultIdleTime      = 5 * time.Minute
+	defaultHeartbeat     = 5 * time.Second
+	defaultHeartbeatTime = time.Second
+	defaultMinBackoff    = 20 * time.Millisecond
+	defaultMaxBackoff    = time.Second
+)
+
+// Config describes a pool. Limit, Dial and Close are required; other zero values stand for the
+// defaults.
+type Config[T any] struct {
+	// Limit is the highest number of connections, including those being dialed.
+	Limit int
+	// Warm is the number of idle connections that the pool keeps ready.
+	Warm int
+	// Dial opens a connection.
+	Dial func(ctx context.Context) (T, error)
+	// Close closes a connection. Its error is ignored, since the connection is gone either way.
+	Close func(v T) error
+	// Ping checks an idle connection. Without it there is no heartbeat.
+	Ping func(ctx context.Context, v T) error
+	// AtLimit tells that a dial error means that the other side is at its connection limit, so that
+	// waiting for a connection in use is worthwhile.
+	AtLimit func(err error) bool
+	// OnDialError is called after each failed dial.
+	OnDialError func(err error)
+	// DialTime limits one dial.
+	DialTime time.Duration
+	// IdleTime is how long a connection above the warm reserve may stay idle.
+	IdleTime time.Duration
+	// Heartbeat is the time without use after which an idle connection is checked.
+	Heartbeat time.Duration
+	// HeartbeatTime limits one check.
+	HeartbeatTime time.Duration
+	// MinBackoff and MaxBackoff limit the time between dials after failures.
+	MinBackoff, MaxBackoff time.Duration
+}
+
+// withDefaults replaces zero values by the defaults.
+func (c Config[T]) withDefaults() Config[T] {
+	c.Limit = max(c.Limit, 1)
+	c.Warm = min(c.Warm, c.Limit)
+	setDefault(&c.DialTime, defaultDialTime)
+	setDefault(&c.IdleTime, defaultIdleTime)
+	setDefault(&c.Heartbeat, defaultHeartbeat)
+	setDefault(&c.HeartbeatTime, defaultHeartbeatTime)
+	setDefault(&c.MinBackoff, defaultMinBackoff)
+	setDefault(&c.MaxBackoff, defaultMaxBackoff)
+	return c
+}
+
+func setDefault(d *time.Duration, value time.Duration) {
+	if *d <= 0 {
+		*d = value
+	}
+}
--- /dev/null
+++ b/core/pool/pool_test.go
@@ -0,0 +1,217 @@
+package pool
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+const dialTime = 30 * time.Millisecond
+
+var (
+	errFull = errors.New("too many connections")
+	errDown = errors.New("connection refused")
+)
+
+// server is the other side of a pool: it counts connections and fails on demand.
+type server struct {
+	open, most, dials atomic.Int32
+	dialErr           atomic.Pointer[error]
+	silent            atomic.Bool
+}
+
+type conn struct{ closed atomic.Bool }
+
+func (s *server) dial(ctx context.Context) (*conn, error) {
+	s.dials.Add(1)
+	select {
+	case <-time.After(dialTime):
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	if err := s.dialErr.Load(); err != nil {
+		return nil, *err
+	}
+	if n := s.open.Add(1); n > s.most.Load() {
+		s.most.Store(n)
+	}
+	return &conn{}, nil
+}
+
+func (s *server) close(c *conn) error {
+	if !c.closed.Swap(true) {
+		s.open.Add(-1)
+	}
+	return nil
+}
+
+func (s *server) ping(ctx context.Context, _ *conn) error {
+	if s.silent.Load() {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return nil
+}
+
+// run runs the scenario on the fake clock and checks that the pool leaves nothing behind.
+func run(t *testing.T, cfg Config[*conn], scenario func(t *testing.T, p *Pool[*conn], s *server)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		s := &server{}
+		cfg.Dial, cfg.Close, cfg.Ping = s.dial, s.close, s.ping
+		cfg.AtLimit = func(err error) bool { return errors.Is(err, errFull) }
+		p := New(cfg)
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- p.Run(ctx) }()
+		scenario(t, p, s)
+		cancel()
+		assert.NilError(t, <-ended)
+		assert.Equal(t, s.open.Load(), int32(0))
+		assert.Equal(t, p.Stats().Total, 0)
+	})
+}
+
+// Guards against requests that pay for a connection's set-up although a reserve is configured.
+func TestWarmReserve(t *testing.T) {
+	run(t, Config[*conn]{Limit: 8, Warm: 3}, func(t *testing.T, p *Pool[*conn], _ *server) {
+		time.Sleep(2 * dialTime)
+		for range 20 {
+			start := time.Now()
+			h, err := p.Get(t.Context())
+			assert.NilError(t, err)
+			assert.Equal(t, time.Since(start), time.Duration(0))
+			h.Put()
+			assert.Assert(t, p.Stats().Idle >= 3)
+		}
+	})
+}
+
+// Guards against waiters that hang when nothing can be dialed, and against a storm of dials.
+func TestDialErrorReachesWaiters(t *testing.T) {
+	run(t, Config[*conn]{Limit: 4, Warm: 1}, func(t *testing.T, p *Pool[*conn], s *server) {
+		s.dialErr.Store(&errDown)
+		start := time.Now()
+		for range 200 {
+			_, err := p.Get(t.Context())
+			assert.ErrorIs(t, err, errDown)
+			time.Sleep(10 * time.Millisecond)
+		}
+		assert.Assert(t, time.Since(start) < 4*time.Second)
+		assert.Assert(t, s.dials.Load() < 15, "%d dials", s.dials.Load())
+		s.dialErr.Store(nil)
+		time.Sleep(1100 * time.Millisecond)
+		h, err := p.Get(t.Context())
+		assert.NilError(t, err)
+		h.Put()
+	})
+}
+
+// Guards against a failure at the connection limit although a connection in use comes back soon.
+func TestRefusalWaitsForConnectionInUse(t *testing.T) {
+	run(t, Config[*conn]{Limit: 4}, func(t *testing.T, p *Pool[*conn], s *server) {
+		h, err := p.Get(t.Context())
+		assert.NilError(t, err)
+		s.dialErr.Store(&errFull)
+		go func() { time.Sleep(200 * time.Millisecond); h.Put() }()
+		h, err = p.Get(t.Context())
+		assert.NilError(t, err)
+		h.Discard()
+		_, err = p.Get(t.Context())
+		assert.ErrorIs(t, err, errFull)
+	})
+}
+
+// Guards against a connection that went silent while idle and then costs a request its time.
+func TestHeartbeatClosesSilentConnections(t *testing.T) {
+	run(t, Config[*conn]{Limit: 4, Warm: 2}, func(t *testing.T, p *Pool[*conn], s *server) {
+		time.Sleep(time.Second)
+		s.silent.Store(true)
+		time.Sleep(defaultHeartbeat + defaultHeartbeatTime)
+		assert.Assert(t, s.dials.Load() >= 4, "%d dials", s.dials.Load())
+	})
+}
+
+// Guards against connections above the reserve that are kept forever.
+func TestIdleExpiry(t *testing.T) {
+	run(t, Config[*conn]{Limit: 6, Warm: 2}, func(t *testing.T, p *Pool[*conn], s *server) {
+		var handles []*Handle[*conn]
+		for range 6 {
+			h, err := p.Get(t.Context())
+			assert.NilError(t, err)
+			handles = append(handles, h)
+		}
+		for _, h := range handles {
+			h.Put()
+		}
+		time.Sleep(defaultIdleTime + 2*defaultHeartbeat)
+		assert.Equal(t, s.open.Load(), int32(2))
+	})
+}
+
+// Guards against a late Put or Discard of a former user that ends the use of the present one.
+func TestHandleEndsOnce(t *testing.T) {
+	run(t, Config[*conn]{Limit: 1}, func(t *testing.T, p *Pool[*conn], _ *server) {
+		first, err := p.Get(t.Context())
+		assert.NilError(t, err)
+		first.Put()
+		second, err := p.Get(t.Context())
+		assert.NilError(t, err)
+		first.Discard()
+		assert.Equal(t, p.Stats().InUse, 1)
+		assert.Assert(t, !second.Value.closed.Load())
+		second.Put()
+	})
+}
+
+// Guards against more connections than the limit and against leaks, under any mix of use, failure
+// and impatient callers.
+func TestLimitHolds(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		limit := rapid.IntRange(1, 5).Draw(rt, "limit")
+		warm := rapid.IntRange(0, 3).Draw(rt, "warm")
+		type use struct {
+			patience, hold int
+			failed         bool
+		}
+		uses := rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) use {
+			return use{
+				patience: rapid.IntRange(1, 200).Draw(rt, "patience"),
+				hold:     rapid.IntRange(0, 60).Draw(rt, "hold"),
+				failed:   rapid.Bool().Draw(rt, "failed"),
+			}
+		}), 1, 30).Draw(rt, "uses")
+		run(t, Config[*conn]{Limit: limit, Warm: warm}, func(t *testing.T, p *Pool[*conn], s *server) {
+			ended := make(chan struct{})
+			for _, u := range uses {
+				go func() {
+					defer func() { ended <- struct{}{} }()
+					ctx, cancel := context.WithTimeout(t.Context(), time.Duration(u.patience)*time.Millisecond)
+					defer cancel()
+					h, err := p.Get(ctx)
+					if err != nil {
+						return
+					}
+					time.Sleep(time.Duration(u.hold) * time.Millisecond)
+					if u.failed {
+						h.Discard()
+					} else {
+						h.Put()
+					}
+				}()
+			}
+			for range uses {
+				<-ended
+			}
+			assert.Assert(t, s.most.Load() <= int32(limit), "%d connections, limit %d", s.most.Load(), limit)
+			assert.Equal(t, p.Stats().InUse, 0)
+			assert.Equal(t, p.Stats().Waiting, 0)
+		})
+	})
+}
--- /dev/null
+++ b/core/queue/shares.go
@@ -0,0 +1,131 @@
+package queue
+
+import (
+	"time"
+
+	"snipewall/core"
+)
+
+// shares is the share of the slot time that each rank keeps while it has work waiting.
+var shares = [core.RankCount]float64{core.RankUrgent: 0.6, core.RankMiddle: 0.3, core.RankLast: 0.1}
+
+const (
+	// creditIdle and creditWaiting limit the credit of a rank, as a time over which its share
+	// accrues. A rank that waits behind long statements keeps its claim longer than an idle one.
+	creditIdle    = 50 * time.Millisecond
+	creditWaiting = time.Second
+	// maxDebt limits the debt of a rank that ran long statements, as a time over which its share
+	// repays it.
+	maxDebt = 30 * time.Second
+)
+
+// Shares is the proxy's scheduler. The most urgent rank goes first, but each rank with work waiting
+// keeps its guaranteed share of the slot time, and the kinds of a rank split the rank's time by
+// weight. Shares are kept in measured service time.
+type Shares struct {
+	base
+	at time.Time
+	// credit is the slot time that a rank may claim ahead of more urgent ranks; negative if it has
+	// used more than its share.
+	credit [core.RankCount]time.Duration
+	// vtime is the virtual time of each rank's kinds.
+	vtime [core.RankCount]time.Duration
+}
+
+// NewShares returns the proxy's scheduler.
+func NewShares(cfg Config) *Shares { return &Shares{base: newBase(cfg)} }
+
+// Add lets the item wait, or refuses it.
+func (s *Shares) Add(now time.Time, it *Item) *Refusal {
+	if refusal := s.base.Add(now, it); refusal != nil {
+		return refusal
+	}
+	if k := it.state; k.waiting() == 1 {
+		// A kind that had no work has no claim on the time at which it was idle.
+		k.vtime = max(k.vtime, s.vtime[k.policy.Rank])
+	}
+	return nil
+}
+
+// Next takes the item that starts now: of the most urgent rank that has credit, otherwise of the
+// most urgent rank.
+func (s *Shares) Next(now time.Time) *Item {
+	if s.full() {
+		return nil
+	}
+	s.refresh()
+	waiting := s.ranksWaiting(now)
+	s.accrue(now, waiting)
+	rank, ok := s.pickRank(waiting)
+	if !ok {
+		return nil
+	}
+	it := s.candidate(now, s.pickKind(now, rank))
+	s.take(now, it)
+	s.charge(it, it.estimate)
+	s.vtime[rank] = max(s.vtime[rank], it.state.vtime)
+	return it
+}
+
+// Done ends an item and corrects its charge to the measured service time.
+func (s *Shares) Done(now time.Time, it *Item, ran bool) {
+	s.charge(it, s.finish(now, it, ran)-it.estimate)
+}
+
+// accrue adds each rank's share of the time since the last call to its credit.
+func (s *Shares) accrue(now time.Time, waiting [core.RankCount]bool) {
+	dt := now.Sub(s.at)
+	if s.at.IsZero() {
+		dt = 0
+	}
+	s.at = now
+	for r := range s.credit {
+		most := s.share(r, creditIdle)
+		if waiting[r] {
+			most = s.share(r, creditWaiting)
+		}
+		s.credit[r] = min(s.credit[r]+s.share(r, dt), max(most, s.credit[r]))
+	}
+}
+
+// share returns the slot time that the rank is guaranteed over d.
+func (s *Shares) share(r int, d time.Duration) time.Duration {
+	return time.Duration(shares[r] * float64(s.slots) * float64(d))
+}
+
+func (s *Shares) pickRank(waiting [core.RankCount]bool) (core.Rank, bool) {
+	first := -1
+	for r, ok := range waiting {
+		if !ok {
+			continue
+		}
+		if s.credit[r] > 0 {
+			return core.Rank(r), true
+		}
+		if first < 0 {
+			first = r
+		}
+	}
+	return core.Rank(max(first, 0)), first >= 0
+}
+
+// pickKind returns the rank's kind that was served least per weight.
+func (s *Shares) pickKind(now time.Time, rank core.Rank) *kindState {
+	var best *kindState
+	for _, k := range s.list {
+		if k.policy.Rank != rank || s.candidate(now, k) == nil {
+			continue
+		}
+		if best == nil || k.vtime < best.vtime {
+			best = k
+		}
+	}
+	return best
+}
+
+// charge subtracts slot time from the credit of the item's rank and advances its kind.
+func (s *Shares) charge(it *Item, d time.Duration) {
+	r := it.rank
+	s.credit[r] = max(s.credit[r]-d, -s.share(int(r), maxDebt))
+	it.state.vtime += d / time.Duration(max(it.state.policy.Weight, 1))
+}
