Add the benchmark of the admission queue under surges

Cause: the queue's policy rules need figures for both companies, against three baselines. Change: bench surge: open-loop Poisson arrivals with one stream per kind, latency from the arrival, HDR histograms, text table and JSON.

--- /dev/null
+++ b/bench/main.go
@@ -0,0 +1,27 @@
+// Command bench measures parts of snipewall.
+//
+// # Usage
+//
+//	go run ./bench surge
+//	go run ./bench surge --json surge.json
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/urfave/cli/v3"
+)
+
+func main() {
+	cmd := &cli.Command{
+		Name:     "bench",
+		Usage:    "measurements of snipewall",
+		Commands: []*cli.Command{surgeCommand()},
+	}
+	if err := cmd.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "bench:", err)
+		os.Exit(1)
+	}
+}
