Serve a statement end to end in an entry VM's process

Cause: the parts stand alone; a caller needs a process, and operators a command line. Ruled out: service discovery by the kernel at run time for the hot path; services are registered by name for the dump, and wired by type when the process is built. Change: package server (wiring, readiness, graceful stop, metrics, TLS), cmds (serve, settings, table, status, dump), io/admin.

--- /dev/null
+++ b/cmds/table.go
@@ -0,0 +1,167 @@
+package cmds
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"snipewall/conf"
+	"snipewall/core"
+	"snipewall/core/table"
+	"snipewall/io/store"
+)
+
+func tableCommand(d *deps) *cli.Command {
+	return &cli.Command{
+		Name:  "table",
+		Usage: "show, check, compare and apply the operators' table",
+		Commands: []*cli.Command{
+			{
+				Name:   "show",
+				Usage:  "print the table in the platform's store, with its version, as a file to edit",
+				Flags:  []cli.Flag{settingsFlag()},
+				Action: func(ctx context.Context, cmd *cli.Command) error { return showTable(ctx, d, cmd) },
+			},
+			{
+				Name:      "check",
+				Usage:     "check a table file without applying it",
+				ArgsUsage: "FILE",
+				Action: func(_ context.Context, cmd *cli.Command) error {
+					checkout, _, err := readTable(d, cmd)
+					if err != nil {
+						return err
+					}
+					_, err = fmt.Fprintf(d.out, "valid, %d rows\n", len(checkout.Table.Kinds()))
+					return err
+				},
+			},
+			{
+				Name:      "diff",
+				Usage:     "show what applying a table file would change",
+				ArgsUsage: "FILE",
+				Flags:     []cli.Flag{settingsFlag()},
+				Action:    func(ctx context.Context, cmd *cli.Command) error { return diffTable(ctx, d, cmd) },
+			},
+			{
+				Name:      "apply",
+				Usage:     "put a table file into force and report where it is",
+				ArgsUsage: "FILE",
+				Flags: []cli.Flag{
+					settingsFlag(),
+					&cli.Uint64Flag{Name: "base", Usage: "version that the file is based on, 0 for none, if the file doesn't name it"},
+					&cli.BoolFlag{Name: "merge", Usage: "combine the edit with edits of other rows made since its base"},
+					&cli.DurationFlag{Name: "wait", Value: defaultWait, Usage: "how long to wait until all entry VMs have it, 0 to return at once"},
+				},
+				Action: func(ctx context.Context, cmd *cli.Command) error { return applyTable(ctx, d, cmd) },
+			},
+		},
+	}
+}
+
+// readTable reads the FILE argument, or the standard input if it is "-".
+func readTable(d *deps, cmd *cli.Command) (table.Checkout, bool, error) {
+	name := cmd.Args().First()
+	var data []byte
+	var err error
+	switch {
+	case cmd.Args().Len() != 1:
+		return table.Checkout{}, false, withCode(ExitInvalid, fmt.Errorf("name one FILE"))
+	case name == "-":
+		data, err = io.ReadAll(d.in)
+	default:
+		data, err = os.ReadFile(name)
+	}
+	if err != nil {
+		return table.Checkout{}, false, err
+	}
+	checkout, based, err := table.ParseCheckout(data)
+	if err != nil {
+		return table.Checkout{}, false, withCode(ExitInvalid, fmt.Errorf("%s: %w", name, err))
+	}
+	return checkout, based, nil
+}
+
+// newEditor builds an editor on the platform that the settings name.
+func newEditor(cmd *cli.Command) (*table.Editor, core.Store, error) {
+	s, err := conf.Load(cmd.String("settings"))
+	if err != nil {
+		return nil, nil, withCode(ExitInvalid, err)
+	}
+	st, err := store.New(store.Config{Address: "http://" + s.Platform.Address, CallTimeout: s.Platform.Timeout})
+	if err != nil {
+		return nil, nil, withCode(ExitInvalid, err)
+	}
+	return table.NewEditor(table.EditorConfig{Store: st}), st, nil
+}
+
+func showTable(ctx context.Context, d *deps, cmd *cli.Command) error {
+	ed, _, err := newEditor(cmd)
+	if err != nil {
+		return err
+	}
+	checkout, err := ed.Read(ctx)
+	if err != nil {
+		return err
+	}
+	_, err = d.out.Write(checkout.File())
+	return err
+}
+
+func diffTable(ctx context.Context, d *deps, cmd *cli.Command) error {
+	checkout, _, err := readTable(d, cmd)
+	if err != nil {
+		return err
+	}
+	ed, _, err := newEditor(cmd)
+	if err != nil {
+		return err
+	}
+	current, err := ed.Read(ctx)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprint(d.out, table.Diff(current.Table, checkout.Table))
+	return err
+}
+
+func applyTable(ctx context.Context, d *deps, cmd *cli.Command) error {
+	checkout, based, err := readTable(d, cmd)
+	if err != nil {
+		return err
+	}
+	base := checkout.Version
+	if !based {
+		if !cmd.IsSet("base") {
+			return withCode(ExitInvalid, errors.New("the file names no version: start from 'snipewall table show', or name it by --base"))
+		}
+		base = core.Version(cmd.Uint64("base"))
+	}
+	ed, st, err := newEditor(cmd)
+	if err != nil {
+		return err
+	}
+	applied, err := ed.Apply(ctx, table.Edit{ID: table.NewEditID(), Base: base, Table: checkout.Table, Merge: cmd.Bool("merge")})
+	if err != nil {
+		return withCode(editExitCode(err), err)
+	}
+	fmt.Fprintf(d.out, "accepted as version %d\n%s", applied.Version, applied.Changes)
+	return awaitInForce(ctx, d, st, applied.Version, cmd.Duration("wait"))
+}
+
+// editExitCode tells a conflict and an unknown outcome from other failures.
+func editExitCode(err error) int {
+	var conflict *table.ConflictError
+	var outcome *table.OutcomeError
+	switch {
+	case errors.As(err, &conflict):
+		return ExitConflict
+	case errors.As(err, &outcome):
+		return ExitUnknown
+	default:
+		return ExitFailure
+	}
+}
--- a/core/assign/assign.go
+++ b/core/assign/assign.go
@@ -18,6 +18,9 @@
 	DefaultLinger = 30 * time.Second
 	// checkInterval is how often the assignment is compared with the membership.
 	checkInterval = 200 * time.Millisecond
+	// settleTime is how long a starting entry VM waits to hear of others. Before that it would take
+	// itself for the only one and open connections to all upstreams.
+	settleTime = 2 * time.Second
 	// drainTimeout limits how long an owner that lost its upstream finishes its requests.
 	drainTimeout = 10 * time.Second
 )
@@ -109,6 +112,14 @@
 	m.mu.Unlock()
 	ticker := time.NewTicker(checkInterval)
 	defer ticker.Stop()
+	began := time.Now()
+	for len(m.cfg.Members.Alive()) < 2 && time.Since(began) < settleTime {
+		select {
+		case <-ctx.Done():
+			return m.stopAll()
+		case <-ticker.C:
+		}
+	}
 	for {
 		if err := m.adjust(); err != nil {
 			return err
--- a/core/route/state.go
+++ b/core/route/state.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"context"
 	"errors"
 	"sync/atomic"
 
@@ -68,10 +69,33 @@
 	Duplicates   uint64
 }
 
+// Name implements core.Service.
+func (r *Router) Name() string { return "route" }
+
+// Run implements core.Service; the router works in its callers' goroutines.
+func (r *Router) Run(ctx context.Context) error {
+	<-ctx.Done()
+	return nil
+}
+
+// Primaries returns the primary of each group as far as this entry VM knows.
+func (r *Router) Primaries() map[core.GroupID]core.UpstreamID {
+	primaries := make(map[core.GroupID]core.UpstreamID, len(r.groups))
+	for id, g := range r.groups {
+		if view, ok := r.view(id); ok {
+			if primary, _, ok := view.Primary(); ok {
+				g.learnPrimary(primary)
+			}
+		}
+		primaries[id] = g.knownPrimary()
+	}
+	return primaries
+}
+
 // Dump implements core.Dumper.
 func (r *Router) Dump() any {
-	s := State{
-		Primaries:    make(map[core.GroupID]core.UpstreamID, len(r.groups)),
+	return State{
+		Primaries:    r.Primaries(),
 		ReplicaReads: r.counts.replicaReads.Load(),
 		PrimaryReads: r.counts.primaryReads.Load(),
 		Writes:       r.counts.writes.Load(),
@@ -79,8 +103,4 @@
 		Unknown:      r.counts.unknown.Load(),
 		Duplicates:   r.counts.duplicates.Load(),
 	}
-	for id, g := range r.groups {
-		s.Primaries[id] = g.knownPrimary()
-	}
-	return s
 }
--- a/io/relay/server.go
+++ b/io/relay/server.go
@@ -60,8 +60,24 @@
 // Active returns the number of requests and transactions in progress.
 func (s *Server) Active() int64 { return s.active.Load() }
 
-// Drain makes the server refuse new requests as not run. Transactions go on.
-func (s *Server) Drain() { s.draining.Store(true) }
+// drainCheck is how often Drain looks whether the last request has ended.
+const drainCheck = 10 * time.Millisecond
+
+// Drain refuses new requests as not run and waits for the requests and transactions in progress. It
+// returns ctx's error if they last longer.
+func (s *Server) Drain(ctx context.Context) error {
+	s.draining.Store(true)
+	ticker := time.NewTicker(drainCheck)
+	defer ticker.Stop()
+	for s.active.Load() > 0 {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
 
 // Run accepts connections until ctx ends.
 func (s *Server) Run(ctx context.Context) error {
--- /dev/null
+++ b/server/server.go
@@ -0,0 +1,256 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/uber-go/tally/v4"
+
+	"snipewall/conf"
+	"snipewall/core"
+	"snipewall/core/assign"
+	"snipewall/core/peers"
+	"snipewall/core/place"
+	"snipewall/core/route"
+	"snipewall/core/table"
+	"snipewall/io/admin"
+	"snipewall/io/front"
+	"snipewall/io/relay"
+	"snipewall/io/store"
+)
+
+// Config configures a Process.
+type Config struct {
+	Settings *conf.Settings
+	Log      log.Logger
+}
+
+// Process is one entry VM.
+type Process struct {
+	cfg       Config
+	kernel    *core.Kernel
+	scope     tally.Scope
+	metrics   http.Handler
+	upstreams map[core.UpstreamID]core.Upstream
+
+	store   *store.Store
+	members *peers.Peers
+	table   *table.Keeper
+	assign  *assign.Manager
+	client  *relay.Client
+	relay   *relay.Server
+	router  *route.Router
+	front   *front.Server
+	admin   *admin.Server
+}
+
+// New opens the listeners and builds the services. Nothing runs yet.
+func New(cfg Config) (*Process, error) {
+	p := &Process{cfg: cfg, kernel: core.NewKernel()}
+	p.scope, p.metrics = newMetrics(cfg.Settings.VM)
+	steps := []func() error{
+		p.openUpstreams, p.openPlatform, p.openMembers, p.openOwners, p.openRouter, p.openFront, p.openAdmin,
+	}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			return nil, err
+		}
+	}
+	return p, nil
+}
+
+// listen opens a TCP listener and names the setting that it belongs to in its error.
+func listen(key, address string) (net.Listener, error) {
+	var lc net.ListenConfig
+	ln, err := lc.Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, core.ErrSettings.New("section [Listen], key %s: %v", key, err)
+	}
+	return ln, nil
+}
+
+func (p *Process) self() core.VM {
+	s := p.cfg.Settings
+	return core.VM{
+		ID: s.VM.ID, FailureDomain: s.VM.FailureDomain, Region: s.VM.Region,
+		Control: s.Listen.Control, Relay: s.Listen.Relay,
+	}
+}
+
+func (p *Process) openPlatform() error {
+	s := p.cfg.Settings
+	var err error
+	p.store, err = store.New(store.Config{Address: "http://" + s.Platform.Address, CallTimeout: s.Platform.Timeout})
+	if err != nil {
+		return err
+	}
+	p.table = table.NewKeeper(table.KeeperConfig{Store: p.store, Logger: log.With(p.cfg.Log, "service", "table")})
+	return p.kernel.Register(p.table)
+}
+
+func (p *Process) openOwners() error {
+	s := p.cfg.Settings
+	p.assign = assign.New(assign.Config{
+		Upstreams: s.Upstreams, Members: p.members, Owners: place.Owners,
+		NewGroup: p.newGroup, NewOwner: p.newOwner, Log: log.With(p.cfg.Log, "service", "assign"),
+	})
+	ln, err := listen("Relay", s.Listen.Relay)
+	if err != nil {
+		return err
+	}
+	p.relay = relay.NewServer(relay.ServerConfig{Listener: ln, Find: p.assign.Executor, Log: log.With(p.cfg.Log, "service", "relay")})
+	p.client = relay.NewClient(relay.ClientConfig{})
+	return errors.Join(p.kernel.Register(p.assign), p.kernel.Register(p.relay))
+}
+
+func (p *Process) openRouter() error {
+	p.router = route.New(route.Config{
+		Upstreams: p.cfg.Settings.Upstreams, Members: p.members, Owners: place.Owners,
+		Local: p.assign.Executor, Remote: p.client.Executor, View: p.assign.View,
+	})
+	return p.kernel.Register(p.router)
+}
+
+func (p *Process) openFront() error {
+	s := p.cfg.Settings
+	ln, err := listen("Callers", s.Listen.Callers)
+	if err != nil {
+		return err
+	}
+	tlsConfig, err := callerTLS(s.CallerTLS)
+	if err != nil {
+		return err
+	}
+	p.front = front.New(front.Config{
+		Listener: ln, Router: p.router, Policies: p.table, Groups: p.router, TLS: tlsConfig,
+		Log: log.With(p.cfg.Log, "service", "front"), Metrics: p.scope.SubScope("Front"),
+		DefaultKind: s.Callers.DefaultKind, MaxMessage: s.Callers.MaxMessage,
+	})
+	return p.kernel.Register(p.front)
+}
+
+func (p *Process) openAdmin() error {
+	ln, err := listen("Admin", p.cfg.Settings.Listen.Admin)
+	if err != nil {
+		return err
+	}
+	p.admin = admin.New(admin.Config{Listener: ln, Kernel: p.kernel, Metrics: p.metrics, Status: p.status})
+	return p.kernel.Register(p.admin)
+}
+
+// Run serves until ctx ends and then stops gracefully.
+func (p *Process) Run(ctx context.Context) error {
+	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	end := make(chan error, 1)
+	go func() { end <- p.kernel.Run(runCtx) }()
+	readyEnd := make(chan error, 1)
+	go func() { readyEnd <- p.awaitReady(ctx) }()
+	level.Info(p.cfg.Log).Log("msg", "entry VM started", "vm", p.cfg.Settings.VM.ID, "callers", p.cfg.Settings.Listen.Callers)
+	select {
+	case err := <-end:
+		return err
+	case <-ctx.Done():
+	}
+	if err := <-readyEnd; err != nil {
+		return err
+	}
+	p.stop(runCtx)
+	cancel()
+	return <-end
+}
+
+const (
+	// readyInterval is how often the process checks whether it can serve.
+	readyInterval = 50 * time.Millisecond
+	// readyTimeout is how long it waits for a table before it serves without one: during an outage of
+	// the platform the defaults are better than no service.
+	readyTimeout = 5 * time.Second
+)
+
+// awaitReady turns readiness on once the table is in force. It returns when ctx ends.
+func (p *Process) awaitReady(ctx context.Context) error {
+	ticker := time.NewTicker(readyInterval)
+	defer ticker.Stop()
+	began := time.Now()
+	for p.table.Version() == 0 && time.Since(began) < readyTimeout {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+	if p.table.Version() == 0 {
+		level.Warn(p.cfg.Log).Log("msg", "serving without an operators' table: neither the platform nor a peer has one")
+	}
+	p.admin.SetReady(true)
+	<-ctx.Done()
+	return nil
+}
+
+// stop lets the balancer and the other entry VMs turn away, then finishes what is in flight.
+func (p *Process) stop(ctx context.Context) {
+	s := p.cfg.Settings.Stop
+	level.Info(p.cfg.Log).Log("msg", "stopping", "grace", s.Grace.String())
+	p.admin.SetReady(false)
+	ctx, cancel := context.WithTimeout(ctx, s.Grace+s.Timeout)
+	defer cancel()
+	p.members.Leave(ctx)
+	sleep(ctx, s.Grace)
+	for _, d := range []drainer{p.front, p.relay, p.assign} {
+		if err := d.Drain(ctx); err != nil {
+			level.Warn(p.cfg.Log).Log("msg", "stopped with work in flight", "service", d.Name(), "err", err)
+		}
+	}
+	p.client.Close()
+	level.Info(p.cfg.Log).Log("msg", "stopped")
+}
+
+// drainer is a service that finishes its work before it ends.
+type drainer interface {
+	Name() string
+	Drain(ctx context.Context) error
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// Status is the summary of an entry VM at /status.
+type Status struct {
+	VM           core.VM
+	TableVersion core.Version
+	Members      []core.VM
+	// Primaries holds the primary of each group as far as this entry VM knows.
+	Primaries map[core.GroupID]core.UpstreamID
+	Leaving   []core.UpstreamID `json:",omitempty"`
+}
+
+func (p *Process) status() any {
+	st := Status{
+		VM: p.members.Self(), TableVersion: p.table.Version(), Members: p.members.Alive(),
+		Primaries: p.router.Primaries(),
+	}
+	for _, info := range p.cfg.Settings.Upstreams {
+		if p.members.Leaving(info.ID) {
+			st.Leaving = append(st.Leaving, info.ID)
+		}
+	}
+	return st
+}
+
+// errNoCertificates says that a CA file holds nothing usable.
+func errNoCertificates(path string) error {
+	return core.ErrSettings.New("section [UpstreamTLS], key CA: %s", fmt.Sprintf("%q holds no PEM certificate", path))
+}
