Measure the overhead and the share of replica reads; start and stop a deployment

Cause: the added latency, the rate per core and the replica share have targets. Ruled out: measuring inside one process, which would share the scheduler between client and proxy. Change: bench overhead, tcprelay, reads, demo; scripts to start a deployment and to run them.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 GOBIN_DIR := $(shell $(GO) env GOPATH)/bin
 LINT := $(GOBIN_DIR)/golangci-lint
 
-.PHONY: help build fmt lint tools test
+.PHONY: help build fmt lint tools test up down demo
 
 help: ## Lists the targets.
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/'
@@ -14,6 +14,7 @@
 	@mkdir -p bin
 	$(GO) build -o bin/snipewall .
 	$(GO) build -o bin/standin ./stand
+	$(GO) build -o bin/bench ./bench
 
 fmt: ## Fails if a file is not formatted.
 	@out="$$(gofmt -l .)"; if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
@@ -27,3 +28,14 @@
 
 test: ## Runs all tests but those that KNOWN-RED.txt lists.
 	@scripts/test.sh
+
+DEPLOYMENT ?= gulf-berth
+
+up: build ## Starts a deployment of examples/ on loopback and leaves it running (DEPLOYMENT=gulf-berth).
+	@scripts/up.sh $(DEPLOYMENT)
+
+down: ## Stops what `make up` started.
+	@scripts/down.sh $(DEPLOYMENT)
+
+demo: build ## Shows a roaming session and a failover on a whole deployment, in under a minute.
+	@scripts/demo.sh
--- a/bench/main.go
+++ b/bench/main.go
@@ -4,6 +4,8 @@
 //
 //	go run ./bench surge
 //	go run ./bench surge --json surge.json
+//
+// The other subcommands need a running deployment; the scripts in scripts/ start one.
 package main
 
 import (
@@ -16,9 +18,11 @@
 
 func main() {
 	cmd := &cli.Command{
-		Name:     "bench",
-		Usage:    "measurements of snipewall",
-		Commands: []*cli.Command{surgeCommand()},
+		Name:  "bench",
+		Usage: "measurements of snipewall",
+		Commands: []*cli.Command{
+			demoCommand(), seedCommand(), overheadCommand(), tcpRelayCommand(), readsCommand(), surgeCommand(),
+		},
 	}
 	if err := cmd.Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "bench:", err)
--- /dev/null
+++ b/bench/overhead.go
@@ -0,0 +1,229 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/urfave/cli/v3"
+)
+
+const (
+	// latencyTime and rateTime are the durations of the two parts of each measurement.
+	latencyTime = 3 * time.Second
+	rateTime    = 4 * time.Second
+	// overheadWarmUp is left out of each part.
+	overheadWarmUp = 500 * time.Millisecond
+	// maxLatency is the upper end of the histograms.
+	maxLatency = 10 * time.Second
+	// clockTick is the unit of processor times in /proc, 1/100 s on Linux.
+	clockTick = 10 * time.Millisecond
+	// overheadSQL is the simple statement that is measured.
+	overheadSQL = "select captain from berths where id = 1"
+)
+
+func overheadCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "overhead",
+		Usage: "measure what each way to the upstream adds to a simple statement",
+		Flags: []cli.Flag{
+			&cli.StringSliceFlag{Name: "target", Usage: "`NAME=HOST:PORT=PID` of a way to the upstream; the first is the direct one", Required: true},
+			&cli.StringFlag{Name: "database", Usage: "group to use", Required: true},
+			&cli.IntFlag{Name: "connections", Value: 32, Usage: "connections when the rate is measured"},
+			&cli.StringFlag{Name: "json", Usage: "`FILE` for the result as JSON"},
+		},
+		Action: runOverhead,
+	}
+}
+
+// overheadRow is the result for one way to the upstream.
+type overheadRow struct {
+	Name string
+	// P50 and P99 are latencies of one connection in microseconds.
+	P50, P99 float64
+	// Rate is the number of statements per second over all connections.
+	Rate float64
+	// CPU is the processor time of the process per statement in microseconds, 0 if unknown.
+	CPU float64
+	// PerCore is the number of statements per second of processor time.
+	PerCore float64
+}
+
+// target is one way to the upstream.
+type target struct {
+	name, address string
+	pid           int
+}
+
+func parseTarget(s string) (target, error) {
+	parts := strings.Split(s, "=")
+	if len(parts) != 3 {
+		return target{}, fmt.Errorf("target %q: want NAME=HOST:PORT=PID", s)
+	}
+	pid, err := strconv.Atoi(parts[2])
+	if err != nil {
+		return target{}, fmt.Errorf("target %q: process id: %w", s, err)
+	}
+	return target{name: parts[0], address: parts[1], pid: pid}, nil
+}
+
+func runOverhead(ctx context.Context, cmd *cli.Command) error {
+	var rows []overheadRow
+	for _, text := range cmd.StringSlice("target") {
+		t, err := parseTarget(text)
+		if err != nil {
+			return err
+		}
+		row, err := measureTarget(ctx, t, cmd.String("database"), cmd.Int("connections"))
+		if err != nil {
+			return fmt.Errorf("%s: %w", t.name, err)
+		}
+		rows = append(rows, row)
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "way\tp50 us\tp99 us\tadded p50\tadded p99\tstatements/s\tCPU us/statement\tstatements/s per core\t")
+	for _, r := range rows {
+		fmt.Fprintf(w, "%s\t%.1f\t%.1f\t%.1f\t%.1f\t%.0f\t%.1f\t%.0f\t\n",
+			r.Name, r.P50, r.P99, r.P50-rows[0].P50, r.P99-rows[0].P99, r.Rate, r.CPU, r.PerCore)
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	return writeJSONFile(cmd.String("json"), rows)
+}
+
+// writeJSONFile writes the value to the file, if one is named.
+func writeJSONFile(name string, v any) error {
+	if name == "" {
+		return nil
+	}
+	data, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(name, append(data, '\n'), 0o644)
+}
+
+func measureTarget(ctx context.Context, t target, database string, connections int) (overheadRow, error) {
+	row := overheadRow{Name: t.name}
+	one, _, err := load(ctx, t, database, 1, latencyTime)
+	if err != nil {
+		return row, err
+	}
+	row.P50 = float64(one.ValueAtQuantile(50)) / 1e3
+	row.P99 = float64(one.ValueAtQuantile(99)) / 1e3
+	many, cpu, err := load(ctx, t, database, connections, rateTime)
+	if err != nil {
+		return row, err
+	}
+	n := float64(many.TotalCount())
+	row.Rate = n / rateTime.Seconds()
+	if cpu > 0 {
+		row.CPU = float64(cpu.Microseconds()) / n
+		row.PerCore = n / cpu.Seconds()
+	}
+	return row, nil
+}
+
+// load sends statements on each connection one after the other for the duration. It returns the
+// latencies and the processor time that the target's process spent.
+func load(ctx context.Context, t target, database string, connections int, d time.Duration) (*hdrhistogram.Histogram, time.Duration, error) {
+	ctx, cancel := context.WithTimeout(ctx, d+overheadWarmUp+10*time.Second)
+	defer cancel()
+	conns := make([]*pgconn.PgConn, connections)
+	for i := range conns {
+		c, err := pgconn.Connect(ctx, fmt.Sprintf("postgres://bench@%s/%s?sslmode=disable", t.address, database))
+		if err != nil {
+			return nil, 0, err
+		}
+		defer func() { _ = c.Close(ctx) }()
+		conns[i] = c
+	}
+	begin := time.Now().Add(overheadWarmUp)
+	end := begin.Add(d)
+	var mu sync.Mutex
+	total := hdrhistogram.New(1, maxLatency.Nanoseconds(), 3)
+	ends := make(chan error, connections)
+	for _, c := range conns {
+		go func() {
+			h, err := repeat(ctx, c, begin, end)
+			mu.Lock()
+			defer mu.Unlock()
+			total.Merge(h)
+			ends <- err
+		}()
+	}
+	time.Sleep(time.Until(begin))
+	before, err := cpuTime(t.pid)
+	if err != nil {
+		return nil, 0, err
+	}
+	time.Sleep(time.Until(end))
+	after, err := cpuTime(t.pid)
+	if err != nil {
+		return nil, 0, err
+	}
+	for range conns {
+		if err := <-ends; err != nil {
+			return nil, 0, err
+		}
+	}
+	return total, after - before, nil
+}
+
+// repeat sends the statement until the end and records the latencies from begin on.
+func repeat(ctx context.Context, c *pgconn.PgConn, begin, end time.Time) (*hdrhistogram.Histogram, error) {
+	h := hdrhistogram.New(1, maxLatency.Nanoseconds(), 3)
+	for {
+		sent := time.Now()
+		if sent.After(end) {
+			return h, nil
+		}
+		results, err := c.Exec(ctx, overheadSQL).ReadAll()
+		if err != nil {
+			return h, err
+		}
+		if len(results) != 1 || len(results[0].Rows) != 1 {
+			return h, fmt.Errorf("answer has no row")
+		}
+		if sent.After(begin) {
+			if err := h.RecordValue(time.Since(sent).Nanoseconds()); err != nil {
+				return h, err
+			}
+		}
+	}
+}
+
+// cpuTime returns the processor time that a process has spent, or 0 for process id 0.
+func cpuTime(pid int) (time.Duration, error) {
+	if pid == 0 {
+		return 0, nil
+	}
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0, err
+	}
+	// The command's name can contain spaces; the fields after it are user and system time at 11 and 12.
+	_, rest, ok := strings.Cut(string(data), ") ")
+	fields := strings.Fields(rest)
+	if !ok || len(fields) < 13 {
+		return 0, fmt.Errorf("/proc/%d/stat is malformed", pid)
+	}
+	var ticks int64
+	for _, field := range fields[11:13] {
+		n, err := strconv.ParseInt(field, 10, 64)
+		if err != nil {
+			return 0, err
+		}
+		ticks += n
+	}
+	return time.Duration(ticks) * clockTick, nil
+}
