--- /dev/null
+++ b/e2e/cluster_test.go
@@ -0,0 +1,313 @@
+package e2e
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"gotest.tools/v3/assert"
+)
+
+// startTimeout limits the start of a deployment.
+const startTimeout = 20 * time.Second
+
+var buildOnce = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "snipewall-e2e")
+	if err != nil {
+		return "", err
+	}
+	for name, pkg := range map[string]string{"snipewall": "snipewall", "standin": "snipewall/stand"} {
+		out, err := exec.Command("go", "build", "-o", filepath.Join(dir, name), pkg).CombinedOutput()
+		if err != nil {
+			return "", fmt.Errorf("build %s: %w: %s", pkg, err, out)
+		}
+	}
+	return dir, nil
+})
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if dir, err := buildOnce(); err == nil {
+		_ = os.RemoveAll(dir)
+	}
+	os.Exit(code)
+}
+
+// process is one process of a deployment.
+type process struct {
+	name string
+	cmd  *exec.Cmd
+	end  chan error
+	log  string
+}
+
+func (p *process) signal(t *testing.T, sig syscall.Signal) {
+	t.Helper()
+	assert.NilError(t, p.cmd.Process.Signal(sig))
+}
+
+// kill ends the process at once and waits for it.
+func (p *process) kill() {
+	_ = p.cmd.Process.Kill()
+	p.end <- <-p.end
+}
+
+// entryVM is the addresses of one entry VM.
+type entryVM struct {
+	id, domain                     string
+	callers, control, relay, admin string
+	settings                       string
+}
+
+// cluster is a deployment of one group with three upstreams and entry VMs in three failure domains.
+type cluster struct {
+	t         *testing.T
+	bin, dir  string
+	platform  string
+	upstreams []string
+	vms       []entryVM
+	procs     map[string]*process
+}
+
+const tableCSV = `Kind,Rank,AcceptedAge,Idempotent,Deadline
+current,middle,0s,false,4s
+relaxed,last,5s,true,4s
+`
+
+// upstreamID names the i-th upstream.
+func upstreamID(i int) string { return fmt.Sprintf("berth-%d", i+1) }
+
+// newCluster starts a deployment with n entry VMs and extra flags for the upstreams.
+func newCluster(t *testing.T, n int, upstreamFlags ...string) *cluster {
+	t.Helper()
+	bin, err := buildOnce()
+	assert.NilError(t, err)
+	c := &cluster{t: t, bin: bin, dir: t.TempDir(), procs: make(map[string]*process)}
+	ports := freePorts(t, 4+4*n)
+	c.platform = ports[0]
+	c.upstreams = ports[1:4]
+	for i := range n {
+		p := ports[4+4*i:]
+		vm := entryVM{id: fmt.Sprintf("vm-%d", i+1), domain: fmt.Sprintf("domain-%d", i%3+1), callers: p[0], control: p[1], relay: p[2], admin: p[3]}
+		vm.settings = filepath.Join(c.dir, vm.id+".ini")
+		c.vms = append(c.vms, vm)
+	}
+	c.writeSettings()
+	c.start("platform", "standin", "platform", "--listen", c.platform)
+	for i, address := range c.upstreams {
+		c.startUpstream(i, address, upstreamFlags)
+	}
+	c.waitHTTP("http://" + c.platform + "/v1/vms")
+	for _, vm := range c.vms {
+		c.putVM(vm)
+	}
+	c.applyTable(tableCSV)
+	for _, vm := range c.vms {
+		c.startVM(vm)
+	}
+	for _, vm := range c.vms {
+		c.waitHTTP("http://" + vm.admin + "/readyz")
+	}
+	return c
+}
+
+func (c *cluster) startUpstream(i int, address string, flags []string) {
+	args := append([]string{"upstream", "--listen", address, "--slots", "3", "--connections", "20", "--connect-time", "10ms"}, flags...)
+	if i > 0 {
+		args = append(args, "--follow", c.upstreams[0])
+	}
+	c.start(upstreamID(i), "standin", args...)
+}
+
+func (c *cluster) startVM(vm entryVM) {
+	c.start(vm.id, "snipewall", "serve", "--settings", vm.settings)
+}
+
+// start runs a process until the end of the test.
+func (c *cluster) start(name, program string, args ...string) {
+	c.t.Helper()
+	p := &process{name: name, cmd: exec.Command(filepath.Join(c.bin, program), args...), end: make(chan error, 1)}
+	p.log = filepath.Join(c.dir, name+".log")
+	file, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	assert.NilError(c.t, err)
+	p.cmd.Stdout, p.cmd.Stderr = file, file
+	assert.NilError(c.t, p.cmd.Start())
+	go func() { p.end <- p.cmd.Wait() }()
+	c.procs[name] = p
+	c.t.Cleanup(func() {
+		_ = p.cmd.Process.Signal(syscall.SIGCONT)
+		p.kill()
+		_ = file.Close()
+		if c.t.Failed() {
+			c.t.Logf("%s:\n%s", name, tail(p.log))
+		}
+	})
+}
+
+// tail returns the end of a log.
+func tail(name string) string {
+	data, err := os.ReadFile(name)
+	if err != nil {
+		return err.Error()
+	}
+	return string(data[max(0, len(data)-3000):])
+}
+
+func (c *cluster) writeSettings() {
+	var seeds []string
+	for _, vm := range c.vms {
+		seeds = append(seeds, vm.control)
+	}
+	for _, vm := range c.vms {
+		var b strings.Builder
+		fmt.Fprintf(&b, "[VM]\nID = %s\nFailureDomain = %s\nRegion = here\n", vm.id, vm.domain)
+		fmt.Fprintf(&b, "[Listen]\nCallers = %s\nControl = %s\nRelay = %s\nAdmin = %s\n", vm.callers, vm.control, vm.relay, vm.admin)
+		fmt.Fprintf(&b, "[Platform]\nAddress = %s\n[Peers]\nSeeds = %s\n", c.platform, strings.Join(seeds, ", "))
+		fmt.Fprintf(&b, "[Callers]\nDefaultKind = current\n[Stop]\nGrace = 500ms\n")
+		for i, address := range c.upstreams {
+			fmt.Fprintf(&b, "[Upstream %s]\nGroup = berth\nAddress = %s\nFailureDomain = domain-%d\nRegion = here\n", upstreamID(i), address, i+1)
+		}
+		assert.NilError(c.t, os.WriteFile(vm.settings, []byte(b.String()), 0o600))
+	}
+}
+
+// run runs a command of snipewall and returns its output and exit code.
+func (c *cluster) run(stdin string, args ...string) (string, int) {
+	cmd := exec.Command(filepath.Join(c.bin, "snipewall"), args...)
+	cmd.Stdin = strings.NewReader(stdin)
+	out, _ := cmd.CombinedOutput()
+	return string(out), cmd.ProcessState.ExitCode()
+}
+
+// applyTable puts a table into force that no earlier one precedes.
+func (c *cluster) applyTable(csv string) {
+	c.t.Helper()
+	out, code := c.run(csv, "table", "apply", "--settings", c.vms[0].settings, "--base", "0", "--wait", "0s", "-")
+	assert.Equal(c.t, code, 0, out)
+}
+
+func (c *cluster) putVM(vm entryVM) {
+	c.put("/v1/vms/"+vm.id, map[string]string{"FailureDomain": vm.domain, "Region": "here", "Control": vm.control, "Relay": vm.relay})
+}
+
+// put sends a JSON value to the platform's simulator.
+func (c *cluster) put(path string, value any) {
+	c.t.Helper()
+	body, err := json.Marshal(value)
+	assert.NilError(c.t, err)
+	req, err := http.NewRequest(http.MethodPut, "http://"+c.platform+path, bytes.NewReader(body))
+	assert.NilError(c.t, err)
+	req.Header.Set("Content-Type", "application/json")
+	res, err := http.DefaultClient.Do(req)
+	assert.NilError(c.t, err)
+	defer func() { _ = res.Body.Close() }()
+	text, _ := io.ReadAll(res.Body)
+	assert.Equal(c.t, res.StatusCode, http.StatusOK, string(text))
+}
+
+// get reads a JSON value, for example from an admin port.
+func (c *cluster) get(url string, value any) error {
+	res, err := http.Get(url)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = res.Body.Close() }()
+	if res.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s answered %s", url, res.Status)
+	}
+	return json.NewDecoder(res.Body).Decode(value)
+}
+
+func (c *cluster) waitHTTP(url string) {
+	c.t.Helper()
+	c.eventually(startTimeout, func() error {
+		res, err := http.Get(url)
+		if err != nil {
+			return err
+		}
+		defer func() { _ = res.Body.Close() }()
+		if res.StatusCode != http.StatusOK {
+			return fmt.Errorf("%s answered %s", url, res.Status)
+		}
+		return nil
+	})
+}
+
+// eventually repeats the check until it succeeds.
+func (c *cluster) eventually(limit time.Duration, check func() error) {
+	c.t.Helper()
+	deadline := time.Now().Add(limit)
+	for {
+		err := check()
+		if err == nil {
+			return
+		}
+		if time.Now().After(deadline) {
+			c.t.Fatalf("not within %v: %v", limit, err)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// primary returns the index of the primary that the first entry VM to know one names.
+func (c *cluster) primary() (int, error) {
+	for _, vm := range c.vms {
+		var status struct{ Primaries map[string]string }
+		if err := c.get("http://"+vm.admin+"/status", &status); err != nil {
+			continue
+		}
+		for i := range c.upstreams {
+			if status.Primaries["berth"] == upstreamID(i) {
+				return i, nil
+			}
+		}
+	}
+	return 0, errors.New("no entry VM knows a primary")
+}
+
+// connect opens a caller's connection with start-up parameters in pairs.
+func (c *cluster) connect(vm entryVM, params ...string) *pgx.Conn {
+	c.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
+	defer cancel()
+	cfg, err := pgx.ParseConfig("postgres://test@" + vm.callers + "/berth?sslmode=disable")
+	assert.NilError(c.t, err)
+	for i := 0; i+1 < len(params); i += 2 {
+		cfg.RuntimeParams["snipewall."+params[i]] = params[i+1]
+	}
+	conn, err := pgx.ConnectConfig(ctx, cfg)
+	assert.NilError(c.t, err)
+	c.t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_ = conn.Close(ctx)
+	})
+	return conn
+}
+
+// freePorts returns loopback addresses that were free a moment ago.
+func freePorts(t *testing.T, n int) []string {
+	t.Helper()
+	var addresses []string
+	for range n {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		defer func() { _ = ln.Close() }()
+		addresses = append(addresses, ln.Addr().String())
+	}
+	return addresses
+}
