Wait for the write before the lease is revoked in TestLease

The watch returns as soon as the value is written, and the test revoked the lease while the writer still read its version back, so that the writer rightly reported that the version could not be read. Ruled out: a fault of the store adapter: its error says that the value was written. Change: the test takes the writer's result before it revokes; the check of the error stays. Conclusion: the test no longer depends on which goroutine runs first.

--- a/io/store/store_test.go
+++ b/io/store/store_test.go
@@ -72,16 +72,18 @@
 		assert.ErrorIs(t, s.KeepAlive(ctx, first), core.ErrLeaseLost)
 
 		// The next watch waits for the creation instead of returning the deletion again.
+		created := make(chan error, 1)
 		go func() {
 			time.Sleep(3 * time.Second)
 			_, err := s.CompareAndSwap(ctx, "lead", []byte("vm-2"), 0, second)
-			assert.Check(t, err)
+			created <- err
 		}()
 		start = time.Now()
 		e, err = s.Watch(ctx, "lead", 0)
 		assert.NilError(t, err)
 		assert.Equal(t, string(e.Value), "vm-2")
 		assert.Equal(t, time.Since(start), 3*time.Second)
+		assert.NilError(t, <-created)
 		assert.NilError(t, s.Revoke(ctx, second))
 		_, err = s.Get(ctx, "lead")
 		assert.ErrorIs(t, err, core.ErrNotFound)
