Cancel the statement of a request that was given up

Cause: PostgreSQL runs a statement to its end after its connection was closed. A request that timed out went on to occupy a slot that its owner believed to be free. A request id on a replica without the table of the records was refused with 42P01 in place of 25006.

Ruled out: leaving it to the upstream's statement_timeout, which would have to be set per request; canceling in Run itself, which would delay the answer to the caller.

Change: after a timeout, a cancellation or an error of the caller, Run starts a cancel request, at most 8 at once per upstream and 1 s each. dbsim supports cancel requests (57014), and holds back the start-up of connections while their class is cut. The replica's refusal of CREATE TABLE is the answer to the request.

Conclusion: slots are free again soon after a request is given up.

--- a/io/dbconn/config.go
+++ b/io/dbconn/config.go
@@ -61,7 +61,7 @@
 	if err != nil {
 		return nil, core.ErrSettings.New("upstream %s: port %q: %v", c.Info.ID, portText, err)
 	}
-	u := &Upstream{cfg: c, control: make(chan *Conn, 1)}
+	u := &Upstream{cfg: c, control: make(chan *Conn, 1), cancels: make(chan struct{}, cancelLimit)}
 	u.control <- nil
 	if u.data, err = c.connectConfig(host, uint16(port), dataName); err != nil {
 		return nil, err
--- a/io/dbconn/conn.go
+++ b/io/dbconn/conn.go
@@ -24,6 +24,9 @@
 	cfg   *Config
 	conn  net.Conn
 	front *pgproto3.Frontend
+	// origin performed the start-up; it knows how to cancel a statement.
+	origin *pgconn.PgConn
+	up     *Upstream
 	// broken tells that the connection must not be used again.
 	broken bool
 	// lastUsed is when the last request ended.
@@ -41,12 +44,14 @@
 
 var _ core.Conn = (*Conn)(nil)
 
-func newConn(u *Upstream, hc *pgconn.HijackedConn) *Conn {
+func newConn(u *Upstream, pc *pgconn.PgConn, hc *pgconn.HijackedConn) *Conn {
 	c := &Conn{
 		id:       u.cfg.Info.ID,
 		cfg:      &u.cfg,
 		conn:     hc.Conn,
 		front:    hc.Frontend,
+		origin:   pc,
+		up:       u,
 		lastUsed: time.Now(),
 		status:   core.TxIdle,
 		prepared: make(map[string]struct{}),
@@ -88,6 +93,9 @@
 		req.Attempt.MarkSent()
 	}
 	err = c.exchange(req, w)
+	if err != nil && !c.answer.done() && !disconnected(err) {
+		defer c.up.cancel(c.origin)
+	}
 	if !stop() {
 		// The request was canceled, perhaps just after its end. The deadline may be set in the past
 		// at any moment from now on.
@@ -102,13 +110,14 @@
 
 // exchange writes the plan and reads the answer.
 func (c *Conn) exchange(req *core.Request, w core.ResponseWriter) error {
+	c.answer.start(req, w, &c.plan)
 	if len(c.plan.buf) > maxPlainWrite {
-		return c.exchangeLarge(req, w)
+		return c.exchangeLarge()
 	}
 	if _, err := c.conn.Write(c.plan.buf); err != nil {
 		return err
 	}
-	return c.read(req, w)
+	return c.read()
 }
 
 // maxPlainWrite is the size up to which a request fits into the buffers on the way, so that the
@@ -117,23 +126,27 @@
 
 // exchangeLarge reads the answer while it writes. Otherwise both sides could wait for each other when
 // a long pipeline has long answers.
-func (c *Conn) exchangeLarge(req *core.Request, w core.ResponseWriter) error {
-	written := make(chan error, 1)
+func (c *Conn) exchangeLarge() error {
+	written := make(chan struct{})
+	var writeErr error
 	go func() {
-		_, err := c.conn.Write(c.plan.buf)
-		written <- err
+		defer close(written)
+		_, writeErr = c.conn.Write(c.plan.buf)
 	}()
-	err := c.read(req, w)
+	err := c.read()
 	if err != nil {
 		// Closing ends the write.
 		_ = c.conn.Close()
 	}
-	return errors.Join(err, <-written)
+	<-written
+	if err != nil {
+		return err
+	}
+	return writeErr
 }
 
 // read reads the answer to the plan.
-func (c *Conn) read(req *core.Request, w core.ResponseWriter) error {
-	c.answer.start(req, w, &c.plan)
+func (c *Conn) read() error {
 	for !c.answer.done() {
 		msg, err := c.front.Receive()
 		if err != nil {
--- a/io/dbconn/fault_test.go
+++ b/io/dbconn/fault_test.go
@@ -164,6 +164,32 @@
 	})
 }
 
+// Guards against a statement of a request that was given up and goes on to occupy a slot.
+func TestGivenUpStatementIsCanceled(t *testing.T) {
+	simulated(t, dbsim.Config{Slots: 1}, func(ctx context.Context, _ *memnet.Network, _ *dbsim.Server, up *Upstream) {
+		c, err := up.Dial(ctx)
+		assert.NilError(t, err)
+		_, err = within(ctx, 50*time.Millisecond, c, simple(core.ClassRead, "SELECT pg_sleep(10)"))
+		assert.ErrorIs(t, err, context.DeadlineExceeded)
+		next, err := up.Dial(ctx)
+		assert.NilError(t, err)
+		_, err = within(ctx, 50*time.Millisecond, next, simple(core.ClassRead, "SELECT 1"))
+		assert.NilError(t, err)
+		assert.NilError(t, next.Close())
+	})
+}
+
+// Guards against a replica's refusal that is hidden by the missing table of the records.
+func TestRequestIDOnReplica(t *testing.T) {
+	ctx := testContext(t)
+	_, up := start(t, dbsim.Config{}, dbsim.NewReplica(1, ""))
+	req := simple(core.ClassWrite, "CREATE TABLE t (id int8)")
+	req.RequestID = "r-1"
+	res, answer := run(ctx, t, dial(ctx, t, up), req)
+	assert.Equal(t, answer, core.StateReadOnly)
+	assert.Equal(t, res.Err.State, core.StateReadOnly)
+}
+
 // Guards against a connection that died while idle and makes the next request's outcome unknown.
 func TestRestartWhileIdle(t *testing.T) {
 	ctx := testContext(t)
--- a/io/dbconn/once.go
+++ b/io/dbconn/once.go
@@ -72,50 +72,73 @@
 // runOnce runs a write whose request id must be recorded. The table of the records is created when
 // an upstream turns out to lack it.
 func (c *Conn) runOnce(ctx context.Context, req *core.Request, w core.ResponseWriter) (core.Result, error) {
-	for created := false; ; created = true {
-		if err := c.plan.once(c, req); err != nil {
-			return core.Result{}, c.fail(ctx, err)
+	res, err := c.attemptOnce(ctx, req, w)
+	if err != nil {
+		return res, err
+	}
+	failure := c.answer.ownErr
+	if failure != nil && failure.Code == stateNoTable && !c.answer.commitFailed {
+		if req.Attempt != nil {
+			req.Attempt.ConfirmNotRun()
 		}
-		res, err := c.perform(ctx, req, w)
-		if err != nil {
-			return res, err
+		if failure, err = c.createRecords(ctx, req); err != nil {
+			return core.Result{}, err
 		}
-		a := &c.answer
-		failure := a.ownErr
 		if failure == nil {
-			return res, nil
-		}
-		switch {
-		case a.commitFailed:
-		case failure.Code == stateUnique:
-			return res, &core.DuplicateError{ID: req.RequestID}
-		case failure.Code == stateNoTable && !created:
-			if req.Attempt != nil {
-				req.Attempt.ConfirmNotRun()
+			if res, err = c.attemptOnce(ctx, req, w); err != nil {
+				return res, err
 			}
-			if err := c.createRecords(ctx, req); err != nil {
-				return core.Result{}, err
-			}
-			continue
-		}
-		// The record or the commit failed: the request had no effect, and the error is its answer.
-		res.Err = &core.SQLError{State: failure.Code, Message: failure.Message}
-		if err := a.send(failure); err != nil {
-			return core.Result{}, c.fail(ctx, err)
+			failure = c.answer.ownErr
 		}
+	}
+	if failure == nil {
 		return res, nil
 	}
+	if failure.Code == stateUnique && !c.answer.commitFailed {
+		return res, &core.DuplicateError{ID: req.RequestID}
+	}
+	// The record or the commit failed: the request had no effect, and the error is its answer.
+	res.Err = &core.SQLError{State: failure.Code, Message: failure.Message}
+	if err := w.Send(failure); err != nil {
+		return core.Result{}, c.fail(ctx, core.ErrCaller.Wrap(err))
+	}
+	return res, nil
+}
+
+// attemptOnce runs the request with its record.
+func (c *Conn) attemptOnce(ctx context.Context, req *core.Request, w core.ResponseWriter) (core.Result, error) {
+	if err := c.plan.once(c, req); err != nil {
+		return core.Result{}, c.fail(ctx, err)
+	}
+	return c.perform(ctx, req, w)
 }
 
-// createRecords creates the table of the records. Two connections may do so at once; an error of
-// the upstream shows up again when the record is inserted.
-func (c *Conn) createRecords(ctx context.Context, req *core.Request) error {
+// createRecords creates the table of the records. It returns the upstream's refusal if the upstream
+// is a replica. Two connections may create the table at once, so that other errors count only if they
+// show up again when the record is inserted.
+func (c *Conn) createRecords(ctx context.Context, req *core.Request) (*pgproto3.ErrorResponse, error) {
 	create := &core.Request{
 		Class:    core.ClassWrite,
-		InTx:     req.InTx,
 		Deadline: req.Deadline,
 		Messages: []pgproto3.FrontendMessage{&pgproto3.Query{String: recordCreate}},
 	}
-	_, err := c.Run(ctx, create, discard{})
-	return err
+	var e errorKeeper
+	_, err := c.Run(ctx, create, &e)
+	if err != nil || e.last == nil || e.last.Code != core.StateReadOnly {
+		return nil, err
+	}
+	return e.last, nil
+}
+
+// errorKeeper keeps the error of an answer.
+type errorKeeper struct {
+	last *pgproto3.ErrorResponse
+}
+
+// Send implements core.ResponseWriter.
+func (k *errorKeeper) Send(msg pgproto3.BackendMessage) error {
+	if e, ok := msg.(*pgproto3.ErrorResponse); ok {
+		k.last = copyError(e)
+	}
+	return nil
 }
--- a/io/dbconn/upstream.go
+++ b/io/dbconn/upstream.go
@@ -20,6 +20,8 @@
 	controls *pgconn.Config
 	// control holds the kept connection, or nil if there is none, while no call uses it.
 	control chan *Conn
+	// cancels holds a token for each cancel request on the way.
+	cancels chan struct{}
 }
 
 var _ core.Upstream = (*Upstream)(nil)
@@ -51,7 +53,7 @@
 	if err != nil {
 		return nil, core.ErrUpstream.Wrap(err)
 	}
-	return newConn(u, hc), nil
+	return newConn(u, pc, hc), nil
 }
 
 func (u *Upstream) dialError(err error) error {
@@ -62,8 +64,10 @@
 	return core.ErrUpstream.New("upstream %s: %w", u.cfg.Info.ID, err)
 }
 
-// Close closes the kept control connection. The upstream stays usable.
+// Close closes the kept control connection and waits for cancel requests, at most 1 s. The upstream
+// stays usable.
 func (u *Upstream) Close() error {
+	u.awaitCancels()
 	c := <-u.control
 	u.control <- nil
 	if c == nil {
--- a/stand/dbsim/accept.go
+++ b/stand/dbsim/accept.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/tls"
+	"encoding/binary"
 	"net"
 	"time"
 
@@ -35,6 +36,12 @@
 			}
 		case *pgproto3.StartupMessage:
 			return s.start(l, c, be, msg.Parameters)
+		case *pgproto3.CancelRequest:
+			if err := l.admit(linkCaller); err != nil {
+				return err
+			}
+			s.cancelStatement(msg.ProcessID, msg.SecretKey)
+			return nil
 		default:
 			return nil
 		}
@@ -56,10 +63,14 @@
 // start admits the connection and serves it.
 func (s *Server) start(l *link, c net.Conn, be *pgproto3.Backend, params map[string]string) error {
 	if _, ok := params[replicateParameter]; ok {
-		l.classify(linkUpstream)
+		if err := l.admit(linkUpstream); err != nil {
+			return err
+		}
 		return s.serveReplica(l, c, be)
 	}
-	l.classify(linkCaller)
+	if err := l.admit(linkCaller); err != nil {
+		return err
+	}
 	control := params["application_name"] == ControlName
 	count, limit := &s.callers, s.cfg.Connections
 	if control {
@@ -73,26 +84,27 @@
 	if err := sleep(l.ctx, s.faults.scale(s.cfg.ConnectTime)); err != nil {
 		return err
 	}
-	if err := s.greet(be, params); err != nil {
+	ss := newSession(s, l, be, control)
+	key := s.register(ss)
+	defer s.unregister(key)
+	if err := s.greet(be, params, key); err != nil {
 		return err
 	}
 	if err := l.SetDeadline(time.Time{}); err != nil {
 		return err
 	}
-	ss := newSession(s, l, be, control)
 	defer ss.close()
 	return ss.run()
 }
 
 // greet ends the start-up.
-func (s *Server) greet(be *pgproto3.Backend, params map[string]string) error {
+func (s *Server) greet(be *pgproto3.Backend, params map[string]string, key sessionKey) error {
 	be.Send(&pgproto3.AuthenticationOk{})
 	for _, p := range startParameters {
 		be.Send(&pgproto3.ParameterStatus{Name: p[0], Value: p[1]})
 	}
 	be.Send(&pgproto3.ParameterStatus{Name: "application_name", Value: params["application_name"]})
-	pid := s.nextPID.Add(1)
-	be.Send(&pgproto3.BackendKeyData{ProcessID: pid, SecretKey: []byte{0, 0, 0, 1}})
+	be.Send(&pgproto3.BackendKeyData{ProcessID: key.pid, SecretKey: binary.BigEndian.AppendUint32(nil, key.secret)})
 	be.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
 	return be.Flush()
 }
--- a/stand/dbsim/link.go
+++ b/stand/dbsim/link.go
@@ -33,6 +33,12 @@
 	l.silenced.Store(l.srv.faults.silencedCount(class))
 }
 
+// admit classifies the link at the end of its start-up, which is held back like later traffic.
+func (l *link) admit(class linkClass) error {
+	l.classify(class)
+	return l.srv.faults.await(l.ctx, class, inward)
+}
+
 // silent reports whether the link went silent for good.
 func (l *link) silent() bool {
 	return l.mute.Load() || l.srv.faults.silencedCount(linkClass(l.class.Load())) != l.silenced.Load()
--- a/stand/dbsim/server.go
+++ b/stand/dbsim/server.go
@@ -89,8 +89,10 @@
 	callers  atomic.Int64
 	controls atomic.Int64
 	nextPID  atomic.Uint32
+	// sessions holds the *session of each sessionKey.
+	sessions sync.Map
 
-	// Executed counts the statements that occupied a slot.
+	// executed counts the statements that occupied a slot.
 	executed atomic.Uint64
 }
 
--- a/stand/dbsim/session.go
+++ b/stand/dbsim/session.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"strings"
+	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
@@ -42,6 +43,7 @@
 	state   txState
 	// skipping drops messages up to Sync after an error.
 	skipping bool
+	running  running
 	// holding tells that the session occupies a slot.
 	holding bool
 	// lost is set if the pending answer must not be sent.
@@ -555,22 +557,32 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := ss.srv.takeSlot(ss.ctx); err != nil {
+	ctx := ss.running.start(ss.ctx)
+	defer ss.running.end()
+	res, err := ss.workInSlot(ctx, s, params, asked)
+	if err != nil && ctx.Err() != nil && ss.ctx.Err() == nil {
+		return nil, sqlErrorf(stateCanceled, "canceling statement due to user request")
+	}
+	return res, err
+}
+
+func (ss *session) workInSlot(ctx context.Context, s Statement, params []Value, asked time.Duration) (*Rows, error) {
+	if err := ss.srv.takeSlot(ctx); err != nil {
 		return nil, err
 	}
 	ss.holding = true
 	defer ss.leaveSlot()
 	ss.srv.executed.Add(1)
 	if d := asked + ss.srv.faults.scale(ss.srv.cfg.ServiceTime); d > 0 {
-		if err := sleep(ss.ctx, d); err != nil {
+		if err := sleep(ctx, d); err != nil {
 			return nil, err
 		}
 	}
-	if err := ss.srv.faults.awaitThaw(ss.ctx); err != nil {
+	if err := ss.srv.faults.awaitThaw(ctx); err != nil {
 		return nil, err
 	}
 	// A statement that waits for a lock doesn't need its slot: the holder of the lock may need one.
-	return ss.tx.Exec(ss.ctx, s, params, ss.leaveSlot)
+	return ss.tx.Exec(ctx, s, params, ss.leaveSlot)
 }
 
 func (ss *session) leaveSlot() {
--- a/stand/dbsim/value.go
+++ b/stand/dbsim/value.go
@@ -287,6 +287,7 @@
 	stateTooMany         = "53300"
 	statePrerequisite    = "55000"
 	stateShutdown        = "57P01"
+	stateCanceled        = "57014"
 	stateProtocol        = "08P01"
 	stateUnsupported     = "0A000"
 	stateForbidden       = "42501"
