--- a/io/dbconn/config.go
+++ b/io/dbconn/config.go
@@ -24,6 +24,7 @@
 	defaultControlTimeout = time.Second
 	defaultRequestTimeout = 30 * time.Second
 	defaultMaxPrepared    = 256
+	defaultMaxMessage     = 64 << 20
 )
 
 // Config describes how to reach an upstream.
@@ -45,6 +46,8 @@
 	RequestTimeout time.Duration
 	// MaxPrepared limits the statements that a connection keeps prepared; 0 means 256.
 	MaxPrepared int
+	// MaxMessage limits a message of the upstream, for example a row, in bytes; 0 means 64 MiB.
+	MaxMessage int
 }
 
 // New checks the configuration. It opens no connection.
@@ -88,6 +91,9 @@
 	if c.MaxPrepared <= 0 {
 		c.MaxPrepared = defaultMaxPrepared
 	}
+	if c.MaxMessage <= 0 {
+		c.MaxMessage = defaultMaxMessage
+	}
 }
 
 // connectConfig builds the settings for pgconn, which performs dialing, TLS and authentication.
@@ -106,6 +112,7 @@
 	cc.Fallbacks = nil
 	cc.ConnectTimeout = 0
 	cc.RuntimeParams = map[string]string{"application_name": name}
+	cc.MaxProtocolMessageBodyLen = c.MaxMessage
 	cc.ValidateConnect = nil
 	cc.LookupFunc = func(_ context.Context, host string) ([]string, error) { return []string{host}, nil }
 	cc.DialFunc = (&net.Dialer{KeepAlive: keepAlive}).DialContext
--- a/io/dbconn/fault_test.go
+++ b/io/dbconn/fault_test.go
@@ -1,6 +1,7 @@
 package dbconn
 
 import (
+	"bytes"
 	"context"
 	"crypto/ecdsa"
 	"crypto/elliptic"
@@ -13,6 +14,7 @@
 	"net"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -160,7 +162,7 @@
 			assert.Assert(t, s.Promised == 0 || s.Promised >= term)
 		}
 		n.Crash("berth-1")
-		assert.ErrorContains(t, status(), "refused")
+		assert.ErrorIs(t, status(), syscall.ECONNREFUSED)
 	})
 }
 
@@ -343,6 +345,36 @@
 	})
 }
 
+// Guards against the record's statement being prepared twice after it was evicted.
+func TestRecordStatementEvicted(t *testing.T) {
+	ctx := testContext(t)
+	_, up := start(t, dbsim.Config{}, dbsim.NewPrimary(1))
+	up.cfg.MaxPrepared = 1
+	c := dial(ctx, t, up)
+	run(ctx, t, c, simple(core.ClassWrite, "CREATE TABLE bills (id bigserial PRIMARY KEY, n int8)"))
+	for i := range 3 {
+		req := simple(core.ClassWrite, "INSERT INTO bills (n) VALUES (1)")
+		req.RequestID = core.RequestID(fmt.Sprint("r-", i))
+		_, answer := run(ctx, t, c, req)
+		assert.Equal(t, answer, "INSERT 0 1")
+		run(ctx, t, c, extended(core.ClassRead, "get", "SELECT count(*) FROM bills"))
+	}
+}
+
+// Guards against requests that would leave both sides waiting.
+func TestIncompleteRequest(t *testing.T) {
+	ctx := testContext(t)
+	_, up := start(t, dbsim.Config{}, dbsim.NewPrimary(1))
+	for _, msgs := range [][]pgproto3.FrontendMessage{
+		nil, {&pgproto3.Parse{Query: "SELECT 1"}}, {&pgproto3.CopyDone{}, &pgproto3.Sync{}},
+	} {
+		req := &core.Request{Messages: msgs, Attempt: &core.Attempt{}}
+		_, err := dial(ctx, t, up).Run(ctx, req, discard{})
+		assert.Assert(t, err != nil)
+		assert.Assert(t, !req.Attempt.Sent())
+	}
+}
+
 // failing refuses all messages after the first.
 type failing struct{ sent int }
 
@@ -431,6 +463,40 @@
 	return tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}, pool
 }
 
+// Guards against answers that make the adapter panic, wait for ever or pass on ReadyForQuery.
+func FuzzAnswer(f *testing.F) {
+	var seed []byte
+	for _, msg := range []pgproto3.BackendMessage{
+		&pgproto3.CommandComplete{CommandTag: []byte("BEGIN")}, &pgproto3.ReadyForQuery{TxStatus: 'T'},
+		&pgproto3.ParseComplete{}, &pgproto3.BindComplete{}, &pgproto3.CommandComplete{CommandTag: []byte("INSERT 0 1")},
+		&pgproto3.ParseComplete{}, &pgproto3.BindComplete{}, &pgproto3.DataRow{Values: [][]byte{{'x'}, nil}},
+		&pgproto3.CommandComplete{CommandTag: []byte("SELECT 1")}, &pgproto3.ReadyForQuery{TxStatus: 'T'},
+		&pgproto3.ParameterStatus{Name: commitParameter, Value: "1/2"}, &pgproto3.ErrorResponse{Code: "23505"},
+		&pgproto3.ReadyForQuery{TxStatus: 'I'},
+	} {
+		seed, _ = msg.Encode(seed)
+	}
+	f.Add(seed, true)
+	f.Add(seed, false)
+	f.Fuzz(func(t *testing.T, src []byte, once bool) {
+		c := &Conn{cfg: &Config{MaxPrepared: 1}, prepared: make(map[string]struct{}), front: pgproto3.NewFrontend(bytes.NewReader(src), nil)}
+		c.front.SetMaxBodyLen(1 << 16)
+		c.answer.c = c
+		req := extended(core.ClassWrite, "get", "SELECT 1")
+		plan := c.plan.request
+		if once {
+			plan = c.plan.once
+		}
+		assert.NilError(t, plan(c, req))
+		var rec recorder
+		c.answer.start(req, &rec, &c.plan)
+		if c.read() == nil {
+			assert.Assert(t, c.answer.done())
+		}
+		assert.Assert(t, !strings.Contains(rec.String(), "ReadyForQuery"))
+	})
+}
+
 // Guards against a status row with missing or malformed columns that passes for a status.
 func FuzzStatusRow(f *testing.F) {
 	f.Add("primary", "1", "2", "-1", "t", uint8(8))
--- a/io/dbconn/once.go
+++ b/io/dbconn/once.go
@@ -50,7 +50,7 @@
 func (p *plan) once(c *Conn, req *core.Request) error {
 	p.reset()
 	p.send(beginQuery, step{kind: stepQuery, own: true, record: true})
-	p.closeStatements(c, req)
+	p.closeStatements(c)
 	if c.has(recordStatement) {
 		p.names = append(p.names, recordStatement)
 	} else {
@@ -62,9 +62,7 @@
 	if len(req.Messages) == 1 {
 		p.send(syncMessage, step{kind: stepSync, own: true, record: true})
 	}
-	for _, msg := range req.Messages {
-		p.message(c, req, msg)
-	}
+	p.messages(c, req)
 	p.send(commitQuery, step{kind: stepQuery, own: true, record: true})
 	return p.err
 }
--- a/io/dbconn/plan.go
+++ b/io/dbconn/plan.go
@@ -1,6 +1,9 @@
 package dbconn
 
 import (
+	"errors"
+	"fmt"
+
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"snipewall/core"
@@ -83,18 +86,28 @@
 // request plans a request as it is.
 func (p *plan) request(c *Conn, req *core.Request) error {
 	p.reset()
-	p.closeStatements(c, req)
-	for _, msg := range req.Messages {
-		p.message(c, req, msg)
+	if len(req.Messages) > 1 {
+		p.closeStatements(c)
 	}
+	p.messages(c, req)
 	return p.err
 }
 
-// closeStatements adds the pending Close messages to an extended request.
-func (p *plan) closeStatements(c *Conn, req *core.Request) {
-	if len(c.closing) == 0 || len(req.Messages) < 2 {
-		return
+// errIncomplete says that a request would leave the upstream waiting.
+var errIncomplete = errors.New("request doesn't end with Query or Sync")
+
+// messages plans the messages of the request.
+func (p *plan) messages(c *Conn, req *core.Request) {
+	for _, msg := range req.Messages {
+		p.message(c, req, msg)
+	}
+	if n := len(p.steps); n == 0 || p.steps[n-1].kind != stepSync && p.steps[n-1].kind != stepQuery {
+		p.err = errors.Join(p.err, errIncomplete)
 	}
+}
+
+// closeStatements adds the pending Close messages. They belong to the extended protocol.
+func (p *plan) closeStatements(c *Conn) {
 	for _, name := range c.closing {
 		p.send(&pgproto3.Close{ObjectType: 'S', Name: name}, step{kind: stepClose, own: true})
 	}
@@ -127,8 +140,10 @@
 			return
 		}
 		p.send(msg, step{kind: stepClose})
-	default:
+	case *pgproto3.Flush:
 		p.encode(msg)
+	default:
+		p.err = fmt.Errorf("message %T is not supported", msg)
 	}
 }
 
--- a/stand/dbsim/accept.go
+++ b/stand/dbsim/accept.go
@@ -18,7 +18,7 @@
 		return err
 	}
 	var c net.Conn = l
-	be := pgproto3.NewBackend(c, c)
+	be := newBackend(c)
 	for {
 		msg, err := be.ReceiveStartupMessage()
 		if err != nil {
@@ -29,7 +29,7 @@
 			if c, err = s.answerSSL(c); err != nil {
 				return err
 			}
-			be = pgproto3.NewBackend(c, c)
+			be = newBackend(c)
 		case *pgproto3.GSSEncRequest:
 			if _, err := c.Write([]byte{'N'}); err != nil {
 				return err
@@ -48,6 +48,15 @@
 	}
 }
 
+// maxMessage limits a client's message, in bytes.
+const maxMessage = 64 << 20
+
+func newBackend(c net.Conn) *pgproto3.Backend {
+	be := pgproto3.NewBackend(c, c)
+	be.SetMaxBodyLen(maxMessage)
+	return be
+}
+
 // answerSSL starts TLS if the server is set up for it.
 func (s *Server) answerSSL(c net.Conn) (net.Conn, error) {
 	if s.cfg.TLS == nil {
