Report waiting statements and slot time of dbsim

Cause: measurements of useful work need to know how much of an upstream's capacity was used.

Ruled out: deriving the used capacity from the count of statements; a canceled statement occupies its slot for less than its service time.

The package comment of dbsim says how a process may be started again.

Conclusion: capacity can be read off the simulator.

--- a/stand/dbsim/doc.go
+++ b/stand/dbsim/doc.go
@@ -6,6 +6,12 @@
 // Server is the process around it. Closing a Server and starting another one over the same
 // Database simulates a crash and a restart.
 //
+// The log lives in memory. A process that starts again has lost it, and must start as a replica
+// that follows nobody: a primary with an empty log would assign positions a second time.
+//
+// Faults are switched on and off with Server.Fault, SELECT snipewall.fault('NAME', 'VALUE') or the
+// admin port; the constants Fault... name them.
+//
 // # Usage
 //
 //	db := dbsim.NewPrimary(1)
--- a/stand/dbsim/server.go
+++ b/stand/dbsim/server.go
@@ -94,6 +94,10 @@
 
 	// executed counts the statements that occupied a slot.
 	executed atomic.Uint64
+	// waiting counts the statements that wait for a slot; busy is the time, in ns, that slots were
+	// occupied.
+	waiting atomic.Int64
+	busy    atomic.Int64
 }
 
 // Database returns the durable state.
@@ -106,6 +110,10 @@
 	Controls    int
 	// Executed is the number of statements that occupied a slot.
 	Executed uint64
+	// Waiting is the number of statements that wait for a slot.
+	Waiting int
+	// Busy is the total time that slots were occupied by statements that have ended.
+	Busy time.Duration
 }
 
 // Stats returns the load.
@@ -115,6 +123,8 @@
 		Connections: int(s.callers.Load()),
 		Controls:    int(s.controls.Load()),
 		Executed:    s.executed.Load(),
+		Waiting:     int(s.waiting.Load()),
+		Busy:        time.Duration(s.busy.Load()),
 	}
 }
 
@@ -180,6 +190,8 @@
 	if s.slots == nil {
 		return nil
 	}
+	s.waiting.Add(1)
+	defer s.waiting.Add(-1)
 	select {
 	case s.slots <- struct{}{}:
 		return nil
--- a/stand/dbsim/session.go
+++ b/stand/dbsim/session.go
@@ -44,8 +44,9 @@
 	// skipping drops messages up to Sync after an error.
 	skipping bool
 	running  running
-	// holding tells that the session occupies a slot.
+	// holding tells that the session occupies a slot, since the time held.
 	holding bool
+	held    time.Time
 	// lost is set if the pending answer must not be sent.
 	lost loss
 	// afterFlush holds faults that start once the answer has left.
@@ -571,6 +572,7 @@
 		return nil, err
 	}
 	ss.holding = true
+	ss.held = time.Now()
 	defer ss.leaveSlot()
 	ss.srv.executed.Add(1)
 	if d := asked + ss.srv.faults.scale(ss.srv.cfg.ServiceTime); d > 0 {
@@ -588,6 +590,7 @@
 func (ss *session) leaveSlot() {
 	if ss.holding {
 		ss.holding = false
+		ss.srv.busy.Add(int64(time.Since(ss.held)))
 		ss.srv.releaseSlot()
 	}
 }
--- a/stand/dbsim/session_test.go
+++ b/stand/dbsim/session_test.go
@@ -92,6 +92,7 @@
 	wg.Wait()
 	assert.Assert(t, time.Since(begin) >= 60*time.Millisecond)
 	assert.Equal(t, srv.Stats().Executed, uint64(6))
+	assert.Assert(t, srv.Stats().Busy >= 120*time.Millisecond)
 	c := connect(ctx, t, address)
 	begin = time.Now()
 	mustExec(ctx, t, c, "SELECT pg_sleep(0.05)")
