Run the fault tests of dbsim on the fake clock

Cause: two tests compared elapsed real time with limits, which a busy machine can break.

Ruled out: wider limits, which would no longer tell a blocked connection from a slow one.

Change: TestCallerFaults and TestRefusedCommit run on memnet and the fake clock; limits are exact.

--- a/io/dbconn/fault_test.go
+++ b/io/dbconn/fault_test.go
@@ -259,21 +259,23 @@
 // Guards against an acknowledged write whose commit was refused.
 func TestRefusedCommit(t *testing.T) {
 	for _, id := range []core.RequestID{"", "r-1"} {
-		ctx := testContext(t)
-		srv, up := start(t, dbsim.Config{ServiceTime: 100 * time.Millisecond}, dbsim.NewPrimary(1))
-		c := dial(ctx, t, up)
-		run(ctx, t, c, simple(core.ClassWrite, "CREATE TABLE t (id int8); CREATE TABLE snipewall_requests (id text PRIMARY KEY)"))
-		req := extended(core.ClassWrite, "ins", "INSERT INTO t VALUES (1)")
-		wait := extended(core.ClassWrite, "wait", "SELECT pg_sleep(0.5)")
-		req.Messages = append(req.Messages[:2:2], wait.Messages...)
-		req.Prepared["wait"] = wait.Prepared["wait"]
-		req.RequestID = id
-		time.AfterFunc(300*time.Millisecond, func() { _, _ = srv.Database().Prepare(2) })
-		res, answer := run(ctx, t, c, req)
-		assert.Equal(t, res.Err.State, core.StateReadOnly)
-		assert.Equal(t, res.Position, core.Position{})
-		assert.Equal(t, answer, "BindComplete | INSERT 0 1 | BindComplete | () | 25006", "the last CommandComplete is void")
-		assert.Equal(t, c.(*Conn).status, core.TxIdle)
+		cfg := dbsim.Config{ServiceTime: 100 * time.Millisecond}
+		simulated(t, cfg, func(ctx context.Context, _ *memnet.Network, srv *dbsim.Server, up *Upstream) {
+			c, err := up.Dial(ctx)
+			assert.NilError(t, err)
+			run(ctx, t, c, simple(core.ClassWrite, "CREATE TABLE t (id int8); CREATE TABLE snipewall_requests (id text PRIMARY KEY)"))
+			req := extended(core.ClassWrite, "ins", "INSERT INTO t VALUES (1)")
+			wait := extended(core.ClassWrite, "wait", "SELECT pg_sleep(0.5)")
+			req.Messages = append(req.Messages[:2:2], wait.Messages...)
+			req.Prepared["wait"] = wait.Prepared["wait"]
+			req.RequestID = id
+			time.AfterFunc(300*time.Millisecond, func() { _, _ = srv.Database().Prepare(2) })
+			res, answer := run(ctx, t, c, req)
+			assert.Equal(t, res.Err.State, core.StateReadOnly)
+			assert.Equal(t, res.Position, core.Position{})
+			assert.Equal(t, answer, "BindComplete | INSERT 0 1 | BindComplete | () | 25006", "the last CommandComplete is void")
+			assert.Equal(t, res.Status, core.TxIdle)
+		})
 	}
 }
 
--- a/stand/dbsim/group_test.go
+++ b/stand/dbsim/group_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/jackc/pgx/v5"
 	"gotest.tools/v3/assert"
 
 	"snipewall/core"
@@ -58,6 +59,17 @@
 	go func() { end <- srv.Serve(g.ctx, lis) }()
 }
 
+// connect opens a client's connection to the host.
+func (g *group) connect(host string) *pgx.Conn {
+	cfg, err := pgx.ParseConfig("postgres://app@" + host + ":1/berth-ledger?sslmode=disable")
+	assert.NilError(g.t, err)
+	cfg.DialFunc = g.net.Dialer("client")
+	cfg.LookupFunc = func(_ context.Context, host string) ([]string, error) { return []string{host}, nil }
+	c, err := pgx.ConnectConfig(g.ctx, cfg)
+	assert.NilError(g.t, err)
+	return c
+}
+
 func (g *group) db(host string) *Database { return g.servers[host].db }
 
 // exec runs statements on the host, each in a transaction of its own.
--- a/stand/dbsim/session_test.go
+++ b/stand/dbsim/session_test.go
@@ -120,19 +120,23 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.fault+" "+tt.value, func(t *testing.T) {
-			ctx := testContext(t)
-			srv, address := start(t, Config{ServiceTime: 10 * time.Millisecond}, NewPrimary(1))
-			c := connect(ctx, t, address)
-			_, err := c.Exec(ctx, "SELECT snipewall.fault($1, $2)", tt.fault, tt.value)
-			assert.NilError(t, err)
-			begin := time.Now()
-			short, cancel := context.WithTimeout(ctx, 2*time.Second)
-			defer cancel()
-			_, err = c.Exec(short, "SELECT 1")
-			assert.Equal(t, err == nil, tt.ends, "%v", err)
-			assert.Equal(t, time.Since(begin) > pause*9/10, tt.blocked)
-			assert.NilError(t, srv.Fault(tt.fault, "off"))
-			mustExec(ctx, t, connect(ctx, t, address), "SELECT 1")
+			inGroup(t, Config{ServiceTime: 10 * time.Millisecond}, []string{"a"}, func(g *group) {
+				srv := g.servers["a"]
+				c := g.connect("a")
+				_, err := c.Exec(g.ctx, "SELECT snipewall.fault($1, $2)", tt.fault, tt.value)
+				assert.NilError(t, err)
+				begin := time.Now()
+				short, cancel := context.WithTimeout(g.ctx, 2*time.Second)
+				defer cancel()
+				_, err = c.Exec(short, "SELECT 1")
+				assert.Equal(t, err == nil, tt.ends, "%v", err)
+				assert.Equal(t, time.Since(begin) >= pause, tt.blocked)
+				assert.NilError(t, srv.Fault(tt.fault, "off"))
+				fresh := g.connect("a")
+				mustExec(g.ctx, t, fresh, "SELECT 1")
+				assert.NilError(t, fresh.Close(g.ctx))
+				_ = c.Close(g.ctx)
+			})
 		})
 	}
 }
