--- a/stand/dbsim/accept.go
+++ b/stand/dbsim/accept.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/tls"
+	"encoding/binary"
 	"net"
 	"time"
 
@@ -17,7 +18,7 @@
 		return err
 	}
 	var c net.Conn = l
-	be := pgproto3.NewBackend(c, c)
+	be := newBackend(c)
 	for {
 		msg, err := be.ReceiveStartupMessage()
 		if err != nil {
@@ -28,19 +29,34 @@
 			if c, err = s.answerSSL(c); err != nil {
 				return err
 			}
-			be = pgproto3.NewBackend(c, c)
+			be = newBackend(c)
 		case *pgproto3.GSSEncRequest:
 			if _, err := c.Write([]byte{'N'}); err != nil {
 				return err
 			}
 		case *pgproto3.StartupMessage:
 			return s.start(l, c, be, msg.Parameters)
+		case *pgproto3.CancelRequest:
+			if err := l.admit(linkCaller); err != nil {
+				return err
+			}
+			s.cancelStatement(msg.ProcessID, msg.SecretKey)
+			return nil
 		default:
 			return nil
 		}
 	}
 }
 
+// maxMessage limits a client's message, in bytes.
+const maxMessage = 64 << 20
+
+func newBackend(c net.Conn) *pgproto3.Backend {
+	be := pgproto3.NewBackend(c, c)
+	be.SetMaxBodyLen(maxMessage)
+	return be
+}
+
 // answerSSL starts TLS if the server is set up for it.
 func (s *Server) answerSSL(c net.Conn) (net.Conn, error) {
 	if s.cfg.TLS == nil {
@@ -56,10 +72,14 @@
 // start admits the connection and serves it.
 func (s *Server) start(l *link, c net.Conn, be *pgproto3.Backend, params map[string]string) error {
 	if _, ok := params[replicateParameter]; ok {
-		l.classify(linkUpstream)
+		if err := l.admit(linkUpstream); err != nil {
+			return err
+		}
 		return s.serveReplica(l, c, be)
 	}
-	l.classify(linkCaller)
+	if err := l.admit(linkCaller); err != nil {
+		return err
+	}
 	control := params["application_name"] == ControlName
 	count, limit := &s.callers, s.cfg.Connections
 	if control {
@@ -73,26 +93,27 @@
 	if err := sleep(l.ctx, s.faults.scale(s.cfg.ConnectTime)); err != nil {
 		return err
 	}
-	if err := s.greet(be, params); err != nil {
+	ss := newSession(s, l, be, control)
+	key := s.register(ss)
+	defer s.unregister(key)
+	if err := s.greet(be, params, key); err != nil {
 		return err
 	}
 	if err := l.SetDeadline(time.Time{}); err != nil {
 		return err
 	}
-	ss := newSession(s, l, be, control)
 	defer ss.close()
 	return ss.run()
 }
 
 // greet ends the start-up.
-func (s *Server) greet(be *pgproto3.Backend, params map[string]string) error {
+func (s *Server) greet(be *pgproto3.Backend, params map[string]string, key sessionKey) error {
 	be.Send(&pgproto3.AuthenticationOk{})
 	for _, p := range startParameters {
 		be.Send(&pgproto3.ParameterStatus{Name: p[0], Value: p[1]})
 	}
 	be.Send(&pgproto3.ParameterStatus{Name: "application_name", Value: params["application_name"]})
-	pid := s.nextPID.Add(1)
-	be.Send(&pgproto3.BackendKeyData{ProcessID: pid, SecretKey: []byte{0, 0, 0, 1}})
+	be.Send(&pgproto3.BackendKeyData{ProcessID: key.pid, SecretKey: binary.BigEndian.AppendUint32(nil, key.secret)})
 	be.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
 	return be.Flush()
 }
