Fix seven faults that a review of the sessions found

Cause: read against the protocol, the session had these faults. - A request sent behind a COMMIT while the server stops lost its connection without an error, since the refusal was never written. - A Query behind an error was served instead of ignored up to Sync. - A Query behind Flush ran inside the transaction that the batch had opened. - A batch that ends a failed transaction block and goes on was refused as a whole. - A silent caller held its transaction, and an upstream connection, without limit; so did one that doesn't read its answers. - Positions in errors of prepared statements counted without the tags' comment. - A second SSLRequest started TLS inside TLS. Ruled out: limiting the time between messages outside of a transaction, since such a connection holds nothing but itself. Change: the fixes, Config.IdleInTx (default 1 min, 25P03). Unnamed statements are no longer shared or hashed unless a later batch uses them. Only reads outside of a transaction ask for a read index. Conclusion: an error, a Flush and a stop leave no way to run a statement in the wrong transaction.

--- a/io/front/answer.go
+++ b/io/front/answer.go
@@ -83,6 +83,8 @@
 		}
 		a.emitLocals()
 		a.failed = true
+		a.put(a.shifted(m))
+		return nil
 	default:
 		if a.failed {
 			return nil
@@ -96,6 +98,16 @@
 	return a.flushIfLong()
 }
 
+// shifted returns the error with its position in the caller's text.
+func (a *answer) shifted(m *pgproto3.ErrorResponse) *pgproto3.ErrorResponse {
+	if m.Position <= 0 || a.at >= len(a.ops) || a.ops[a.at].st == nil || a.ops[a.at].st.shift == 0 {
+		return m
+	}
+	c := *m
+	c.Position += a.ops[a.at].st.shift
+	return &c
+}
+
 // advance moves to the next operation if the message ends the answer to the current one.
 func (a *answer) advance(msg pgproto3.BackendMessage) {
 	if a.at >= len(a.ops) {
@@ -174,16 +186,21 @@
 	if len(*a.buf) < flushSize {
 		return a.s.broken
 	}
-	if !a.deadline.IsZero() && !a.timed {
-		a.timed = true
-		if err := a.s.conn.SetWriteDeadline(a.deadline.Add(stallTime)); err != nil {
-			a.s.broken = err
-			return err
-		}
-	}
+	a.limitWrites()
 	return a.write()
 }
 
+// limitWrites bounds the time that the caller may take to accept the answer.
+func (a *answer) limitWrites() {
+	if a.deadline.IsZero() || a.timed {
+		return
+	}
+	a.timed = true
+	if err := a.s.conn.SetWriteDeadline(a.deadline.Add(stallTime)); err != nil {
+		a.s.broken = err
+	}
+}
+
 // write sends the buffer. Any error breaks the session.
 func (a *answer) write() error {
 	if a.s.broken != nil || len(*a.buf) == 0 {
@@ -199,12 +216,13 @@
 
 // flush sends the rest and gives the buffer back. The answer must not be used afterwards.
 func (a *answer) flush() error {
-	if a.timed && a.s.broken == nil {
-		if err := a.s.conn.SetWriteDeadline(time.Time{}); err != nil {
-			a.s.broken = err
-		}
+	if a.s.tx != nil {
+		a.limitWrites()
 	}
 	err := a.write()
+	if a.timed && err == nil {
+		err = a.s.conn.SetWriteDeadline(time.Time{})
+	}
 	a.discard()
 	return err
 }
--- a/io/front/batch.go
+++ b/io/front/batch.go
@@ -35,9 +35,11 @@
 
 // batch collects the messages of the extended protocol up to Flush or Sync.
 type batch struct {
-	s    *session
-	ops  []op
-	size int
+	s *session
+	// failed tells that the caller's transaction block is in the failed state.
+	failed bool
+	ops    []op
+	size   int
 	// defined holds the statements that the batch parsed, by the caller's name; nil if closed.
 	defined map[string]*statement
 	// sentUnnamed is the statement that the unnamed one is on the upstream within this batch.
@@ -53,7 +55,7 @@
 // openBatch returns the batch that collects messages.
 func (s *session) openBatch() *batch {
 	if s.batch == nil {
-		s.batch = &batch{s: s}
+		s.batch = &batch{s: s, failed: s.failed}
 	}
 	return s.batch
 }
@@ -108,7 +110,11 @@
 // lookup returns the statement of the caller's name.
 func (b *batch) lookup(name string) (*statement, error) {
 	st, ok := b.defined[name]
-	if !ok {
+	switch {
+	case ok:
+	case name == "":
+		st = b.s.unnamed
+	default:
 		st = b.s.stmts[name]
 	}
 	if st == nil {
@@ -133,6 +139,9 @@
 	if name == "" && b.sentUnnamed == st {
 		return ""
 	}
+	if st.name == "" {
+		st.setName()
+	}
 	if b.unit.prepared == nil {
 		b.unit.prepared = make(map[string]*pgproto3.Parse, 1)
 	}
@@ -163,7 +172,7 @@
 	if err != nil {
 		return err
 	}
-	if b.s.failed && !b.isLocal(st) {
+	if b.failed && !b.isLocal(st) {
 		return errInFailedTx
 	}
 	b.define(m.Name, st)
@@ -189,7 +198,7 @@
 		return err
 	}
 	p := portal{st: st, local: b.isLocal(st), formats: m.ResultFormatCodes}
-	if b.s.failed && !p.local {
+	if b.failed && !p.local {
 		return errInFailedTx
 	}
 	if b.portals == nil {
@@ -215,7 +224,7 @@
 		return err
 	}
 	o := op{typ: 'D', local: b.isLocal(st), st: st}
-	if b.s.failed && !o.local {
+	if b.failed && !o.local {
 		return errInFailedTx
 	}
 	if !o.local {
@@ -229,7 +238,7 @@
 	p, bound := b.portals[m.Portal]
 	if !bound {
 		// The portal may be open in the transaction; otherwise the upstream reports it as unknown.
-		if b.s.failed {
+		if b.failed {
 			return errInFailedTx
 		}
 		b.executes++
@@ -239,8 +248,11 @@
 	}
 	o := op{typ: 'E', local: p.local, st: p.st, formats: p.formats}
 	if o.local {
+		if p.st.info.Ends {
+			b.failed = false
+		}
 		for i := range p.st.info.Locals {
-			if b.s.failed {
+			if b.failed {
 				return errInFailedTx
 			}
 			if err := b.s.apply(&p.st.info.Locals[i]); err != nil {
@@ -280,6 +292,10 @@
 func (o *op) done(s *session) {
 	switch o.typ {
 	case 'P':
+		if o.name == "" {
+			s.unnamed = o.st
+			return
+		}
 		s.forget(o.name)
 		if s.stmts == nil {
 			s.stmts = make(map[string]*statement, 1)
@@ -292,6 +308,10 @@
 
 // forget removes a prepared statement.
 func (s *session) forget(name string) {
+	if name == "" {
+		s.unnamed = nil
+		return
+	}
 	if st, ok := s.stmts[name]; ok {
 		delete(s.stmts, name)
 		s.srv.stmts.release(st)
@@ -389,8 +409,7 @@
 		s.skipping = true
 	}
 	if a.refused {
-		_ = a.flush()
-		return false
+		return s.ready(a)
 	}
 	return a.flush() == nil
 }
--- a/io/front/errors.go
+++ b/io/front/errors.go
@@ -17,6 +17,7 @@
 	stateCompletionUnknown   = "40003"
 	stateFailedTx            = "25P02"
 	stateNoActiveTx          = "25P01"
+	stateIdleInTx            = "25P03"
 	stateQueryCanceled       = "57014"
 	stateLimitExceeded       = "54000"
 	stateDuplicateStatement  = "42P05"
@@ -44,6 +45,9 @@
 	errStopping = &callerError{State: core.StateUnavailable,
 		Message: "not run: this entry VM is stopping",
 		Hint:    "It is safe to repeat the request on a new connection at once."}
+	errIdleInTx = &callerError{State: stateIdleInTx,
+		Message: "terminating connection due to idle-in-transaction timeout",
+		Hint:    "The transaction is rolled back. It is safe to repeat it from BEGIN."}
 	errInFailedTx = &callerError{State: stateFailedTx,
 		Message: "current transaction is aborted, commands ignored until end of transaction block"}
 	errRequestIDInTx = &callerError{State: core.StateUnsupported,
--- a/io/front/params.go
+++ b/io/front/params.go
@@ -189,7 +189,7 @@
 	for _, st := range s.stmts {
 		s.srv.stmts.release(st)
 	}
-	s.stmts = nil
+	s.stmts, s.unnamed = nil, nil
 	return s.resetParam("all")
 }
 
--- /dev/null
+++ b/io/front/review_test.go
@@ -0,0 +1,109 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"gotest.tools/v3/assert"
+
+	"snipewall/core"
+)
+
+// A request that was sent behind a COMMIT must be told that it hasn't run, not just lose its
+// connection.
+func TestDrainRefusesPipelined(t *testing.T) {
+	srv := startServer(t)
+	d := newDialogue(t, srv, nil)
+	d.ready(1)
+	d.exchange("begin", query("begin"))
+	started, release := make(chan *core.Request, 1), make(chan struct{})
+	srv.router.setHook(blocking(started, release))
+	d.send(query("commit"), query("insert into t values (1)"))
+	<-started
+	srv.router.setHook(nil)
+	drained := make(chan error, 1)
+	go func() { drained <- srv.Drain(context.Background()) }()
+	for !srv.draining.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	close(release)
+	d.ready(2)
+	assert.NilError(t, <-drained)
+	assert.Assert(t, strings.Contains(d.out.String(), "FATAL SW002"), d.out.String())
+	assert.Equal(t, srv.router.last().Class, core.ClassEnd)
+}
+
+// Behind an error, everything up to Sync must be ignored, a Query too.
+func TestQueryBehindError(t *testing.T) {
+	srv := startServer(t)
+	d := newDialogue(t, srv, nil)
+	d.ready(1)
+	d.send(join(run("listen a"), query("insert into t values (1)"), syncMsg)...)
+	d.ready(1)
+	d.send(join(run("listen a"), flushMsg, query("insert into t values (2)"), syncMsg)...)
+	d.ready(1)
+	d.exchange("after", query("select 1"))
+	assert.Equal(t, len(srv.router.seen()), 1, d.out.String())
+	assert.Assert(t, strings.Contains(d.out.String(), "SELECT 1"), d.out.String())
+}
+
+// A Query behind Flush must not run inside the transaction that the batch opened.
+func TestQueryBehindFlush(t *testing.T) {
+	srv := startServer(t)
+	d := newDialogue(t, srv, nil)
+	d.ready(1)
+	d.send(join(run("insert into t values (1)"), flushMsg)...)
+	d.until(1, &pgproto3.CommandComplete{})
+	d.exchange("query", query("insert into t values (2)"))
+	assert.Assert(t, strings.Contains(d.out.String(), "08P01"), d.out.String())
+	assert.Equal(t, srv.router.closed, 1)
+}
+
+// A batch that ends a failed transaction must be able to go on.
+func TestRollbackAndMoreInOneBatch(t *testing.T) {
+	d := newDialogue(t, startServer(t), nil)
+	d.ready(1)
+	d.exchange("begin", query("begin"))
+	d.exchange("refused", query("listen a"))
+	d.out.Reset()
+	d.exchange("batch", join(run("rollback"), run("insert into t values (1)"), syncMsg)...)
+	assert.Assert(t, strings.Contains(d.out.String(), "INSERT 0 1"), d.out.String())
+}
+
+// A caller that holds a transaction open and goes silent must not hold an upstream connection.
+func TestIdleInTransaction(t *testing.T) {
+	srv := startServer(t, func(c *Config) { c.IdleInTx = 50 * time.Millisecond })
+	d := newDialogue(t, srv, nil)
+	d.ready(1)
+	time.Sleep(100 * time.Millisecond)
+	d.exchange("begin", query("begin"))
+	d.ready(1)
+	assert.Assert(t, strings.Contains(d.out.String(), "FATAL 25P03"), d.out.String())
+	assert.Equal(t, srv.router.closed, 1)
+}
+
+// The position of an error counts from the start of the caller's text, tags included.
+func TestErrorPosition(t *testing.T) {
+	srv := startServer(t)
+	srv.router.setHook(func(_ context.Context, _ *core.Request, w core.ResponseWriter) (core.Result, bool, error) {
+		return core.Result{Status: core.TxIdle}, true, w.Send(&pgproto3.ErrorResponse{Severity: "ERROR", Position: 8})
+	})
+	conn := srv.connect(t, "")
+	_, err := conn.Prepare(t.Context(), "a", "/* session='é' */ select missing")
+	assert.Equal(t, positionOf(err), int32(25))
+	_, err = conn.Exec(t.Context(), "/* session='é' */ select missing")
+	assert.Equal(t, positionOf(err), int32(8), "the upstream got the whole text")
+}
+
+func positionOf(err error) int32 {
+	var pgErr *pgconn.PgError
+	if !errors.As(err, &pgErr) {
+		return -1
+	}
+	return pgErr.Position
+}
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -22,6 +22,7 @@
 	defaultDeadline       = 30 * time.Second
 	defaultStartupTimeout = 10 * time.Second
 	defaultMaxStatements  = 2048
+	defaultIdleInTx       = time.Minute
 	defaultServerVersion  = "16.0 (snipewall)"
 )
 
@@ -46,6 +47,9 @@
 	Deadline time.Duration
 	// StartupTimeout limits the time from accepting a connection to its start-up message.
 	StartupTimeout time.Duration
+	// IdleInTx limits the time that a caller may stay silent inside a transaction, which holds an
+	// upstream connection.
+	IdleInTx time.Duration
 	// ServerVersion is reported to callers.
 	ServerVersion string
 }
@@ -69,6 +73,9 @@
 	if c.StartupTimeout <= 0 {
 		c.StartupTimeout = defaultStartupTimeout
 	}
+	if c.IdleInTx <= 0 {
+		c.IdleInTx = defaultIdleInTx
+	}
 	if c.ServerVersion == "" {
 		c.ServerVersion = defaultServerVersion
 	}
--- a/io/front/session.go
+++ b/io/front/session.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -56,6 +57,8 @@
 	// brought tells that the caller supplied a position for the session name.
 	brought bool
 
+	// unnamed is the unnamed prepared statement, or nil.
+	unnamed *statement
 	// stmts holds the prepared statements by the caller's name; nil if there are none.
 	stmts map[string]*statement
 	// batch collects the messages of the extended protocol up to Sync; nil if there are none.
@@ -160,7 +163,10 @@
 	if s.rd.buffered() > 0 {
 		return true
 	}
-	idle := s.tx == nil && s.batch == nil && !s.skipping
+	if s.tx != nil {
+		return s.awaitInTx()
+	}
+	idle := s.batch == nil && !s.skipping
 	if idle {
 		s.state.Store(stateIdle)
 		// Drain may have walked over the sessions before this one became idle.
@@ -179,6 +185,20 @@
 	return err == nil
 }
 
+// awaitInTx waits for the next message of a transaction for a limited time.
+func (s *session) awaitInTx() bool {
+	if err := s.conn.SetReadDeadline(time.Now().Add(s.srv.cfg.IdleInTx)); err != nil {
+		return false
+	}
+	err := s.rd.fill()
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		s.endTx()
+		s.fatal(errIdleInTx)
+		s.linger()
+	}
+	return err == nil && s.conn.SetReadDeadline(time.Time{}) == nil
+}
+
 // goodbye ends an idle connection because of Drain. Bytes that arrived meanwhile are discarded, so
 // that the message is true for them too.
 func (s *session) goodbye() {
@@ -211,7 +231,9 @@
 			s.answerError(refusal, true)
 			return true
 		case 'P', 'B', 'D', 'E', 'C':
-			s.openBatch().fail(refusal)
+			if !s.skipping {
+				s.openBatch().fail(refusal)
+			}
 			return true
 		case 'd', 'c', 'f':
 			return true
@@ -259,14 +281,17 @@
 
 // query serves a simple query.
 func (s *session) query(q *pgproto3.Query) bool {
-	if s.batch != nil {
+	switch {
+	case s.skipping || s.batch != nil && s.batch.err != nil:
+		// Everything up to Sync is ignored behind an error.
+		return true
+	case s.batch != nil || s.implicit:
 		s.batch = nil
 		return s.answerError(&callerError{State: core.StateProtocolViolation,
 			Message: "Query message inside a batch of the extended protocol",
 			Hint:    "Send Sync first."}, true)
 	}
-	s.skipping = false
-	s.forget("")
+	s.unnamed = nil
 	tags, head, err := stmt.ParseTags(q.String)
 	if err != nil {
 		return s.answerError(invalidParameter(err.Error()), true)
@@ -349,8 +374,11 @@
 		a.discard()
 		return false
 	}
-	if s.srv.draining.Load() && a.refused {
-		a.discard()
+	if a.refused {
+		if a.flush() == nil {
+			s.rd.drop()
+			s.linger()
+		}
 		return false
 	}
 	a.put(&pgproto3.ReadyForQuery{TxStatus: byte(s.status())})
--- a/io/front/startup.go
+++ b/io/front/startup.go
@@ -75,6 +75,10 @@
 		s.startupFailed(&errProtocol{reason: "unencrypted data after SSLRequest"})
 		return false
 	}
+	if s.conn != s.raw {
+		s.startupFailed(&errProtocol{reason: "SSLRequest on an encrypted connection"})
+		return false
+	}
 	if s.srv.cfg.TLS == nil {
 		_, err := s.conn.Write([]byte{'N'})
 		return err == nil
--- a/io/front/statement.go
+++ b/io/front/statement.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"encoding/hex"
 	"sync"
+	"unicode/utf8"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
@@ -14,12 +15,15 @@
 // statement is a prepared statement of callers. Sessions that prepare the same SQL share it.
 type statement struct {
 	// name is what the statement is called on upstreams. It depends on the SQL text and the
-	// parameter types only.
+	// parameter types only. It is empty for an unnamed statement that no later batch has used.
 	name string
 	// parse prepares the statement under its name.
 	parse *pgproto3.Parse
 	info  stmt.Info
 	tags  stmt.Tags
+	// shift is the length of the tags' comment in characters, by which the positions in errors of
+	// the upstream differ from those in the caller's text.
+	shift int32
 
 	// refs counts the sessions that hold the statement. The interner guards it.
 	refs int
@@ -42,11 +46,21 @@
 	if u := st.info.Unsupported; u != nil {
 		return nil, u
 	}
-	st.name = statementName(sql, p.ParameterOIDs)
-	st.parse = &pgproto3.Parse{Name: st.name, Query: sql, ParameterOIDs: p.ParameterOIDs}
+	st.shift = int32(utf8.RuneCountInString(p.Query[:head]))
+	st.parse = &pgproto3.Parse{Query: sql, ParameterOIDs: p.ParameterOIDs}
+	if p.Name != "" {
+		st.setName()
+	}
 	return st, nil
 }
 
+// setName gives the statement its name on upstreams.
+func (st *statement) setName() {
+	st.name = statementName(st.parse.Query, st.parse.ParameterOIDs)
+	// The unnamed form may be part of a request that runs.
+	st.parse = &pgproto3.Parse{Name: st.name, Query: st.parse.Query, ParameterOIDs: st.parse.ParameterOIDs}
+}
+
 // statementName hashes the SQL and the parameter types. A collision would run another caller's
 // SQL, hence the cryptographic hash.
 func statementName(sql string, oids []uint32) string {
--- a/io/front/unit.go
+++ b/io/front/unit.go
@@ -129,6 +129,10 @@
 	if err := s.tagRequest(req, u); err != nil {
 		return nil, err
 	}
+	// Only the choice of an upstream for reads needs an index.
+	if req.InTx || req.Class == core.ClassWrite || req.Class == core.ClassBegin {
+		req.NeedIndex = false
+	}
 	switch {
 	case req.InTx && u.info.Ends:
 		req.Class = core.ClassEnd
