Reset parameters to the start-up message, limit connections, record latency

Cause: RESET and DISCARD ALL cleared the kind and the session that the start-up message had set; PostgreSQL goes back to them, and drivers send DISCARD ALL whenever they take a connection back. Drivers that look for a server that accepts writes ask for transaction_read_only or pg_is_in_recovery(), which a replica answered. Nothing bounded the number of connections. Ruled out: answering these questions in the listener, since the primary answers them truthfully. Conclusion: connections that a pool takes back keep their kind and session.

--- a/core/stmt/classify.go
+++ b/core/stmt/classify.go
@@ -366,8 +366,13 @@
 // show handles SHOW. Only the parameters of snipewall are answered by the listener.
 func (c *classifier) show() {
 	name, ok := c.parameter()
-	if ok && strings.HasPrefix(name, Prefix) {
+	switch {
+	case !ok:
+	case strings.HasPrefix(name, Prefix):
 		c.local(Local{Action: ActionShow, Name: name})
+	case name == "transaction_read_only", name == "in_hot_standby":
+		// Drivers ask for it to find out whether the server accepts writes.
+		c.info.Writes = true
 	}
 }
 
--- a/core/stmt/classify_test.go
+++ b/core/stmt/classify_test.go
@@ -45,6 +45,7 @@
 			"create function f() returns int begin atomic select 1; commit; end",
 			"create rule r as on insert to t do also (update t set a = 1; delete from s)",
 			"select distinct on (a) nextval('s')", "values (nextval('s'))", "refresh materialized view v",
+			"show transaction_read_only", "select pg_is_in_recovery()",
 			"select E'a'\n'\\'' , nextval('s') , 'x'", "declare c cursor for select * from t for update",
 			"select pg_catalog . nextval('s')", "select pg_catalog.charge(1)", "select currval('s')",
 		},
--- a/core/stmt/harmless.go
+++ b/core/stmt/harmless.go
@@ -59,7 +59,7 @@
 	catalog = `col_description current_database current_schema current_schemas current_setting
 		current_user format_type has_schema_privilege has_table_privilege obj_description
 		pg_encoding_to_char pg_get_constraintdef pg_get_expr pg_get_functiondef pg_get_indexdef
-		pg_get_serial_sequence pg_get_userbyid pg_get_viewdef pg_is_in_recovery
+		pg_get_serial_sequence pg_get_userbyid pg_get_viewdef
 		pg_relation_size pg_size_pretty pg_table_is_visible pg_table_size pg_total_relation_size
 		to_regclass to_regtype version`
 )
--- a/io/front/metrics.go
+++ b/io/front/metrics.go
@@ -2,18 +2,23 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/uber-go/tally/v4"
 
 	"snipewall/core"
 )
 
+// latencyBuckets covers 100 us to 13 s.
+var latencyBuckets = tally.MustMakeExponentialDurationBuckets(100*time.Microsecond, 2, 18)
+
 // metrics holds the counters, so that the hot path doesn't look them up by name.
 type metrics struct {
 	scope          tally.Scope
 	opened, closed tally.Counter
 	requests       [core.ClassEnd + 1]tally.Counter
 	local          tally.Counter
+	latency        [core.RankCount]tally.Histogram
 
 	mu     sync.RWMutex
 	errors map[string]tally.Counter
@@ -31,6 +36,10 @@
 		m.requests[c] = scope.Tagged(map[string]string{"Class": core.Class(c).String()}).
 			Counter("CallerRequests")
 	}
+	for r := range m.latency {
+		m.latency[r] = scope.Tagged(map[string]string{"Rank": core.Rank(r).String()}).
+			Histogram("CallerLatency", latencyBuckets)
+	}
 	return m
 }
 
--- a/io/front/reader.go
+++ b/io/front/reader.go
@@ -43,7 +43,7 @@
 // is what keeps idle connections small; pgproto3.Backend holds one for its whole life.
 type reader struct {
 	conn net.Conn
-	// raw gives access to the descriptor of an unencrypted TCP connection, or is nil.
+	// raw gives access to the descriptor of an unencrypted connection, or is nil.
 	raw  syscall.RawConn
 	buf  *[readBufferSize]byte
 	r, w int
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -42,6 +42,8 @@
 	DefaultKind core.Kind
 	// MaxMessage limits one message, and the messages up to a Sync together, in bytes.
 	MaxMessage int
+	// MaxConnections limits the connections of callers; 0 means no limit.
+	MaxConnections int
 	// MaxStatements limits the named prepared statements of one connection.
 	MaxStatements int
 	// Deadline limits requests whose kind has no deadline.
--- a/io/front/startup.go
+++ b/io/front/startup.go
@@ -101,6 +101,13 @@
 		s.startupFailed(err)
 		return false
 	}
+	if limit := s.srv.cfg.MaxConnections; limit > 0 && s.srv.open() > limit {
+		s.fatal(&callerError{State: core.StateTooManyConnections,
+			Message: fmt.Sprintf("more than %d connections to this entry VM", limit),
+			Hint:    "Connect again, which may reach another entry VM."})
+		s.linger()
+		return false
+	}
 	if err := s.applyStartup(params); err != nil {
 		s.fatal(asCallerError(err))
 		s.linger()
@@ -197,6 +204,7 @@
 			return err
 		}
 	}
+	s.startKind, s.startName = s.kind, s.name
 	return nil
 }
 
--- a/io/front/unit.go
+++ b/io/front/unit.go
@@ -45,6 +45,7 @@
 
 	w := s.watch(cancel)
 	inTx := s.tx != nil
+	begin := time.Now()
 	var res core.Result
 	if inTx {
 		res, err = s.tx.Run(ctx, req, a)
@@ -52,6 +53,7 @@
 		res, err = s.srv.cfg.Router.Execute(ctx, req, a)
 	}
 	w.stop()
+	s.srv.metrics.latency[req.Rank].RecordDuration(time.Since(begin))
 	if err != nil {
 		failure := failureOf(err, &attempt{req: req, info: &u.info, inTx: inTx, blind: u.blind,
 			canceled: r.canceled.Load(), expired: errors.Is(ctx.Err(), context.DeadlineExceeded)})
