--- a/io/front/batch.go
+++ b/io/front/batch.go
@@ -4,9 +4,6 @@
 	"fmt"
 
 	"github.com/jackc/pgx/v5/pgproto3"
-
-	"snipewall/core"
-	"snipewall/core/stmt"
 )
 
 // messageOverhead is added to the size of each message of a batch, so that the limit also bounds
@@ -35,9 +32,11 @@
 
 // batch collects the messages of the extended protocol up to Flush or Sync.
 type batch struct {
-	s    *session
-	ops  []op
-	size int
+	s *session
+	// failed tells that the caller's transaction block is in the failed state.
+	failed bool
+	ops    []op
+	size   int
 	// defined holds the statements that the batch parsed, by the caller's name; nil if closed.
 	defined map[string]*statement
 	// sentUnnamed is the statement that the unnamed one is on the upstream within this batch.
@@ -53,7 +52,7 @@
 // openBatch returns the batch that collects messages.
 func (s *session) openBatch() *batch {
 	if s.batch == nil {
-		s.batch = &batch{s: s}
+		s.batch = &batch{s: s, failed: s.failed}
 	}
 	return s.batch
 }
@@ -108,7 +107,11 @@
 // lookup returns the statement of the caller's name.
 func (b *batch) lookup(name string) (*statement, error) {
 	st, ok := b.defined[name]
-	if !ok {
+	switch {
+	case ok:
+	case name == "":
+		st = b.s.unnamed
+	default:
 		st = b.s.stmts[name]
 	}
 	if st == nil {
@@ -133,6 +136,9 @@
 	if name == "" && b.sentUnnamed == st {
 		return ""
 	}
+	if st.name == "" {
+		st.setName()
+	}
 	if b.unit.prepared == nil {
 		b.unit.prepared = make(map[string]*pgproto3.Parse, 1)
 	}
@@ -163,7 +169,7 @@
 	if err != nil {
 		return err
 	}
-	if b.s.failed && !b.isLocal(st) {
+	if b.failed && !b.isLocal(st) {
 		return errInFailedTx
 	}
 	b.define(m.Name, st)
@@ -189,7 +195,7 @@
 		return err
 	}
 	p := portal{st: st, local: b.isLocal(st), formats: m.ResultFormatCodes}
-	if b.s.failed && !p.local {
+	if b.failed && !p.local {
 		return errInFailedTx
 	}
 	if b.portals == nil {
@@ -215,7 +221,7 @@
 		return err
 	}
 	o := op{typ: 'D', local: b.isLocal(st), st: st}
-	if b.s.failed && !o.local {
+	if b.failed && !o.local {
 		return errInFailedTx
 	}
 	if !o.local {
@@ -229,7 +235,7 @@
 	p, bound := b.portals[m.Portal]
 	if !bound {
 		// The portal may be open in the transaction; otherwise the upstream reports it as unknown.
-		if b.s.failed {
+		if b.failed {
 			return errInFailedTx
 		}
 		b.executes++
@@ -239,8 +245,11 @@
 	}
 	o := op{typ: 'E', local: p.local, st: p.st, formats: p.formats}
 	if o.local {
+		if p.st.info.Ends {
+			b.failed = false
+		}
 		for i := range p.st.info.Locals {
-			if b.s.failed {
+			if b.failed {
 				return errInFailedTx
 			}
 			if err := b.s.apply(&p.st.info.Locals[i]); err != nil {
@@ -280,6 +289,10 @@
 func (o *op) done(s *session) {
 	switch o.typ {
 	case 'P':
+		if o.name == "" {
+			s.unnamed = o.st
+			return
+		}
 		s.forget(o.name)
 		if s.stmts == nil {
 			s.stmts = make(map[string]*statement, 1)
@@ -292,6 +305,10 @@
 
 // forget removes a prepared statement.
 func (s *session) forget(name string) {
+	if name == "" {
+		s.unnamed = nil
+		return
+	}
 	if st, ok := s.stmts[name]; ok {
 		delete(s.stmts, name)
 		s.srv.stmts.release(st)
@@ -300,145 +317,3 @@
 		s.stmts = nil
 	}
 }
-
-// emit answers a local operation. It returns false after an error.
-func (a *answer) emit(o *op) bool {
-	switch o.typ {
-	case 'P':
-		a.put(&pgproto3.ParseComplete{})
-	case 'B':
-		a.put(&pgproto3.BindComplete{})
-	case 'C', 'c':
-		a.put(&pgproto3.CloseComplete{})
-	case 'D':
-		a.put(&pgproto3.ParameterDescription{})
-		a.describe(o)
-	case 'd':
-		a.describe(o)
-	case 'E':
-		switch {
-		case o.st.info.Statements == 0:
-			a.put(&pgproto3.EmptyQueryResponse{})
-		case len(o.st.info.Locals) == 0:
-			a.endBlock(o.st.info)
-		}
-		for i := range o.st.info.Locals {
-			a.result(&o.st.info.Locals[i])
-		}
-	}
-	return true
-}
-
-// describe puts the row description of a local statement.
-func (a *answer) describe(o *op) {
-	for i := range o.st.info.Locals {
-		if l := &o.st.info.Locals[i]; l.Action == stmt.ActionShow {
-			a.put(a.s.showDescription(l, o.formats))
-			return
-		}
-	}
-	a.put(&pgproto3.NoData{})
-}
-
-// sync ends a batch.
-func (s *session) sync() bool {
-	b := s.batch
-	s.batch = nil
-	if s.skipping || b == nil {
-		s.skipping = false
-		a := newAnswer(s, nil)
-		s.endImplicit(a)
-		return s.ready(a)
-	}
-	if b.err != nil {
-		return s.answerError(b.err, true)
-	}
-	a := newAnswer(s, b.ops)
-	s.serveBatch(b, a)
-	s.endImplicit(a)
-	return s.ready(a)
-}
-
-// serveBatch runs the batch as one request, or answers it without an upstream.
-func (s *session) serveBatch(b *batch, a *answer) bool {
-	if b.remote == 0 {
-		s.srv.metrics.local.Inc(1)
-		a.finish()
-		return !a.failed
-	}
-	b.unit.messages = append(b.unit.messages, &pgproto3.Sync{})
-	return s.run(&b.unit, a)
-}
-
-// flush answers the messages of a batch so far. They run as a request of their own. If the batch
-// has executed something outside of a transaction, what precedes and follows the Flush must still
-// take effect as a whole, so that a transaction is opened for it.
-func (s *session) flush() bool {
-	b := s.batch
-	s.batch = nil
-	if b == nil || s.skipping {
-		return true
-	}
-	if b.err != nil {
-		s.skipping = true
-		return s.answerError(b.err, false)
-	}
-	a := newAnswer(s, b.ops)
-	if b.executes > 0 && s.tx == nil && !b.unit.info.Begins && !s.beginImplicit(a) ||
-		!s.serveBatch(b, a) {
-		s.skipping = true
-	}
-	if a.refused {
-		_ = a.flush()
-		return false
-	}
-	return a.flush() == nil
-}
-
-// beginImplicit opens the transaction of a batch that is cut by Flush.
-func (s *session) beginImplicit(a *answer) bool {
-	u := unit{
-		info:     stmt.Info{Class: core.ClassBegin, Statements: 1, Begins: true},
-		messages: []pgproto3.FrontendMessage{&pgproto3.Query{String: "BEGIN"}},
-	}
-	quiet := newAnswer(s, nil)
-	defer quiet.discard()
-	if !s.run(&u, quiet) || s.tx == nil {
-		a.adopt(quiet)
-		return false
-	}
-	s.implicit = true
-	return true
-}
-
-// endImplicit commits or rolls back the transaction of a batch that was cut by Flush.
-func (s *session) endImplicit(a *answer) {
-	if !s.implicit || s.tx == nil {
-		return
-	}
-	u := unit{info: stmt.Info{Class: core.ClassEnd, Statements: 1, Ends: true, Commits: true},
-		messages: []pgproto3.FrontendMessage{&pgproto3.Query{String: "COMMIT"}}}
-	if a.failed || s.txStatus == core.TxFailed {
-		s.endTx()
-		return
-	}
-	quiet := newAnswer(s, nil)
-	defer quiet.discard()
-	if !s.run(&u, quiet) {
-		a.adopt(quiet)
-		s.endTx()
-		return
-	}
-	if !s.pos.IsZero() {
-		a.put(&pgproto3.ParameterStatus{Name: paramPosition, Value: s.pos.String()})
-	}
-}
-
-// adopt takes over the error of a request that the listener added.
-func (a *answer) adopt(quiet *answer) {
-	a.refused = quiet.refused
-	if !a.failed {
-		*a.buf = append(*a.buf, *quiet.buf...)
-		a.failed = true
-	}
-}
--- a/io/front/session.go
+++ b/io/front/session.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -12,7 +13,6 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"snipewall/core"
-	"snipewall/core/stmt"
 )
 
 // States of a session, as Drain sees them.
@@ -36,7 +36,7 @@
 	// goroutines use it.
 	conn net.Conn
 	raw  net.Conn
-	// sys gives access to the descriptor of a TCP connection, or is nil.
+	// sys gives access to the descriptor of the accepted connection, or is nil.
 	sys syscall.RawConn
 	rd  reader
 
@@ -51,11 +51,16 @@
 	kind      core.Kind
 	name      core.SessionID
 	requestID core.RequestID
+	// startKind and startName are the values of the start-up message, to which RESET goes back.
+	startKind core.Kind
+	startName core.SessionID
 	// pos covers what the caller brought and what its own writes reached.
 	pos core.Position
 	// brought tells that the caller supplied a position for the session name.
 	brought bool
 
+	// unnamed is the unnamed prepared statement, or nil.
+	unnamed *statement
 	// stmts holds the prepared statements by the caller's name; nil if there are none.
 	stmts map[string]*statement
 	// batch collects the messages of the extended protocol up to Sync; nil if there are none.
@@ -70,6 +75,8 @@
 	failed bool
 	// implicit tells that tx was opened for a batch that is cut by Flush, and ends at Sync.
 	implicit bool
+	// parked tells that the connection waits on a fresh goroutine.
+	parked bool
 	// broken is the error that made the connection unusable.
 	broken error
 }
@@ -82,7 +89,7 @@
 
 func newSession(srv *Server, conn net.Conn) *session {
 	s := &session{srv: srv, conn: conn, raw: conn, txStatus: core.TxIdle}
-	if c, ok := conn.(*net.TCPConn); ok {
+	if c, ok := conn.(syscall.Conn); ok {
 		if sys, err := c.SyscallConn(); err == nil {
 			s.sys = sys
 		}
@@ -136,23 +143,25 @@
 	}
 }
 
-// loop serves messages until the connection ends.
-func (s *session) loop() {
+// loop serves messages until the connection ends. It returns true if the connection has become idle
+// and should be parked.
+func (s *session) loop() bool {
 	for s.broken == nil {
 		if !s.await() {
-			return
+			return s.parked
 		}
 		msg, n, err := s.rd.message(s.srv.cfg.MaxMessage)
 		if err != nil {
 			if !s.readFailed(err) {
-				return
+				return false
 			}
 			continue
 		}
 		if !s.handle(msg, n) {
-			return
+			return false
 		}
 	}
+	return false
 }
 
 // await waits for the first byte of a message. It returns false if the session ends.
@@ -160,23 +169,58 @@
 	if s.rd.buffered() > 0 {
 		return true
 	}
-	idle := s.tx == nil && s.batch == nil && !s.skipping
-	if idle {
-		s.state.Store(stateIdle)
-		// Drain may have walked over the sessions before this one became idle.
-		if s.srv.draining.Load() {
-			s.state.CompareAndSwap(stateIdle, stateClosing)
-		}
+	if s.tx != nil {
+		return s.awaitInTx()
+	}
+	if s.batch != nil || s.skipping {
+		return s.rd.fill() == nil
+	}
+	return s.awaitIdle()
+}
+
+// awaitIdle waits for a request outside of a transaction. It sets parked if none comes for a while.
+func (s *session) awaitIdle() bool {
+	park := time.Now().Add(s.srv.cfg.ParkDelay)
+	if s.parked {
+		park = time.Time{}
+	}
+	// Drain sets a deadline of its own once the state is idle.
+	if err := s.conn.SetReadDeadline(park); err != nil {
+		return false
+	}
+	s.state.Store(stateIdle)
+	// Drain may have walked over the sessions before this one became idle.
+	if s.srv.draining.Load() {
+		s.state.CompareAndSwap(stateIdle, stateClosing)
 	}
 	var err error
-	if !idle || s.state.Load() == stateIdle {
+	if s.state.Load() == stateIdle {
 		err = s.rd.fill()
 	}
-	if idle && !s.state.CompareAndSwap(stateIdle, stateBusy) {
+	if !s.state.CompareAndSwap(stateIdle, stateBusy) {
 		s.goodbye()
 		return false
 	}
-	return err == nil
+	if !s.parked && errors.Is(err, os.ErrDeadlineExceeded) {
+		s.parked = true
+		return false
+	}
+	s.parked = false
+	return err == nil && s.conn.SetReadDeadline(time.Time{}) == nil
+}
+
+// awaitInTx waits for the next message of a transaction for a limited time.
+func (s *session) awaitInTx() bool {
+	if err := s.conn.SetReadDeadline(time.Now().Add(s.srv.cfg.IdleInTx)); err != nil {
+		return false
+	}
+	err := s.rd.fill()
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		s.endTx()
+		s.fatal(errIdleInTx)
+		s.linger()
+	}
+	return err == nil && s.conn.SetReadDeadline(time.Time{}) == nil
 }
 
 // goodbye ends an idle connection because of Drain. Bytes that arrived meanwhile are discarded, so
@@ -211,7 +255,9 @@
 			s.answerError(refusal, true)
 			return true
 		case 'P', 'B', 'D', 'E', 'C':
-			s.openBatch().fail(refusal)
+			if !s.skipping {
+				s.openBatch().fail(refusal)
+			}
 			return true
 		case 'd', 'c', 'f':
 			return true
@@ -257,70 +303,6 @@
 	return true
 }
 
-// query serves a simple query.
-func (s *session) query(q *pgproto3.Query) bool {
-	if s.batch != nil {
-		s.batch = nil
-		return s.answerError(&callerError{State: core.StateProtocolViolation,
-			Message: "Query message inside a batch of the extended protocol",
-			Hint:    "Send Sync first."}, true)
-	}
-	s.skipping = false
-	s.forget("")
-	tags, head, err := stmt.ParseTags(q.String)
-	if err != nil {
-		return s.answerError(invalidParameter(err.Error()), true)
-	}
-	info := stmt.Classify(q.String[head:])
-	switch {
-	case info.Unsupported != nil:
-		return s.answerError(info.Unsupported, true)
-	case info.Statements == 0 || len(info.Locals) > 0 || s.endsNothing(info):
-		return s.queryLocal(info)
-	case s.failed:
-		return s.answerError(errInFailedTx, true)
-	case info.NeedsTx != "" && s.tx == nil && info.Statements == 1:
-		return s.answerError(errNeedsTx(info.NeedsTx), true)
-	}
-	u := unit{info: info, tags: tags, messages: []pgproto3.FrontendMessage{q}}
-	a := newAnswer(s, nil)
-	s.run(&u, a)
-	return s.ready(a)
-}
-
-// endsNothing reports whether the statement is a COMMIT or ROLLBACK without a transaction.
-func (s *session) endsNothing(info stmt.Info) bool {
-	return s.tx == nil && info.Class == core.ClassEnd && info.Statements == 1
-}
-
-// queryLocal answers a simple query that needs no upstream.
-func (s *session) queryLocal(info stmt.Info) bool {
-	a := newAnswer(s, nil)
-	switch {
-	case info.Statements == 0:
-		a.put(&pgproto3.EmptyQueryResponse{})
-	case len(info.Locals) == 0:
-		a.endBlock(info)
-	case s.failed:
-		a.fail(errInFailedTx)
-	default:
-		for i := range info.Locals {
-			l := &info.Locals[i]
-			if err := s.apply(l); err != nil {
-				s.failBlock()
-				a.fail(err)
-				break
-			}
-			if l.Action == stmt.ActionShow {
-				a.put(s.showDescription(l, nil))
-			}
-			a.result(l)
-		}
-	}
-	s.srv.metrics.local.Inc(1)
-	return s.ready(a)
-}
-
 // failBlock puts the caller's transaction block, if it has one, into the failed state, as any error
 // inside a transaction does.
 func (s *session) failBlock() {
@@ -349,8 +331,11 @@
 		a.discard()
 		return false
 	}
-	if s.srv.draining.Load() && a.refused {
-		a.discard()
+	if a.refused {
+		if a.flush() == nil {
+			s.rd.drop()
+			s.linger()
+		}
 		return false
 	}
 	a.put(&pgproto3.ReadyForQuery{TxStatus: byte(s.status())})
--- a/io/front/unit.go
+++ b/io/front/unit.go
@@ -45,6 +45,7 @@
 
 	w := s.watch(cancel)
 	inTx := s.tx != nil
+	begin := time.Now()
 	var res core.Result
 	if inTx {
 		res, err = s.tx.Run(ctx, req, a)
@@ -52,6 +53,7 @@
 		res, err = s.srv.cfg.Router.Execute(ctx, req, a)
 	}
 	w.stop()
+	s.srv.metrics.latency[req.Rank].RecordDuration(time.Since(begin))
 	if err != nil {
 		failure := failureOf(err, &attempt{req: req, info: &u.info, inTx: inTx, blind: u.blind,
 			canceled: r.canceled.Load(), expired: errors.Is(ctx.Err(), context.DeadlineExceeded)})
@@ -129,6 +131,10 @@
 	if err := s.tagRequest(req, u); err != nil {
 		return nil, err
 	}
+	// Only the choice of an upstream for reads needs an index.
+	if req.InTx || req.Class == core.ClassWrite || req.Class == core.ClassBegin {
+		req.NeedIndex = false
+	}
 	switch {
 	case req.InTx && u.info.Ends:
 		req.Class = core.ClassEnd
