Refuse requests whose expected wait is too long at once

Cause: under a surge a refusal took the whole time in the queue. Change: the expected wait is the lower of the kind's own work ahead at its guaranteed or recent rate, and that work plus what goes first in the slots that more urgent ranks leave. The first item of a kind is always let in, so that a wrong estimate corrects itself.

--- a/core/queue/estimate.go
+++ b/core/queue/estimate.go
@@ -1,6 +1,9 @@
 package queue
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// estimateWeight is the weight of a new sample in the moving average.
@@ -31,3 +34,27 @@
 	}
 	return e.mean
 }
+
+// meterTime is the time over which a meter averages.
+const meterTime = time.Second
+
+// meter measures slot time per second, with exponential decay.
+type meter struct {
+	sum time.Duration
+	at  time.Time
+}
+
+func (m *meter) add(now time.Time, d time.Duration) {
+	m.sum = m.value(now) + d
+	m.at = now
+}
+
+func (m *meter) value(now time.Time) time.Duration {
+	if m.sum == 0 {
+		return 0
+	}
+	return time.Duration(float64(m.sum) * math.Exp(-float64(now.Sub(m.at))/float64(meterTime)))
+}
+
+// slots returns the average number of slots that were occupied.
+func (m *meter) slots(now time.Time) float64 { return float64(m.value(now)) / float64(meterTime) }
--- a/core/queue/kind.go
+++ b/core/queue/kind.go
@@ -19,6 +19,8 @@
 	// vtime is the slot time served per weight, the kind's virtual time within its rank.
 	vtime time.Duration
 	rate  bucket
+	// served is the slot time that the kind got recently.
+	served meter
 }
 
 func (k *kindState) waiting() int { return len(k.inTx) + len(k.opens) + len(k.plain) }
--- a/core/queue/queue_test.go
+++ b/core/queue/queue_test.go
@@ -59,3 +59,51 @@
 		assert.Equal(t, q.Dump().Running, 0)
 	})
 }
+
+// serve occupies a slot for d once it gets one.
+func serve(q *Queue, it *Item, d time.Duration) error {
+	slot, err := q.Acquire(context.Background(), it)
+	if err != nil {
+		return err
+	}
+	time.Sleep(d)
+	slot.Release(true)
+	return nil
+}
+
+// Guards against callers that learn only at the end of their time in the queue that they had no
+// chance, and against a kind that stays refused once its estimate is too high.
+func TestHopelessRequestsAreRefusedAtOnce(t *testing.T) {
+	run(t, Config{Slots: 1, Policies: testRows()}, func(t *testing.T, q *Queue) {
+		assert.NilError(t, serve(q, &Item{Kind: "book"}, 100*time.Millisecond))
+		const offered = 30
+		ended := make(chan time.Duration, offered)
+		for range offered {
+			go func() {
+				start := time.Now()
+				if serve(q, &Item{Kind: "book"}, 100*time.Millisecond) != nil {
+					ended <- time.Since(start)
+					return
+				}
+				ended <- -1
+			}()
+			synctest.Wait()
+		}
+		atOnce, late := 0, 0
+		for range offered {
+			switch wait := <-ended; {
+			case wait == 0:
+				atOnce++
+			case wait > 0:
+				late++
+			}
+		}
+		// One runs, ten can be served within the second that they may wait, and the last of them is
+		// at the margin.
+		assert.Equal(t, atOnce, offered-12)
+		assert.Assert(t, late <= 1, "%d refused late", late)
+		// One statement that took far longer than the queue's time doesn't keep others out.
+		assert.NilError(t, serve(q, &Item{Kind: "quote"}, time.Minute))
+		assert.NilError(t, serve(q, &Item{Kind: "quote"}, time.Millisecond))
+	})
+}
--- a/core/queue/shares.go
+++ b/core/queue/shares.go
@@ -35,11 +35,15 @@
 // NewShares returns the proxy's scheduler.
 func NewShares(cfg Config) *Shares { return &Shares{base: newBase(cfg)} }
 
-// Add lets the item wait, or refuses it.
+// Add lets the item wait, or refuses it if its expected wait is too long.
 func (s *Shares) Add(now time.Time, it *Item) *Refusal {
 	if refusal := s.base.Add(now, it); refusal != nil {
 		return refusal
 	}
+	if wait := s.expectedWait(now, it); now.Add(wait).After(it.latest) {
+		s.Remove(it)
+		return &Refusal{Reason: "the expected wait is too long", RetryAfter: now.Add(wait).Sub(it.latest)}
+	}
 	if k := it.state; k.waiting() == 1 {
 		// A kind that had no work has no claim on the time at which it was idle.
 		k.vtime = max(k.vtime, s.vtime[k.policy.Rank])
@@ -69,7 +73,9 @@
 
 // Done ends an item and corrects its charge to the measured service time.
 func (s *Shares) Done(now time.Time, it *Item, ran bool) {
-	s.charge(it, s.finish(now, it, ran)-it.estimate)
+	d := s.finish(now, it, ran)
+	it.state.served.add(now, d)
+	s.charge(it, d-it.estimate)
 }
 
 // accrue adds each rank's share of the time since the last call to its credit.
--- /dev/null
+++ b/core/queue/wait.go
@@ -0,0 +1,71 @@
+package queue
+
+import "time"
+
+// expectedWait estimates the time until the waiting item starts. It is the lower of two bounds: how
+// long the kind's own work ahead takes at the rate that the kind is guaranteed or has had recently,
+// and how long that work and all work that goes first take in the slots that more urgent ranks leave. The first item of a kind is never expected to wait, so that a wrong estimate is corrected
+// by the next measurement.
+func (s *Shares) expectedWait(now time.Time, it *Item) time.Duration {
+	k := it.state
+	ahead := k.ahead(it)
+	if ahead == 0 {
+		return 0
+	}
+	own := time.Duration(ahead) * k.service.value()
+	rate := max(s.guaranteed(k), k.served.slots(now))
+	return min(time.Duration(float64(own)/rate), s.waitBehindRanks(now, k, own))
+}
+
+// ahead returns how many items of the kind start before the item.
+func (k *kindState) ahead(it *Item) int {
+	n := position(k.inTx, it)
+	if !it.InTx {
+		n += position(k.opens, it) + position(k.plain, it)
+	}
+	return n
+}
+
+// position returns how many items of the line start before the item: all, if it isn't in the line.
+func position(line fifo, it *Item) int {
+	for i := len(line) - 1; i >= 0; i-- {
+		if line[i] == it {
+			return i
+		}
+	}
+	return len(line)
+}
+
+// guaranteed returns the slots that the kind keeps on average while it has work waiting.
+func (s *Shares) guaranteed(k *kindState) float64 {
+	weights := 0
+	for _, other := range s.list {
+		if other.policy.Rank == k.policy.Rank && (other == k || other.waiting() > 0) {
+			weights += max(other.policy.Weight, 1)
+		}
+	}
+	part := float64(max(k.policy.Weight, 1)) / float64(weights)
+	return shares[k.policy.Rank] * float64(s.slots) * part
+}
+
+// waitBehindRanks returns how long the work that goes before the kind's own takes in the slots that
+// more urgent ranks don't occupy. Of another kind of the rank, no more goes first than its weight
+// entitles it to.
+func (s *Shares) waitBehindRanks(now time.Time, k *kindState, own time.Duration) time.Duration {
+	work := own
+	left := float64(s.slots)
+	for _, other := range s.list {
+		if other == k || other.policy.Rank > k.policy.Rank {
+			continue
+		}
+		waiting := time.Duration(other.waiting()) * other.service.value()
+		if other.policy.Rank == k.policy.Rank {
+			waiting = min(waiting, own*time.Duration(max(other.policy.Weight, 1))/time.Duration(max(k.policy.Weight, 1)))
+		} else {
+			left -= other.served.slots(now)
+		}
+		work += waiting
+	}
+	const leastLeft = 0.01
+	return time.Duration(float64(work) / max(left, leastLeft))
+}
