Keep one slot free of long statements while the urgent rank is in use

Cause: month-end statements of 400 to 600 ms occupied all slots, and the urgent rank can wait 250 ms only. Ruled out: a share by time alone, since a statement that runs can't be stopped. Change: kinds of other ranks whose service time is above 100 ms may occupy all slots but one while an urgent request arrived within the last 2 s. The benchmark also shows the offered work as a share of the capacity.

--- a/bench/surge.go
+++ b/bench/surge.go
@@ -34,10 +34,11 @@
 type surgeReport struct {
 	Company, Surge, Policy string
 	Seeds                  []uint64
-	// UsefulWork is the service time of answers in time as a share of the capacity.
-	UsefulWork float64
-	Ranks      []surgeLine
-	Kinds      []surgeLine
+	// OfferedWork is the service time of all requests, UsefulWork that of answers in time, both as
+	// shares of the capacity.
+	OfferedWork, UsefulWork float64
+	Ranks                   []surgeLine
+	Kinds                   []surgeLine
 }
 
 // surgeLine holds the figures of one rank or kind.
@@ -100,7 +101,8 @@
 	report := surgeReport{Company: load.name, Surge: sg.name, Policy: p.name, Seeds: seeds}
 	byKind := make(map[core.Kind]*kindStats)
 	for _, seed := range seeds {
-		stats, useful := simulate(load, sg, p.build, window, seed)
+		stats, offered, useful := simulate(load, sg, p.build, window, seed)
+		report.OfferedWork += offered / float64(len(seeds))
 		report.UsefulWork += useful / float64(len(seeds))
 		for kind, st := range stats {
 			if byKind[kind] == nil {
@@ -151,16 +153,16 @@
 func printSurges(out io.Writer, reports []surgeReport, kinds bool) error {
 	// Flush returns the first error of all writes.
 	w := tabwriter.NewWriter(out, 0, 0, 1, ' ', tabwriter.AlignRight)
-	_, _ = fmt.Fprintln(w, "Company\tSurge\tPolicy\tName\tOffered\tInTime\tLate\tRefused\tP50Ms\tP99Ms\tRefusedP50Ms\tTxWaitP99Ms\tKept%\tP99x\tUseful%\t")
+	_, _ = fmt.Fprintln(w, "Company\tSurge\tPolicy\tName\tOffered\tInTime\tLate\tRefused\tP50Ms\tP99Ms\tRefusedP50Ms\tTxWaitP99Ms\tKept%\tP99x\tAsked%\tUseful%\t")
 	for _, r := range reports {
 		lines := r.Ranks
 		if kinds {
 			lines = append(append([]surgeLine(nil), lines...), r.Kinds...)
 		}
 		for _, l := range lines {
-			_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.2f\t%.1f\t\n",
+			_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.2f\t%.1f\t%.1f\t\n",
 				r.Company, r.Surge, r.Policy, l.Name, l.Offered, l.InTime, l.Late, l.Refused,
-				l.P50Ms, l.P99Ms, l.RefusedP50Ms, l.TxWaitP99Ms, 100*l.Kept, l.P99Factor, 100*r.UsefulWork)
+				l.P50Ms, l.P99Ms, l.RefusedP50Ms, l.TxWaitP99Ms, 100*l.Kept, l.P99Factor, 100*r.OfferedWork, 100*r.UsefulWork)
 		}
 	}
 	if len(reports) > 0 {
--- a/bench/surgesim.go
+++ b/bench/surgesim.go
@@ -33,6 +33,8 @@
 	waiting map[*queue.Item]*job
 	stats   map[core.Kind]*kindStats
 	useful  time.Duration
+	// asked is the service time of all requests that arrived in the window.
+	asked time.Duration
 }
 
 // job is one request of the simulation.
@@ -97,9 +99,9 @@
 	return last
 }
 
-// simulate runs one workload under one surge and returns the statistics by kind and the useful work
-// as a share of the capacity.
-func simulate(load workload, sg surge, build func(queue.Config) queue.Scheduler, window time.Duration, seed uint64) (map[core.Kind]*kindStats, float64) {
+// simulate runs one workload under one surge and returns the statistics by kind and the offered
+// and the useful work as shares of the capacity.
+func simulate(load workload, sg surge, build func(queue.Config) queue.Scheduler, window time.Duration, seed uint64) (stats map[core.Kind]*kindStats, offered, useful float64) {
 	s := &simulation{
 		load:    load,
 		surge:   sg,
@@ -123,8 +125,8 @@
 		e.fire()
 		s.dispatch()
 	}
-	capacity := time.Duration(load.slots) * (window - sg.away)
-	return s.stats, float64(s.useful) / float64(capacity)
+	capacity := float64(load.slots) * float64(window-sg.away)
+	return s.stats, float64(s.asked) / capacity, float64(s.useful) / capacity
 }
 
 func (s *simulation) at(t time.Duration, fire func()) {
@@ -160,6 +162,7 @@
 	j := &job{kind: k, item: it, arrived: s.now, service: service, measured: s.now >= warmUp}
 	if j.measured {
 		s.stats[k.Kind].offered++
+		s.asked += service
 	}
 	if s.sched.Add(s.clock(), it) != nil {
 		s.refuse(j)
--- a/core/queue/base.go
+++ b/core/queue/base.go
@@ -114,11 +114,11 @@
 	return first
 }
 
-// ranksWaiting tells which ranks have work that may start now.
-func (b *base) ranksWaiting(now time.Time) [core.RankCount]bool {
+// ranksWaiting tells which ranks have work that the filter admits.
+func (b *base) ranksWaiting(admit func(k *kindState) bool) [core.RankCount]bool {
 	var ranks [core.RankCount]bool
 	for _, k := range b.list {
-		if b.candidate(now, k) != nil {
+		if admit(k) {
 			ranks[k.policy.Rank] = true
 		}
 	}
--- a/core/queue/baseline.go
+++ b/core/queue/baseline.go
@@ -70,7 +70,7 @@
 		return nil
 	}
 	s.refresh()
-	waiting := s.ranksWaiting(now)
+	waiting := s.ranksWaiting(func(k *kindState) bool { return s.candidate(now, k) != nil })
 	s.join(waiting)
 	best := -1
 	for r, ok := range waiting {
--- a/core/queue/item.go
+++ b/core/queue/item.go
@@ -26,7 +26,9 @@
 	rank  core.Rank
 	// estimate is the service time that was charged at the start.
 	estimate time.Duration
-	refusal  *Refusal
+	// long tells that the item counts as a long statement while it runs.
+	long    bool
+	refusal *Refusal
 	// ready is closed once the item is started or refused.
 	ready chan struct{}
 }
--- a/core/queue/queue_test.go
+++ b/core/queue/queue_test.go
@@ -107,3 +107,33 @@
 		assert.NilError(t, serve(q, &Item{Kind: "quote"}, time.Millisecond))
 	})
 }
+
+// Guards against long statements that occupy all slots while pedestals or technicians need one, and
+// against a slot that stays unused when nobody urgent is there.
+func TestLongStatementsLeaveASlot(t *testing.T) {
+	run(t, Config{Slots: 2, Policies: testRows()}, func(t *testing.T, q *Queue) {
+		assert.NilError(t, serve(q, &Item{Kind: "report"}, time.Minute))
+		assert.NilError(t, serve(q, &Item{Kind: "book"}, time.Millisecond))
+		ended := make(chan error, 2)
+		for range 2 {
+			go func() { ended <- serve(q, &Item{Kind: "report"}, 500*time.Millisecond) }()
+			synctest.Wait()
+		}
+		assert.Equal(t, q.Dump().Running, 1)
+		start := time.Now()
+		assert.NilError(t, serve(q, &Item{Kind: "book"}, time.Millisecond))
+		assert.Equal(t, time.Since(start), time.Millisecond)
+		for range 2 {
+			assert.NilError(t, <-ended)
+		}
+		time.Sleep(2 * urgentInUse)
+		for range 2 {
+			go func() { ended <- serve(q, &Item{Kind: "report"}, 500*time.Millisecond) }()
+			synctest.Wait()
+		}
+		assert.Equal(t, q.Dump().Running, 2)
+		for range 2 {
+			assert.NilError(t, <-ended)
+		}
+	})
+}
--- a/core/queue/shares.go
+++ b/core/queue/shares.go
@@ -28,6 +28,12 @@
 	// credit is the slot time that a rank may claim ahead of more urgent ranks; negative if it has
 	// used more than its share.
 	credit [core.RankCount]time.Duration
+	// urgentAt is when a request of the urgent rank arrived last, runningLong the number of long
+	// statements of other ranks that run.
+	urgentAt    time.Time
+	runningLong int
+	// holdLong tells that no more long statements may start.
+	holdLong bool
 	// vtime is the virtual time of each rank's kinds.
 	vtime [core.RankCount]time.Duration
 }
@@ -44,6 +50,9 @@
 		s.Remove(it)
 		return &Refusal{Reason: "the expected wait is too long", RetryAfter: now.Add(wait).Sub(it.latest)}
 	}
+	if it.state.policy.Rank == core.RankUrgent {
+		s.urgentAt = now
+	}
 	if k := it.state; k.waiting() == 1 {
 		// A kind that had no work has no claim on the time at which it was idle.
 		k.vtime = max(k.vtime, s.vtime[k.policy.Rank])
@@ -58,14 +67,20 @@
 		return nil
 	}
 	s.refresh()
-	waiting := s.ranksWaiting(now)
+	s.holdLong = s.mustHoldLong(now)
+	waiting := s.ranksWaiting(func(k *kindState) bool { return s.candidate(now, k) != nil })
 	s.accrue(now, waiting)
 	rank, ok := s.pickRank(waiting)
 	if !ok {
 		return nil
 	}
-	it := s.candidate(now, s.pickKind(now, rank))
+	k := s.pickKind(now, rank)
+	it := s.candidate(now, k)
 	s.take(now, it)
+	it.long = s.isLong(k)
+	if it.long {
+		s.runningLong++
+	}
 	s.charge(it, it.estimate)
 	s.vtime[rank] = max(s.vtime[rank], it.state.vtime)
 	return it
@@ -75,6 +90,9 @@
 func (s *Shares) Done(now time.Time, it *Item, ran bool) {
 	d := s.finish(now, it, ran)
 	it.state.served.add(now, d)
+	if it.long {
+		s.runningLong--
+	}
 	s.charge(it, d-it.estimate)
 }
 
