Keep connections ready on the assigned owner only

Cause: an entry VM that serves an upstream on demand opened its warm reserve too, and kept it for 30 s; six entry VMs that start together took 6 x 4 of the 20 connections of each upstream. Ruled out: refusing to serve on demand, which is what carries a cut-off failure domain. Change: Pool.SetWarm, Owner.SetAssigned; the manager tells owners whether they are assigned. Conclusion: connections go to the assigned owner.

--- a/core/assign/assign.go
+++ b/core/assign/assign.go
@@ -31,6 +31,8 @@
 	core.Executor
 	// Drain refuses new requests and waits for the ones in flight.
 	Drain(ctx context.Context) error
+	// SetAssigned tells whether this entry VM is the assigned owner or serves on demand.
+	SetAssigned(assigned bool)
 }
 
 // Group is the monitor and the failover driver of one group.
@@ -143,12 +145,15 @@
 		assigned := len(first) > 0 && first[0].ID == self && !m.draining
 		cell := m.owners[id]
 		if cell == nil && assigned {
-			cell = m.start(info)
+			cell = m.start(info, true)
 		}
 		if cell == nil {
 			continue
 		}
-		cell.assigned = assigned
+		if cell.assigned != assigned {
+			cell.assigned = assigned
+			cell.owner.SetAssigned(assigned)
+		}
 		if assigned {
 			cell.lastUsed = time.Now()
 		}
@@ -185,16 +190,17 @@
 }
 
 // start starts the owner of the upstream and its group. The caller holds mu.
-func (m *Manager) start(info core.UpstreamInfo) *ownerCell {
+func (m *Manager) start(info core.UpstreamInfo, assigned bool) *ownerCell {
 	g, ok := m.groups[info.Group]
 	if !ok {
 		g = m.startGroup(info.Group)
 		m.groups[info.Group] = g
 	}
 	o := m.cfg.NewOwner(info, g.group.View)
-	cell := &ownerCell{owner: o, task: startTask(m.ctx, o), lastUsed: time.Now()}
+	o.SetAssigned(assigned)
+	cell := &ownerCell{owner: o, task: startTask(m.ctx, o), assigned: assigned, lastUsed: time.Now()}
 	m.owners[info.ID] = cell
-	level.Info(m.cfg.Log).Log("msg", "upstream is served here", "upstream", info.ID)
+	level.Info(m.cfg.Log).Log("msg", "upstream is served here", "upstream", info.ID, "assigned", assigned)
 	return cell
 }
 
@@ -279,7 +285,7 @@
 	if !ok || m.draining || m.ctx == nil || m.ctx.Err() != nil {
 		return nil, false
 	}
-	return m.start(info).owner, true
+	return m.start(info, false).owner, true
 }
 
 // View returns the monitor of the group if it runs in this process.
--- a/core/owner/owner.go
+++ b/core/owner/owner.go
@@ -26,6 +26,8 @@
 	pool    *pool.Pool[core.Conn]
 	retries *budget
 	metrics metrics
+	// warm is the number of connections kept ready while this entry VM is the assigned owner.
+	warm int
 	// leavingSince is when the upstream was first seen leaving, in Unix nanoseconds, or 0.
 	leavingSince atomic.Int64
 
@@ -52,6 +54,7 @@
 		cfg:     cfg,
 		info:    info,
 		id:      info.ID,
+		warm:    warm,
 		retries: newBudget(cfg.RetryRatio),
 		metrics: newMetrics(cfg.Metrics),
 		open:    make(map[*tx]struct{}),
@@ -70,6 +73,16 @@
 	return o
 }
 
+// SetAssigned tells whether this entry VM is the assigned owner. Without the assignment it serves on
+// demand and keeps no connections ready, since the assigned owner needs the upstream's few.
+func (o *Owner) SetAssigned(assigned bool) {
+	if assigned {
+		o.pool.SetWarm(o.warm)
+		return
+	}
+	o.pool.SetWarm(0)
+}
+
 // Name returns "owner/" and the upstream.
 func (o *Owner) Name() string { return "owner/" + string(o.id) }
 
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -297,6 +297,21 @@
 	}
 }
 
+// SetWarm changes the number of idle connections that the pool keeps ready and closes the surplus
+// at once.
+func (p *Pool[T]) SetWarm(n int) {
+	p.mu.Lock()
+	p.cfg.Warm = min(n, p.cfg.Limit)
+	surplus := max(0, len(p.idle)-p.cfg.Warm)
+	old := slices.Clone(p.idle[:surplus])
+	p.idle = slices.Delete(p.idle, 0, surplus)
+	p.mu.Unlock()
+	for _, e := range old {
+		p.close(e)
+	}
+	p.signal()
+}
+
 // expire closes connections above the warm reserve that were idle for too long.
 func (p *Pool[T]) expire(now time.Time) {
 	p.mu.Lock()
