Bound the wait for a replica by rank, and redirect to one that can serve the read

Cause: a read that needs a position waited 100 ms at each replica in turn before it went to the primary: at 500 ms of lag a caller's read of its own write took 407 ms at p50. Ruled out: no wait at all, which sends every read of a fresh write to the primary even at 1 ms lag. Change: urgent reads wait 5 ms, middle ones 20 ms, last ones 100 ms, and none waits for a replica whose age is above its limit; a redirect names a replica that covers the read, or the primary.

--- a/bench/reads.go
+++ b/bench/reads.go
@@ -6,38 +6,44 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"os"
+	"sort"
+	"sync"
 	"sync/atomic"
-	"text/tabwriter"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/jackc/pgx/v5"
 	"github.com/urfave/cli/v3"
+
+	"snipewall/core"
 )
 
 const (
-	// sessions is the number of sessions that are at work at the same time.
-	sessions = 24
+	// writers is the number of sessions that write and read their write, readers of those that only
+	// read.
+	writers = 8
+	readers = 16
 	// thinkTime is the pause of a session between two statements.
 	thinkTime = 10 * time.Millisecond
+	// readsPerConnection is after how many reads a reader moves to another entry VM.
+	readsPerConnection = 10
+	// ownKind is the kind of writes and of the reads that follow them.
+	ownKind = "pedestal-stop"
 )
 
-// readKind is one kind of read in the mix, with its share.
+// readKind is one kind of read of the readers.
 type readKind struct {
 	kind string
-	// share is in percent of all reads.
+	// share is in percent of the readers' reads.
 	share int
-	// own tells that the read asks for what the session has just written.
-	own bool
+	// age is the accepted age in the operators' table.
+	age time.Duration
 }
 
-// readMix follows the first user's work: a session writes, reads its write, and the other reads
-// accept data of some age.
-var readMix = []readKind{
-	{kind: "pedestal-stop", share: 10, own: true},
-	{kind: "dock-lookup", share: 35},
-	{kind: "member-usage", share: 55},
+// readerKinds follow the first user's work.
+var readerKinds = []readKind{
+	{kind: "dock-lookup", share: 40, age: time.Second},
+	{kind: "member-usage", share: 60, age: 30 * time.Second},
 }
 
 func readsCommand() *cli.Command {
@@ -70,10 +76,47 @@
 	length         time.Duration
 
 	stale, failed atomic.Int64
+	rows          [writers]rowHistory
+}
+
+// rowHistory is when each value of a row was acknowledged; value n is at index n-1.
+type rowHistory struct {
+	mu    sync.Mutex
+	acked []time.Time
+}
+
+func (h *rowHistory) add() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.acked = append(h.acked, time.Now())
+}
+
+// valueAt returns the highest value that was acknowledged at the time.
+func (h *rowHistory) valueAt(t time.Time) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return sort.Search(len(h.acked), func(i int) bool { return h.acked[i].After(t) })
 }
 
-// routeCounts is the part of an entry VM's dump that counts reads.
-type routeCounts struct{ ReplicaReads, PrimaryReads uint64 }
+// routeCounts is the part of an entry VM's dump that counts reads by rank.
+type routeCounts struct{ ReplicaReads, PrimaryReads [core.RankCount]uint64 }
+
+func (c *routeCounts) add(other routeCounts, sign uint64) {
+	for rank := range core.RankCount {
+		c.ReplicaReads[rank] += sign * other.ReplicaReads[rank]
+		c.PrimaryReads[rank] += sign * other.PrimaryReads[rank]
+	}
+}
+
+// share returns the percentage of the reads of the ranks that replicas served.
+func (c *routeCounts) share(ranks ...core.Rank) float64 {
+	var replica, all uint64
+	for _, rank := range ranks {
+		replica += c.ReplicaReads[rank]
+		all += c.ReplicaReads[rank] + c.PrimaryReads[rank]
+	}
+	return 100 * float64(replica) / float64(max(all, 1))
+}
 
 func (r *readLoad) run(ctx context.Context, label string) error {
 	ctx, cancel := context.WithTimeout(ctx, r.length+30*time.Second)
@@ -86,12 +129,15 @@
 		return err
 	}
 	end := time.Now().Add(r.length)
-	results := make(chan sessionResult, sessions)
-	for i := range sessions {
-		go func() { results <- r.session(ctx, i, end) }()
+	results := make(chan sessionResult, writers+readers)
+	for i := range writers {
+		go func() { results <- r.writer(ctx, i, end) }()
+	}
+	for i := range readers {
+		go func() { results <- r.reader(ctx, i, end) }()
 	}
 	total := newLatencies()
-	for range sessions {
+	for range writers + readers {
 		res := <-results
 		if res.err != nil {
 			return res.err
@@ -100,11 +146,12 @@
 			total[kind].Merge(h)
 		}
 	}
-	after, err := r.counts(ctx)
+	counts, err := r.counts(ctx)
 	if err != nil {
 		return err
 	}
-	r.report(label, routeCounts{after.ReplicaReads - before.ReplicaReads, after.PrimaryReads - before.PrimaryReads}, total)
+	counts.add(before, ^uint64(0))
+	r.report(label, counts, total)
 	if n := r.stale.Load(); n > 0 {
 		return fmt.Errorf("%d stale reads", n)
 	}
@@ -112,24 +159,22 @@
 }
 
 func newLatencies() map[string]*hdrhistogram.Histogram {
-	m := make(map[string]*hdrhistogram.Histogram, len(readMix))
-	for _, k := range readMix {
+	m := map[string]*hdrhistogram.Histogram{ownKind: hdrhistogram.New(1, maxLatency.Microseconds(), 3)}
+	for _, k := range readerKinds {
 		m[k.kind] = hdrhistogram.New(1, maxLatency.Microseconds(), 3)
 	}
 	return m
 }
 
-func (r *readLoad) report(label string, n routeCounts, total map[string]*hdrhistogram.Histogram) {
-	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
-	reads := n.ReplicaReads + n.PrimaryReads
-	fmt.Fprintf(w, "%s\treads %d\tby replicas %.1f%%\tstale %d\tfailed %d", label, reads,
-		100*float64(n.ReplicaReads)/float64(max(reads, 1)), r.stale.Load(), r.failed.Load())
-	for _, k := range readMix {
-		h := total[k.kind]
-		fmt.Fprintf(w, "\t%s p50 %.1f p99 %.1f ms", k.kind, float64(h.ValueAtQuantile(50))/1e3, float64(h.ValueAtQuantile(99))/1e3)
+func (r *readLoad) report(label string, counts routeCounts, total map[string]*hdrhistogram.Histogram) {
+	fmt.Printf("%-28s by replicas: all %.1f%%, own writes %.1f%%, 1 s %.1f%%, 30 s %.1f%%; stale %d, failed %d; p50/p99 ms:",
+		label, counts.share(core.RankUrgent, core.RankMiddle, core.RankLast), counts.share(core.RankUrgent),
+		counts.share(core.RankMiddle), counts.share(core.RankLast), r.stale.Load(), r.failed.Load())
+	for _, kind := range []string{ownKind, readerKinds[0].kind, readerKinds[1].kind} {
+		h := total[kind]
+		fmt.Printf(" %s %.1f/%.1f", kind, float64(h.ValueAtQuantile(50))/1e3, float64(h.ValueAtQuantile(99))/1e3)
 	}
-	fmt.Fprintln(w)
-	_ = w.Flush()
+	fmt.Println()
 }
 
 func (r *readLoad) prepare(ctx context.Context) error {
@@ -138,13 +183,12 @@
 		return err
 	}
 	defer func() { _ = conn.Close(ctx) }()
-	if _, err := conn.Exec(ctx, "create table if not exists usage (id int8 primary key, kwh int8)"); err != nil {
-		return err
-	}
-	if _, err := conn.Exec(ctx, "delete from usage"); err != nil {
-		return err
+	for _, sql := range []string{"create table if not exists usage (id int8 primary key, kwh int8)", "delete from usage"} {
+		if _, err := conn.Exec(ctx, sql); err != nil {
+			return err
+		}
 	}
-	for i := range sessions {
+	for i := range writers {
 		if _, err := conn.Exec(ctx, "insert into usage (id, kwh) values ($1, 0)", i); err != nil {
 			return err
 		}
@@ -170,88 +214,109 @@
 	err       error
 }
 
-// session moves to another entry VM after each write and reads there.
-func (r *readLoad) session(ctx context.Context, i int, end time.Time) sessionResult {
+// writer writes its row at one entry VM and reads it at another.
+func (r *readLoad) writer(ctx context.Context, i int, end time.Time) sessionResult {
 	res := sessionResult{latencies: newLatencies()}
 	rng := rand.New(rand.NewPCG(uint64(i), 1))
+	session := fmt.Sprintf("pedestal-%d", i)
 	position := ""
-	for n := 1; time.Now().Before(end); n++ {
-		conn, err := r.connect(ctx, rng.IntN(len(r.callers)), fmt.Sprintf("session-%d", i), position)
-		if err != nil {
-			res.err = err
-			return res
-		}
-		if n > 1 {
-			r.read(ctx, conn, i, n-1, rng, res.latencies)
-		}
-		if _, err := conn.Exec(ctx, "/* kind='pedestal-stop' */ update usage set kwh = $1 where id = $2", n, i); err != nil {
-			res.err = err
-			return res
-		}
-		if r.carry {
-			position = conn.PgConn().ParameterStatus("snipewall.position")
-		}
-		if err := conn.Close(ctx); err != nil {
-			res.err = err
+	for n := 1; time.Now().Before(end) && res.err == nil; n++ {
+		res.err = r.visit(ctx, rng.IntN(len(r.callers)), session, position, func(conn *pgx.Conn) error {
+			if _, err := conn.Exec(ctx, fmt.Sprintf("/* kind='%s' */ update usage set kwh = $1 where id = $2", ownKind), n, i); err != nil {
+				return err
+			}
+			r.rows[i].add()
+			if r.carry {
+				position = conn.PgConn().ParameterStatus("snipewall.position")
+			}
+			return nil
+		})
+		if res.err != nil {
 			return res
 		}
+		res.err = r.visit(ctx, rng.IntN(len(r.callers)), session, position, func(conn *pgx.Conn) error {
+			r.read(ctx, conn, ownKind, i, n, res.latencies)
+			return nil
+		})
 	}
 	return res
 }
 
-// read runs the reads between two writes: the session's own row must not be older than its last
-// write, whatever the kind.
-func (r *readLoad) read(ctx context.Context, conn *pgx.Conn, id, written int, rng *rand.Rand, latencies map[string]*hdrhistogram.Histogram) {
-	for k := range 10 {
-		kind := pickKind(k, rng)
-		began := time.Now()
-		var kwh int
-		err := conn.QueryRow(ctx, fmt.Sprintf("/* kind='%s' */ select kwh from usage where id = $1", kind.kind), id).Scan(&kwh)
-		if err != nil {
-			r.failed.Add(1)
-			continue
-		}
-		_ = latencies[kind.kind].RecordValue(time.Since(began).Microseconds())
-		if kwh < written {
-			r.stale.Add(1)
-		}
-		time.Sleep(thinkTime)
+// reader looks at rows of others and moves to another entry VM now and then.
+func (r *readLoad) reader(ctx context.Context, i int, end time.Time) sessionResult {
+	res := sessionResult{latencies: newLatencies()}
+	rng := rand.New(rand.NewPCG(uint64(i), 2))
+	for time.Now().Before(end) && res.err == nil {
+		res.err = r.visit(ctx, rng.IntN(len(r.callers)), fmt.Sprintf("reader-%d", i), "", func(conn *pgx.Conn) error {
+			for range readsPerConnection {
+				kind := readerKinds[0]
+				if rng.IntN(100) >= kind.share {
+					kind = readerKinds[1]
+				}
+				row := rng.IntN(writers)
+				r.read(ctx, conn, kind.kind, row, r.rows[row].valueAt(time.Now().Add(-kind.age)), res.latencies)
+			}
+			return nil
+		})
+	}
+	return res
+}
+
+// visit runs work on a new connection.
+func (r *readLoad) visit(ctx context.Context, vm int, session, position string, work func(conn *pgx.Conn) error) error {
+	conn, err := r.connect(ctx, vm, session, position)
+	if err != nil {
+		return err
 	}
+	if err := work(conn); err != nil {
+		return err
+	}
+	return conn.Close(ctx)
 }
 
-// pickKind starts with the session's own row and goes on with the other kinds by their shares.
-func pickKind(k int, rng *rand.Rand) readKind {
-	if k == 0 {
-		return readMix[0]
+// read reads a row and counts the read as stale if its value is below the lowest that is allowed.
+func (r *readLoad) read(ctx context.Context, conn *pgx.Conn, kind string, row, lowest int, latencies map[string]*hdrhistogram.Histogram) {
+	began := time.Now()
+	var kwh int
+	err := conn.QueryRow(ctx, fmt.Sprintf("/* kind='%s' */ select kwh from usage where id = $1", kind), row).Scan(&kwh)
+	if err != nil {
+		r.failed.Add(1)
+		return
 	}
-	if rng.IntN(readMix[1].share+readMix[2].share) < readMix[1].share {
-		return readMix[1]
+	_ = latencies[kind].RecordValue(time.Since(began).Microseconds())
+	if kwh < lowest {
+		r.stale.Add(1)
 	}
-	return readMix[2]
+	time.Sleep(thinkTime)
 }
 
 // counts adds up the reads that the entry VMs have routed.
 func (r *readLoad) counts(ctx context.Context) (routeCounts, error) {
 	var sum routeCounts
 	for _, address := range r.admin {
-		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/dump", nil)
+		counts, err := readCounts(ctx, address)
 		if err != nil {
 			return sum, err
 		}
-		res, err := http.DefaultClient.Do(req)
-		if err != nil {
-			return sum, err
-		}
-		var dump struct {
-			Route routeCounts `json:"route"`
-		}
-		err = json.NewDecoder(res.Body).Decode(&dump)
-		_ = res.Body.Close()
-		if err != nil {
-			return sum, err
-		}
-		sum.ReplicaReads += dump.Route.ReplicaReads
-		sum.PrimaryReads += dump.Route.PrimaryReads
+		sum.add(counts, 1)
 	}
 	return sum, nil
 }
+
+// readCounts reads the counters of one entry VM.
+func readCounts(ctx context.Context, address string) (routeCounts, error) {
+	var dump struct {
+		Route routeCounts `json:"route"`
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/dump", nil)
+	if err != nil {
+		return dump.Route, err
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return dump.Route, err
+	}
+	defer func() { _ = res.Body.Close() }()
+	err = json.NewDecoder(res.Body).Decode(&dump)
+	return dump.Route, err
+}
--- a/core/errors.go
+++ b/core/errors.go
@@ -81,7 +81,9 @@
 	Group GroupID
 	// Primary is the primary as the owner knows it, or empty.
 	Primary UpstreamID
-	Reason  string
+	// Better is an upstream that can serve the request as far as the owner knows, or empty.
+	Better UpstreamID
+	Reason string
 }
 
 func (e *RedirectError) Error() string { return "redirected: " + e.Reason }
--- a/core/owner/check.go
+++ b/core/owner/check.go
@@ -49,13 +49,13 @@
 		return o.redirect("the upstream is not known to be a replica")
 	}
 	if !status.Applied.Covers(t.position) {
-		return o.redirect("the replica has not applied the session's position")
+		return o.redirectRead(req, t, "the replica has not applied the session's position")
 	}
 	if req.AcceptedAge <= 0 {
 		return nil
 	}
 	if age, ok := o.cfg.View.Age(o.id); !ok || age > req.AcceptedAge {
-		return o.redirect("the replica's data is too old")
+		return o.redirectRead(req, t, "the replica's data is too old")
 	}
 	return nil
 }
@@ -129,10 +129,14 @@
 	if err := o.step(ctx, path, StepCatchUp, req); err != nil {
 		return o.redirect(err.Error())
 	}
-	ctx, cancel := context.WithTimeout(ctx, o.cfg.CatchUp)
+	limit := o.cfg.CatchUp[req.Rank]
+	if age, ok := o.cfg.View.Age(o.id); !ok || age > limit {
+		return o.redirectRead(req, t, "the replica is too far behind to wait for it")
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	if err := o.cfg.View.WaitApplied(ctx, o.id, t.position); err != nil {
-		return o.redirect("the replica did not catch up: " + err.Error())
+		return o.redirectRead(req, t, "the replica did not catch up: "+err.Error())
 	}
 	return nil
 }
@@ -142,13 +146,38 @@
 	return req.Class == core.ClassWrite || req.Class == core.ClassBegin
 }
 
+// redirectRead names another replica that can serve the read now, or else the primary.
+func (o *Owner) redirectRead(req *core.Request, t target, reason string) error {
+	e := o.redirect(reason)
+	for _, info := range o.cfg.Group {
+		if info.ID != o.id && info.ID != e.Primary && o.canRead(info.ID, req, t) {
+			e.Better = info.ID
+			return e
+		}
+	}
+	return e
+}
+
+// canRead reports whether the replica is known to have what the read needs.
+func (o *Owner) canRead(id core.UpstreamID, req *core.Request, t target) bool {
+	status, _, ok := o.cfg.View.Status(id)
+	if !ok || status.Role != core.RoleReplica || status.Leaving || !status.Applied.Covers(t.position) {
+		return false
+	}
+	if req.AcceptedAge <= 0 {
+		return true
+	}
+	age, ok := o.cfg.View.Age(id)
+	return ok && age <= req.AcceptedAge
+}
+
 // redirect builds the answer for a request that the upstream may not serve. It names the primary
 // unless that is this upstream, which would send the request in a circle.
-func (o *Owner) redirect(reason string) error {
+func (o *Owner) redirect(reason string) *core.RedirectError {
 	o.metrics.redirected.Inc(1)
 	e := &core.RedirectError{Group: o.info.Group, Reason: reason}
 	if primary, _, ok := o.cfg.View.Primary(); ok && primary != o.id {
-		e.Primary = primary
+		e.Primary, e.Better = primary, primary
 	}
 	return e
 }
--- a/core/owner/config.go
+++ b/core/owner/config.go
@@ -16,7 +16,6 @@
 	defaultSlots       = 2
 	defaultConnections = 20
 	defaultSpare       = 2
-	defaultCatchUp     = 100 * time.Millisecond
 	defaultConnect     = 2 * time.Second
 	defaultTxIdle      = 30 * time.Second
 	defaultRequestTime = 30 * time.Second
@@ -44,8 +43,11 @@
 	// Spare is the number of the upstream's connections that are left to monitors and to other
 	// owners.
 	Spare int
-	// CatchUp limits how long a read waits for a replica to apply a position.
-	CatchUp time.Duration
+	// Group lists the upstreams of the group, which a redirect may name.
+	Group []core.UpstreamInfo
+	// CatchUp limits for each rank how long a read waits for a replica to apply a position before it
+	// goes to the primary.
+	CatchUp [core.RankCount]time.Duration
 	// Connect limits the wait for a connection.
 	Connect time.Duration
 	// TxIdle is how long an open transaction may stay without a statement.
@@ -61,6 +63,13 @@
 	MaxWithheld int
 }
 
+// defaultCatchUp makes urgent reads quick and keeps the primary free of reads that can wait.
+var defaultCatchUp = [core.RankCount]time.Duration{
+	core.RankUrgent: 5 * time.Millisecond,
+	core.RankMiddle: 20 * time.Millisecond,
+	core.RankLast:   100 * time.Millisecond,
+}
+
 // Hook observes or fails the steps of requests.
 type Hook func(ctx context.Context, path Path, step Step, req *core.Request) error
 
@@ -82,7 +91,9 @@
 		c.Hook = func(context.Context, Path, Step, *core.Request) error { return nil }
 	}
 	setDefault(&c.Spare, defaultSpare)
-	setDefault(&c.CatchUp, defaultCatchUp)
+	for rank, limit := range defaultCatchUp {
+		setDefault(&c.CatchUp[rank], limit)
+	}
 	setDefault(&c.Connect, defaultConnect)
 	setDefault(&c.TxIdle, defaultTxIdle)
 	setDefault(&c.RequestTime, defaultRequestTime)
--- a/core/route/choose.go
+++ b/core/route/choose.go
@@ -10,6 +10,12 @@
 
 // choose picks the best upstream that has not turned the request down yet.
 func (t *trial) choose() (core.UpstreamInfo, bool) {
+	if info, ok := t.group.info(t.better); ok {
+		t.better = ""
+		if !slices.Contains(t.failed, info.ID) {
+			return info, true
+		}
+	}
 	if t.req.Class != core.ClassRead && t.req.Class != core.ClassBeginRead {
 		return t.choosePrimary()
 	}
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -127,6 +127,8 @@
 	group  *group
 	req    *core.Request
 	out    *passedWriter
+	// better is the upstream that the last redirect named, or empty.
+	better core.UpstreamID
 	// failed holds the upstreams that turned the request down since the last pause.
 	failed    []core.UpstreamID
 	redirects int
@@ -217,14 +219,12 @@
 func (t *trial) follow(info core.UpstreamInfo, redirect *core.RedirectError) {
 	t.redirects++
 	t.failed = append(t.failed, info.ID)
-	if redirect.Primary == "" {
-		return
-	}
 	t.group.learnPrimary(redirect.Primary)
-	if redirect.Primary == info.ID || t.redirects > maxRedirects {
+	if redirect.Better == info.ID || t.redirects > maxRedirects {
 		return
 	}
-	t.failed = without(t.failed, redirect.Primary)
+	t.better = redirect.Better
+	t.failed = without(t.failed, redirect.Better)
 }
 
 func without(ids []core.UpstreamID, id core.UpstreamID) []core.UpstreamID {
@@ -253,6 +253,7 @@
 	}
 	t.failed = t.failed[:0]
 	t.redirects = 0
+	t.better = ""
 	return nil
 }
 
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -36,7 +36,7 @@
 
 func redirect(to core.UpstreamID) step {
 	return func(req *core.Request, _ core.ResponseWriter) (core.Result, error) {
-		return core.Result{}, &core.RedirectError{Group: req.Group, Primary: to, Reason: "not the primary"}
+		return core.Result{}, &core.RedirectError{Group: req.Group, Primary: to, Better: to, Reason: "not the primary"}
 	}
 }
 
--- a/core/route/state.go
+++ b/core/route/state.go
@@ -19,8 +19,8 @@
 
 // counters count the ends of requests.
 type counters struct {
-	replicaReads atomic.Uint64
-	primaryReads atomic.Uint64
+	replicaReads [core.RankCount]atomic.Uint64
+	primaryReads [core.RankCount]atomic.Uint64
 	writes       atomic.Uint64
 	notRun       atomic.Uint64
 	unknown      atomic.Uint64
@@ -43,9 +43,9 @@
 		c.writes.Add(1)
 		g.learnPrimary(primaryOf(req, res))
 	case res.Upstream == g.knownPrimary():
-		c.primaryReads.Add(1)
+		c.primaryReads[req.Rank].Add(1)
 	default:
-		c.replicaReads.Add(1)
+		c.replicaReads[req.Rank].Add(1)
 	}
 }
 
@@ -60,9 +60,10 @@
 // State is the router's part of a state dump.
 type State struct {
 	// Primaries holds the last known primary of each group.
-	Primaries    map[core.GroupID]core.UpstreamID
-	ReplicaReads uint64
-	PrimaryReads uint64
+	Primaries map[core.GroupID]core.UpstreamID
+	// ReplicaReads and PrimaryReads count the reads by rank, urgent first.
+	ReplicaReads [core.RankCount]uint64
+	PrimaryReads [core.RankCount]uint64
 	Writes       uint64
 	NotRun       uint64
 	Unknown      uint64
@@ -94,13 +95,16 @@
 
 // Dump implements core.Dumper.
 func (r *Router) Dump() any {
-	return State{
-		Primaries:    r.Primaries(),
-		ReplicaReads: r.counts.replicaReads.Load(),
-		PrimaryReads: r.counts.primaryReads.Load(),
-		Writes:       r.counts.writes.Load(),
-		NotRun:       r.counts.notRun.Load(),
-		Unknown:      r.counts.unknown.Load(),
-		Duplicates:   r.counts.duplicates.Load(),
+	s := State{
+		Primaries:  r.Primaries(),
+		Writes:     r.counts.writes.Load(),
+		NotRun:     r.counts.notRun.Load(),
+		Unknown:    r.counts.unknown.Load(),
+		Duplicates: r.counts.duplicates.Load(),
 	}
+	for rank := range s.ReplicaReads {
+		s.ReplicaReads[rank] = r.counts.replicaReads[rank].Load()
+		s.PrimaryReads[rank] = r.counts.primaryReads[rank].Load()
+	}
+	return s
 }
--- a/io/relay/frames.go
+++ b/io/relay/frames.go
@@ -84,6 +84,7 @@
 	Reason     string
 	RetryAfter time.Duration
 	Primary    core.UpstreamID
+	Better     core.UpstreamID
 	RequestID  core.RequestID
 	Sent       bool
 }
@@ -98,7 +99,7 @@
 	case errors.As(err, &notRun):
 		return &Failure{Kind: FailureNotRun, State: notRun.State, Reason: notRun.Reason, RetryAfter: notRun.RetryAfter}
 	case errors.As(err, &redirect):
-		return &Failure{Kind: FailureRedirect, Reason: redirect.Reason, Primary: redirect.Primary}
+		return &Failure{Kind: FailureRedirect, Reason: redirect.Reason, Primary: redirect.Primary, Better: redirect.Better}
 	case errors.As(err, &unknown):
 		return &Failure{Kind: FailureUnknown, Reason: unknown.Reason, Sent: true}
 	case errors.As(err, &duplicate):
@@ -117,7 +118,7 @@
 	case FailureNotRun:
 		return req.Attempt.Refuse(f.State, f.Reason, f.RetryAfter)
 	case FailureRedirect:
-		return &core.RedirectError{Group: req.Group, Primary: f.Primary, Reason: f.Reason}
+		return &core.RedirectError{Group: req.Group, Primary: f.Primary, Better: f.Better, Reason: f.Reason}
 	case FailureUnknown:
 		return &core.UnknownOutcomeError{Reason: f.Reason}
 	case FailureDuplicate:
--- a/server/groups.go
+++ b/server/groups.go
@@ -48,8 +48,14 @@
 
 // newOwner builds the owner of an upstream.
 func (p *Process) newOwner(info core.UpstreamInfo, view core.GroupView) assign.Owner {
+	var group []core.UpstreamInfo
+	for _, other := range p.cfg.Settings.Upstreams {
+		if other.Group == info.Group {
+			group = append(group, other)
+		}
+	}
 	return owner.New(owner.Config{
-		Upstream: p.upstreams[info.ID], View: view, Policies: p.table,
+		Upstream: p.upstreams[info.ID], View: view, Policies: p.table, Group: group,
 		Leaving: func() bool { return p.members.Leaving(info.ID) },
 		Log:     log.With(p.cfg.Log, "service", "owner"),
 		Metrics: p.scope.SubScope("Owner").Tagged(map[string]string{"Upstream": string(info.ID)}),
