Shorten a kind's queue while it is past its limit

Cause: in an overload requests were served first-in first-out after nearly their whole time in the queue. Change: for 100 ms after a refusal a kind accepts an expected wait of a quarter of the time only, first-in first-out. The new test failed before with a mean wait of 887 ms.

--- a/core/queue/kind.go
+++ b/core/queue/kind.go
@@ -19,6 +19,8 @@
 	// vtime is the slot time served per weight, the kind's virtual time within its rank.
 	vtime time.Duration
 	rate  bucket
+	// overAt is when a request was refused last because of its expected wait.
+	overAt time.Time
 	// served is the slot time that the kind got recently.
 	served meter
 }
--- a/core/queue/queue_test.go
+++ b/core/queue/queue_test.go
@@ -137,3 +137,33 @@
 		}
 	})
 }
+
+// Guards against a standing queue: in an overload each request that is served would have waited for
+// nearly its whole time in the queue.
+func TestOverloadKeepsTheQueueShort(t *testing.T) {
+	run(t, Config{Slots: 1, Policies: testRows()}, func(t *testing.T, q *Queue) {
+		const service = 10 * time.Millisecond
+		ended := make(chan struct{})
+		const offered = 2000
+		var served, waited time.Duration
+		for range offered {
+			go func() {
+				defer func() { ended <- struct{}{} }()
+				slot, err := q.Acquire(t.Context(), &Item{Kind: "report"})
+				if err != nil {
+					return
+				}
+				time.Sleep(service)
+				served++
+				waited += slot.Waited()
+				slot.Release(true)
+			}()
+			time.Sleep(service / 4)
+		}
+		for range offered {
+			<-ended
+		}
+		assert.Assert(t, waited/served < 400*time.Millisecond, "mean wait %v", waited/served)
+		assert.Assert(t, served*service > offered*service/4*95/100, "%d served", served)
+	})
+}
--- a/core/queue/shares.go
+++ b/core/queue/shares.go
@@ -19,6 +19,13 @@
 	maxDebt = 30 * time.Second
 )
 
+const (
+	// pressedTime is how long a kind's queue counts as past its limit after a refusal.
+	pressedTime = 100 * time.Millisecond
+	// pressedShare divides the accepted wait while a kind's queue is past its limit.
+	pressedShare = 4
+)
+
 // Shares is the proxy's scheduler. The most urgent rank goes first, but each rank with work waiting
 // keeps its guaranteed share of the slot time, and the kinds of a rank split the rank's time by
 // weight. Shares are kept in measured service time.
@@ -46,8 +53,13 @@
 	if refusal := s.base.Add(now, it); refusal != nil {
 		return refusal
 	}
-	if wait := s.expectedWait(now, it); now.Add(wait).After(it.latest) {
+	limit := it.latest.Sub(now)
+	if now.Sub(it.state.overAt) < pressedTime {
+		limit /= pressedShare
+	}
+	if wait := s.expectedWait(now, it); wait > limit {
 		s.Remove(it)
+		it.state.overAt = now
 		return &Refusal{Reason: "the expected wait is too long", RetryAfter: now.Add(wait).Sub(it.latest)}
 	}
 	if it.state.policy.Rank == core.RankUrgent {
