Run statements of open transactions first, within their rank's share

Cause: a transaction that waits for a slot holds a connection and locks. Change: a statement of a transaction goes first while its rank has overdrawn its share by less than 200 ms and its kind leads the others of the rank by less than that. The rank's virtual time only follows the kind that was served least, so that a kind whose waiting requests were refused keeps its claim. Tests for guaranteed shares under each surge, limits that change, Concurrency and Rate, slots (rapid).

--- a/core/queue/shares.go
+++ b/core/queue/shares.go
@@ -14,6 +14,9 @@
 	// accrues. A rank that waits behind long statements keeps its claim longer than an idle one.
 	creditIdle    = 50 * time.Millisecond
 	creditWaiting = time.Second
+	// txOverdraft is how far statements of open transactions may run ahead of their rank's share, as
+	// a time over which the share accrues.
+	txOverdraft = 200 * time.Millisecond
 	// maxDebt limits the debt of a rank that ran long statements, as a time over which its share
 	// repays it.
 	maxDebt = 30 * time.Second
@@ -41,7 +44,8 @@
 	runningLong int
 	// holdLong tells that no more long statements may start.
 	holdLong bool
-	// vtime is the virtual time of each rank's kinds.
+	// vtime is the virtual time of each rank: that of the kind that was served least when it was
+	// served last.
 	vtime [core.RankCount]time.Duration
 }
 
@@ -82,19 +86,24 @@
 	s.holdLong = s.mustHoldLong(now)
 	waiting := s.ranksWaiting(func(k *kindState) bool { return s.candidate(now, k) != nil })
 	s.accrue(now, waiting)
-	rank, ok := s.pickRank(waiting)
-	if !ok {
-		return nil
+	k := s.pickTx(now)
+	if k == nil {
+		rank, ok := s.pickRank(waiting)
+		if !ok {
+			return nil
+		}
+		k = s.pickKind(now, rank)
 	}
-	k := s.pickKind(now, rank)
 	it := s.candidate(now, k)
+	if s.lead(k) == 0 {
+		s.vtime[k.policy.Rank] = max(s.vtime[k.policy.Rank], k.vtime)
+	}
 	s.take(now, it)
 	it.long = s.isLong(k)
 	if it.long {
 		s.runningLong++
 	}
 	s.charge(it, it.estimate)
-	s.vtime[rank] = max(s.vtime[rank], it.state.vtime)
 	return it
 }
 
@@ -145,6 +154,39 @@
 	return core.Rank(max(first, 0)), first >= 0
 }
 
+// pickTx returns the kind whose statement of an open transaction goes before everything else, since
+// the transaction holds a connection and locks. A rank may run ahead of its share by txOverdraft
+// for this, and a kind ahead of the others of its rank, so that transactions don't take their
+// shares.
+func (s *Shares) pickTx(now time.Time) *kindState {
+	var best *kindState
+	for _, k := range s.list {
+		if len(k.inTx) == 0 || s.candidate(now, k) == nil {
+			continue
+		}
+		overdraft := s.share(int(k.policy.Rank), txOverdraft)
+		if s.credit[k.policy.Rank] <= -overdraft || s.lead(k) >= overdraft {
+			continue
+		}
+		if best == nil || k.inTx[0].arrived.Before(best.inTx[0].arrived) {
+			best = k
+		}
+	}
+	return best
+}
+
+// lead returns how far the kind's virtual time is ahead of the other kinds of its rank that have
+// work waiting.
+func (s *Shares) lead(k *kindState) time.Duration {
+	lead := time.Duration(0)
+	for _, other := range s.list {
+		if other != k && other.policy.Rank == k.policy.Rank && other.waiting() > 0 {
+			lead = max(lead, k.vtime-other.vtime)
+		}
+	}
+	return lead
+}
+
 // pickKind returns the rank's kind that was served least per weight.
 func (s *Shares) pickKind(now time.Time, rank core.Rank) *kindState {
 	var best *kindState
--- /dev/null
+++ b/core/queue/shares_test.go
@@ -0,0 +1,228 @@
+package queue
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"snipewall/core"
+)
+
+// load is a number of workers that offer requests of a kind without a pause.
+type load struct {
+	kind    core.Kind
+	workers int
+	service time.Duration
+	inTx    bool
+}
+
+// saturate runs the load for d and returns the slot time that each kind got, as a share of all.
+func saturate(q *Queue, d time.Duration, loads []load) map[core.Kind]float64 {
+	var mu sync.Mutex
+	got := make(map[core.Kind]time.Duration)
+	var sum time.Duration
+	var wg sync.WaitGroup
+	end := time.Now().Add(d)
+	for _, l := range loads {
+		for range l.workers {
+			wg.Go(func() {
+				for time.Now().Before(end) {
+					if serve(q, &Item{Kind: l.kind, InTx: l.inTx}, l.service) != nil {
+						time.Sleep(l.service)
+						continue
+					}
+					mu.Lock()
+					got[l.kind] += l.service
+					sum += l.service
+					mu.Unlock()
+				}
+			})
+		}
+	}
+	wg.Wait()
+	shares := make(map[core.Kind]float64)
+	for kind, t := range got {
+		shares[kind] = float64(t) / float64(sum)
+	}
+	return shares
+}
+
+// Guards against a surge of any kind, in transactions or not, that takes the guaranteed share of a
+// rank or of another kind of its own rank.
+func TestGuaranteedShares(t *testing.T) {
+	want := map[core.Kind]float64{"book": 0.6, "quote": 0.2, "reseal": 0.1, "report": 0.1}
+	for surging := range want {
+		for _, inTx := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s/%v", surging, inTx), func(t *testing.T) {
+				run(t, Config{Slots: 2, Policies: testRows()}, func(t *testing.T, q *Queue) {
+					loads := []load{
+						{kind: "book", workers: 5, service: 8 * time.Millisecond},
+						{kind: "quote", workers: 5, service: 12 * time.Millisecond},
+						{kind: "reseal", workers: 5, service: 15 * time.Millisecond},
+						{kind: "report", workers: 5, service: 30 * time.Millisecond},
+					}
+					for i := range loads {
+						if loads[i].kind == surging {
+							loads[i].workers, loads[i].inTx = 50, inTx
+						}
+					}
+					got := saturate(q, 30*time.Second, loads)
+					for kind, share := range want {
+						assert.Assert(t, got[kind] > 0.9*share, "%s got %.3f, want %.3f", kind, got[kind], share)
+					}
+				})
+			})
+		}
+	}
+}
+
+// Guards against a transaction that holds its connection while it waits behind others' work.
+func TestTransactionsGoFirst(t *testing.T) {
+	run(t, Config{Slots: 1, Policies: testRows()}, func(t *testing.T, q *Queue) {
+		slot, err := q.Acquire(t.Context(), &Item{Kind: "book"})
+		assert.NilError(t, err)
+		ended := make(chan string, 4)
+		for _, it := range []*Item{{Kind: "book"}, {Kind: "book"}, {Kind: "quote"}, {Kind: "quote", InTx: true}} {
+			go func() {
+				assert.Check(t, serve(q, it, 10*time.Millisecond))
+				ended <- fmt.Sprint(it.Kind, it.InTx)
+			}()
+			synctest.Wait()
+		}
+		slot.Release(true)
+		assert.Equal(t, <-ended, "quotetrue")
+		for range 3 {
+			<-ended
+		}
+	})
+}
+
+// Guards against a changed row that is in force for new requests only.
+func TestRowsChangeWhileRequestsWait(t *testing.T) {
+	table := testRows()
+	run(t, Config{Slots: 1, Policies: table}, func(t *testing.T, q *Queue) {
+		slot, err := q.Acquire(t.Context(), &Item{Kind: "book"})
+		assert.NilError(t, err)
+		ended := make(chan core.Kind, 2)
+		for _, kind := range []core.Kind{"quote", "report"} {
+			go func() {
+				assert.Check(t, serve(q, &Item{Kind: kind}, 10*time.Millisecond))
+				ended <- kind
+			}()
+			synctest.Wait()
+		}
+		row := table["report"]
+		row.Rank = core.RankUrgent
+		table["report"] = row
+		slot.Release(true)
+		assert.Equal(t, <-ended, core.Kind("report"))
+		assert.Equal(t, <-ended, core.Kind("quote"))
+	})
+}
+
+// Guards against a kind that exceeds its Concurrency or Rate.
+func TestLimitsOfTheRow(t *testing.T) {
+	table := testRows()
+	table["quote"] = core.KindPolicy{Kind: "quote", Rank: core.RankMiddle, Concurrency: 1, QueueTime: time.Second}
+	table["reseal"] = core.KindPolicy{Kind: "reseal", Rank: core.RankMiddle, Rate: 10, QueueTime: time.Second}
+	run(t, Config{Slots: 2, Policies: table}, func(t *testing.T, q *Queue) {
+		got := saturate(q, 10*time.Second, []load{{kind: "quote", workers: 5, service: 10 * time.Millisecond}})
+		assert.Equal(t, got["quote"], 1.0)
+		assert.Equal(t, q.Dump().Running, 0)
+		start := time.Now()
+		served := 0
+		for time.Since(start) < 10*time.Second {
+			if serve(q, &Item{Kind: "reseal"}, time.Millisecond) == nil {
+				served++
+			}
+		}
+		assert.Assert(t, served >= 95 && served <= 102, "%d served", served)
+	})
+}
+
+// Guards against more running requests than slots, against lost slots, and against a request that
+// is both refused and started, under any mix of requests and impatient callers.
+func TestSlotsHold(t *testing.T) {
+	kinds := []core.Kind{"book", "quote", "reseal", "report", "unknown"}
+	rapid.Check(t, func(rt *rapid.T) {
+		slots := rapid.IntRange(1, 4).Draw(rt, "slots")
+		maxOpen := rapid.IntRange(1, 3).Draw(rt, "maxOpen")
+		type ask struct {
+			it                   Item
+			pause, hold, patient int
+		}
+		asks := rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) ask {
+			return ask{
+				it: Item{
+					Kind:  rapid.SampledFrom(kinds).Draw(rt, "kind"),
+					InTx:  rapid.Bool().Draw(rt, "inTx"),
+					Opens: rapid.Bool().Draw(rt, "opens"),
+				},
+				pause:   rapid.IntRange(0, 20).Draw(rt, "pause"),
+				hold:    rapid.IntRange(0, 300).Draw(rt, "hold"),
+				patient: rapid.IntRange(1, 1500).Draw(rt, "patient"),
+			}
+		}), 1, 40).Draw(rt, "asks")
+		run(t, Config{Slots: slots, MaxOpen: maxOpen, Policies: testRows()}, func(t *testing.T, q *Queue) {
+			checkSlots(t, q, slots, maxOpen, len(asks), func(i int) (*Item, [3]time.Duration) {
+				a := asks[i]
+				it := a.it
+				it.Opens = it.Opens && !it.InTx
+				return &it, [3]time.Duration{
+					time.Duration(a.pause) * time.Millisecond,
+					time.Duration(a.hold) * time.Millisecond,
+					time.Duration(a.patient) * time.Millisecond,
+				}
+			})
+		})
+	})
+}
+
+// checkSlots runs n requests and checks the limits at each start. The durations of a request are
+// the pause before it, its service time and the caller's patience.
+func checkSlots(t *testing.T, q *Queue, slots, maxOpen, n int, ask func(i int) (*Item, [3]time.Duration)) {
+	var mu sync.Mutex
+	running, open := 0, 0
+	var wg sync.WaitGroup
+	for i := range n {
+		it, d := ask(i)
+		time.Sleep(d[0])
+		wg.Go(func() {
+			ctx, cancel := context.WithTimeout(t.Context(), d[2])
+			defer cancel()
+			slot, err := q.Acquire(ctx, it)
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			running++
+			if it.Opens {
+				open++
+			}
+			assert.Check(t, running <= slots && open <= maxOpen, "%d running, %d open", running, open)
+			mu.Unlock()
+			time.Sleep(d[1])
+			mu.Lock()
+			running--
+			if it.Opens {
+				open--
+			}
+			mu.Unlock()
+			slot.Release(true)
+			if it.Opens {
+				q.EndTx()
+			}
+		})
+	}
+	wg.Wait()
+	st := q.Dump()
+	assert.Equal(t, st.Running, 0)
+	assert.Equal(t, st.Waiting, 0)
+	assert.Equal(t, st.OpenTransactions, 0)
+}
