--- a/core/queue/shares.go
+++ b/core/queue/shares.go
@@ -14,11 +14,21 @@
 	// accrues. A rank that waits behind long statements keeps its claim longer than an idle one.
 	creditIdle    = 50 * time.Millisecond
 	creditWaiting = time.Second
+	// txOverdraft is how far statements of open transactions may run ahead of their rank's share, as
+	// a time over which the share accrues.
+	txOverdraft = 200 * time.Millisecond
 	// maxDebt limits the debt of a rank that ran long statements, as a time over which its share
 	// repays it.
 	maxDebt = 30 * time.Second
 )
 
+const (
+	// pressedTime is how long a kind's queue counts as past its limit after a refusal.
+	pressedTime = 100 * time.Millisecond
+	// pressedShare divides the accepted wait while a kind's queue is past its limit.
+	pressedShare = 4
+)
+
 // Shares is the proxy's scheduler. The most urgent rank goes first, but each rank with work waiting
 // keeps its guaranteed share of the slot time, and the kinds of a rank split the rank's time by
 // weight. Shares are kept in measured service time.
@@ -34,7 +44,8 @@
 	runningLong int
 	// holdLong tells that no more long statements may start.
 	holdLong bool
-	// vtime is the virtual time of each rank's kinds.
+	// vtime is the virtual time of each rank: that of the kind that was served least when it was
+	// served last.
 	vtime [core.RankCount]time.Duration
 }
 
@@ -46,8 +57,13 @@
 	if refusal := s.base.Add(now, it); refusal != nil {
 		return refusal
 	}
-	if wait := s.expectedWait(now, it); now.Add(wait).After(it.latest) {
+	limit := it.latest.Sub(now)
+	if now.Sub(it.state.overAt) < pressedTime {
+		limit /= pressedShare
+	}
+	if wait := s.expectedWait(now, it); wait > limit {
 		s.Remove(it)
+		it.state.overAt = now
 		return &Refusal{Reason: "the expected wait is too long", RetryAfter: now.Add(wait).Sub(it.latest)}
 	}
 	if it.state.policy.Rank == core.RankUrgent {
@@ -70,19 +86,25 @@
 	s.holdLong = s.mustHoldLong(now)
 	waiting := s.ranksWaiting(func(k *kindState) bool { return s.candidate(now, k) != nil })
 	s.accrue(now, waiting)
-	rank, ok := s.pickRank(waiting)
-	if !ok {
-		return nil
+	k := s.pickTx(now)
+	if k == nil {
+		rank, ok := s.pickRank(waiting)
+		if !ok {
+			return nil
+		}
+		k = s.pickKind(now, rank)
 	}
-	k := s.pickKind(now, rank)
 	it := s.candidate(now, k)
+	if s.lead(k) == 0 {
+		s.vtime[k.policy.Rank] = max(s.vtime[k.policy.Rank], k.vtime)
+	}
 	s.take(now, it)
+	it.contested = contested(waiting, k.policy.Rank)
 	it.long = s.isLong(k)
 	if it.long {
 		s.runningLong++
 	}
 	s.charge(it, it.estimate)
-	s.vtime[rank] = max(s.vtime[rank], it.state.vtime)
 	return it
 }
 
@@ -108,7 +130,7 @@
 		if waiting[r] {
 			most = s.share(r, creditWaiting)
 		}
-		s.credit[r] = min(s.credit[r]+s.share(r, dt), max(most, s.credit[r]))
+		s.credit[r] = min(s.credit[r]+s.share(r, dt), most)
 	}
 }
 
@@ -133,6 +155,39 @@
 	return core.Rank(max(first, 0)), first >= 0
 }
 
+// pickTx returns the kind whose statement of an open transaction goes before everything else, since
+// the transaction holds a connection and locks. A rank may run ahead of its share by txOverdraft
+// for this, and a kind ahead of the others of its rank, so that transactions don't take their
+// shares.
+func (s *Shares) pickTx(now time.Time) *kindState {
+	var best *kindState
+	for _, k := range s.list {
+		if len(k.inTx) == 0 || s.candidate(now, k) == nil {
+			continue
+		}
+		overdraft := s.share(int(k.policy.Rank), txOverdraft)
+		if s.credit[k.policy.Rank] <= -overdraft || s.lead(k) >= overdraft {
+			continue
+		}
+		if best == nil || k.inTx[0].arrived.Before(best.inTx[0].arrived) {
+			best = k
+		}
+	}
+	return best
+}
+
+// lead returns how far the kind's virtual time is ahead of the other kinds of its rank that have
+// work waiting.
+func (s *Shares) lead(k *kindState) time.Duration {
+	lead := time.Duration(0)
+	for _, other := range s.list {
+		if other != k && other.policy.Rank == k.policy.Rank && other.waiting() > 0 {
+			lead = max(lead, k.vtime-other.vtime)
+		}
+	}
+	return lead
+}
+
 // pickKind returns the rank's kind that was served least per weight.
 func (s *Shares) pickKind(now time.Time, rank core.Rank) *kindState {
 	var best *kindState
@@ -147,9 +202,22 @@
 	return best
 }
 
-// charge subtracts slot time from the credit of the item's rank and advances its kind.
+// contested reports whether another rank has work waiting.
+func contested(waiting [core.RankCount]bool, rank core.Rank) bool {
+	for r, ok := range waiting {
+		if ok && core.Rank(r) != rank {
+			return true
+		}
+	}
+	return false
+}
+
+// charge subtracts slot time from the credit of the item's rank and advances its kind. Slot time
+// that no other rank wanted is free, so that a rank that used idle slots isn't starved once the
+// others come.
 func (s *Shares) charge(it *Item, d time.Duration) {
-	r := it.rank
-	s.credit[r] = max(s.credit[r]-d, -s.share(int(r), maxDebt))
+	if r := it.rank; it.contested {
+		s.credit[r] = max(s.credit[r]-d, -s.share(int(r), maxDebt))
+	}
 	it.state.vtime += d / time.Duration(max(it.state.policy.Weight, 1))
 }
