Test dbsim with all execution modes of pgx

Cause: only the default mode, named prepared statements, was tested.

Ruled out: nothing; no fault was found.

Change: a test runs each mode through a transaction, a batch, NULLs, negative numbers and quotes.

--- a/stand/dbsim/dbsim_test.go
+++ b/stand/dbsim/dbsim_test.go
@@ -74,3 +74,42 @@
 	assert.Assert(t, asError(err, &pgErr))
 	assert.Equal(t, pgErr.Code, "23505")
 }
+
+// Guards against ways of sending a statement that the simulator doesn't understand.
+func TestClientModes(t *testing.T) {
+	ctx := testContext(t)
+	_, address := start(t, Config{}, NewPrimary(1))
+	modes := []pgx.QueryExecMode{
+		pgx.QueryExecModeCacheStatement, pgx.QueryExecModeCacheDescribe, pgx.QueryExecModeDescribeExec,
+		pgx.QueryExecModeExec, pgx.QueryExecModeSimpleProtocol,
+	}
+	mustExec(ctx, t, connect(ctx, t, address), "CREATE TABLE t (mode int8, name text, n int8, done bool)")
+	for _, mode := range modes {
+		t.Run(mode.String(), func(t *testing.T) {
+			cfg, err := pgx.ParseConfig("postgres://app@" + address + "/berth-ledger?sslmode=disable")
+			assert.NilError(t, err)
+			cfg.DefaultQueryExecMode = mode
+			c, err := pgx.ConnectConfig(ctx, cfg)
+			assert.NilError(t, err)
+			defer func() { _ = c.Close(ctx) }()
+			assert.NilError(t, c.Ping(ctx))
+			assert.NilError(t, pgx.BeginTxFunc(ctx, c, pgx.TxOptions{}, func(tx pgx.Tx) error {
+				_, err := tx.Exec(ctx, "INSERT INTO t VALUES ($1, $2, $3, $4)", int64(mode), "it's", -4, true)
+				return err
+			}))
+			batch := &pgx.Batch{}
+			batch.Queue("UPDATE t SET n = n + $1 WHERE mode = $2", 9, int64(mode))
+			batch.Queue("UPDATE t SET name = $1, done = NULL WHERE mode = $2 AND name = $3", "x", int64(mode), "it's")
+			assert.NilError(t, c.SendBatch(ctx, batch).Close())
+			var name string
+			var n int64
+			var done *bool
+			assert.NilError(t, c.QueryRow(ctx, "SELECT name, n, done FROM t WHERE mode = $1", int64(mode)).Scan(&name, &n, &done))
+			assert.Equal(t, name, "x")
+			assert.Equal(t, n, int64(5))
+			assert.Assert(t, done == nil)
+			assert.NilError(t, c.QueryRow(ctx, "SELECT pg_sleep($1), 7", 0.001).Scan(nil, &n))
+			assert.Equal(t, n, int64(7))
+		})
+	}
+}
