--- a/core/stmt/harmless.go
+++ b/core/stmt/harmless.go
@@ -3,11 +3,11 @@
 import "strings"
 
 // harmless holds the words that may precede a parenthesis in a read: keywords, types with a length,
-// and functions of the server that are immutable or stable. A function that isn't listed counts as
-// a write, since it may be a volatile function of the application.
+// and functions of the server that change nothing. A function that isn't listed counts as a write,
+// since it may be a function of the application that writes.
 var harmless = func() map[string]bool {
 	set := make(map[string]bool)
-	for _, words := range []string{keywords, types, aggregates, scalars, dates, documents, catalog} {
+	for _, words := range []string{keywords, types, aggregates, scalars, dates, documents, catalog, volatile} {
 		for w := range strings.FieldsSeq(words) {
 			set[w] = true
 		}
@@ -56,7 +56,8 @@
 		jsonb_to_record jsonb_to_recordset jsonb_typeof plainto_tsquery row_to_json setweight
 		to_json to_jsonb to_tsquery to_tsvector ts_headline ts_rank ts_rank_cd
 		websearch_to_tsquery`
-	catalog = `col_description current_database current_schema current_schemas current_setting
+	volatile = `clock_timestamp gen_random_uuid pg_sleep random timeofday`
+	catalog  = `col_description current_database current_schema current_schemas current_setting
 		current_user format_type has_schema_privilege has_table_privilege obj_description
 		pg_encoding_to_char pg_get_constraintdef pg_get_expr pg_get_functiondef pg_get_indexdef
 		pg_get_serial_sequence pg_get_userbyid pg_get_viewdef
