--- a/io/front/startup.go
+++ b/io/front/startup.go
@@ -70,11 +70,6 @@
 
 // startTLS answers an SSLRequest.
 func (s *session) startTLS() bool {
-	if s.rd.buffered() > 0 {
-		// Bytes before the handshake could have been injected into the clear text.
-		s.startupFailed(&errProtocol{reason: "unencrypted data after SSLRequest"})
-		return false
-	}
 	if s.conn != s.raw {
 		s.startupFailed(&errProtocol{reason: "SSLRequest on an encrypted connection"})
 		return false
@@ -83,6 +78,11 @@
 		_, err := s.conn.Write([]byte{'N'})
 		return err == nil
 	}
+	if s.rd.buffered() > 0 {
+		// Bytes before the handshake could have been injected into the clear text.
+		s.startupFailed(&errProtocol{reason: "unencrypted data after SSLRequest"})
+		return false
+	}
 	if _, err := s.conn.Write([]byte{'S'}); err != nil {
 		return false
 	}
