Answer which position a session needs instead of the whole log's tail

Cause: a named session that brings no position asked for a read index, the tail of the log. Ruled out: positions remembered by entry VMs, which are wrong when two of them disagree or one restarts; a record of each session in the database, which costs a write for each write. Change: the owner of the primary remembers which session made which of its own commits. Log offsets without a gap prove that nobody else committed in between, so that 'this session has not written' is certain and rests on the log alone. The router asks it (one more question over the relay); where there is a gap or no answer, the read index is used as before. Conclusion: readers no longer pay for the writes of others.

--- a/core/owner/owner.go
+++ b/core/owner/owner.go
@@ -26,6 +26,8 @@
 	pool    *pool.Pool[core.Conn]
 	retries *budget
 	metrics metrics
+	// sessions knows the commits that this owner ran while its upstream was the primary.
+	sessions *sessionLog
 	// warm is the number of connections kept ready while this entry VM is the assigned owner.
 	warm int
 	// leavingSince is when the upstream was first seen leaving, in Unix nanoseconds, or 0.
@@ -40,9 +42,10 @@
 }
 
 var (
-	_ core.Executor = (*Owner)(nil)
-	_ core.Service  = (*Owner)(nil)
-	_ core.Dumper   = (*Owner)(nil)
+	_ core.Executor       = (*Owner)(nil)
+	_ core.Service        = (*Owner)(nil)
+	_ core.Dumper         = (*Owner)(nil)
+	_ core.SessionIndexer = (*Owner)(nil)
 )
 
 // New returns the owner of an upstream. It serves requests while Run works.
@@ -51,14 +54,15 @@
 	info := cfg.Upstream.Info()
 	slots, connections, maxOpen, warm := cfg.limits(info)
 	o := &Owner{
-		cfg:     cfg,
-		info:    info,
-		id:      info.ID,
-		warm:    warm,
-		retries: newBudget(cfg.RetryRatio),
-		metrics: newMetrics(cfg.Metrics),
-		open:    make(map[*tx]struct{}),
-		changed: make(chan struct{}),
+		cfg:      cfg,
+		info:     info,
+		id:       info.ID,
+		sessions: newSessionLog(),
+		warm:     warm,
+		retries:  newBudget(cfg.RetryRatio),
+		metrics:  newMetrics(cfg.Metrics),
+		open:     make(map[*tx]struct{}),
+		changed:  make(chan struct{}),
 	}
 	o.queue = queue.New(cfg.Scheduler(queue.Config{Slots: slots, MaxOpen: maxOpen, Policies: cfg.Policies}))
 	o.pool = pool.New(pool.Config[core.Conn]{
--- a/core/owner/serve.go
+++ b/core/owner/serve.go
@@ -161,7 +161,7 @@
 		defer timer.Stop()
 		a.onFirst = func() { timer.Stop() }
 	}
-	res, err := h.Value.Run(runCtx, req, a)
+	res, err := o.runCounted(runCtx, path, req, h, a)
 	if err == nil {
 		err = o.step(ctx, path, StepReceive, req)
 	}
@@ -172,6 +172,17 @@
 	return core.Result{}, o.lost(ctx, err, a)
 }
 
+// runCounted runs the request and accounts for its commit before anybody hears of it.
+func (o *Owner) runCounted(ctx context.Context, path Path, req *core.Request, h *pool.Handle[core.Conn], a *answer) (core.Result, error) {
+	if path == PathRead {
+		return h.Value.Run(ctx, req, a)
+	}
+	o.sessions.begin()
+	res, err := h.Value.Run(ctx, req, a)
+	o.sessions.end(req.Session, res.Position)
+	return res, err
+}
+
 // silentTime returns how long a read waits for the first message of its answer.
 func (o *Owner) silentTime(ctx context.Context, req *core.Request) time.Duration {
 	deadline, _ := ctx.Deadline()
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -137,6 +137,7 @@
 
 // run tries upstreams until the request has run, must not be repeated, or its time is over.
 func (t *trial) run(ctx context.Context) (core.Result, error) {
+	t.resolveIndex(ctx)
 	lastReason := "no upstream could be reached"
 	for {
 		info, ok := t.choose()
--- a/core/upstream.go
+++ b/core/upstream.go
@@ -88,6 +88,13 @@
 	Execute(ctx context.Context, req *Request, w ResponseWriter) (Result, error)
 }
 
+// SessionIndexer is an executor on the primary that knows which session wrote what.
+type SessionIndexer interface {
+	// SessionIndex returns a position that covers every write of the session that was acknowledged
+	// before the call, on whichever entry VM. It is at most the read index.
+	SessionIndex(ctx context.Context, session SessionID) (Position, error)
+}
+
 // Tx is an open transaction. It owns an upstream connection until Run returns a Result with status
 // TxIdle or any error, or until Close.
 type Tx interface {
--- a/io/relay/client.go
+++ b/io/relay/client.go
@@ -183,9 +183,14 @@
 	if err != nil {
 		return nil, core.ErrPeer.Wrap(err)
 	}
+	req.Attempt.MarkSent()
+	return l.exchange(ctx, frame, w)
+}
+
+// exchange sends a frame and reads the frames of its answer; w may be nil if there is no data.
+func (l *link) exchange(ctx context.Context, frame *Request, w core.ResponseWriter) (*End, error) {
 	stop := context.AfterFunc(ctx, l.close)
 	defer stop()
-	req.Attempt.MarkSent()
 	if err := l.send(frame); err != nil {
 		return nil, core.ErrPeer.Wrap(err)
 	}
@@ -194,7 +199,7 @@
 		if err != nil {
 			return nil, core.ErrPeer.Wrap(err)
 		}
-		if a.ID != req.ID {
+		if a.ID != frame.ID {
 			continue
 		}
 		if err := l.passOn(a.Data, w); err != nil {
@@ -241,6 +246,27 @@
 	return e.client.finish(ctx, l, req, e.upstream, w)
 }
 
+// SessionIndex asks the entry VM that owns the primary; see core.SessionIndexer. It has the time until
+// ctx's deadline.
+func (e *executor) SessionIndex(ctx context.Context, session core.SessionID) (core.Position, error) {
+	l, err := e.client.take(ctx, e.address)
+	if err != nil {
+		return core.Position{}, err
+	}
+	deadline, _ := ctx.Deadline()
+	frame := &Request{Index: true, Upstream: e.upstream, Session: session, Remaining: time.Until(deadline)}
+	end, err := l.exchange(ctx, frame, nil)
+	if err != nil {
+		l.close()
+		return core.Position{}, err
+	}
+	e.client.put(l)
+	if end.Failure != nil {
+		return core.Position{}, core.ErrPeer.New("%s", end.Failure.Reason)
+	}
+	return end.Position, nil
+}
+
 // finish runs the request on the connection and decides what becomes of the connection.
 func (c *Client) finish(ctx context.Context, l *link, req *core.Request, upstream core.UpstreamID, w core.ResponseWriter) (core.Result, error) {
 	end, err := l.run(ctx, req, upstream, w)
--- a/io/relay/frames.go
+++ b/io/relay/frames.go
@@ -23,9 +23,11 @@
 	chunkSize = 16 << 10
 )
 
-// Request is the frame from the client. Ping asks for a heartbeat only.
+// Request is the frame from the client. Ping asks for a heartbeat only, Index for the session's
+// index on the upstream, which is the primary.
 type Request struct {
 	Ping     bool
+	Index    bool
 	ID       uint64
 	Upstream core.UpstreamID
 	// InTx continues the connection's transaction.
--- a/io/relay/server.go
+++ b/io/relay/server.go
@@ -183,6 +183,9 @@
 	if r.Ping {
 		return p.send(&Answer{})
 	}
+	if r.Index {
+		return p.send(p.index(ctx, r))
+	}
 	req, err := r.request()
 	if err != nil {
 		return p.send(&Answer{ID: r.ID, End: &End{Failure: newFailure(err, false)}})
@@ -206,6 +209,22 @@
 	return p.send(&Answer{ID: r.ID, Data: w.buf, End: end})
 }
 
+// index answers the question for a session's index.
+func (p *peerConn) index(ctx context.Context, r *Request) *Answer {
+	ctx, cancel := context.WithTimeout(ctx, r.Remaining)
+	defer cancel()
+	exec, _ := p.server.cfg.Find(r.Upstream)
+	indexer, ok := exec.(core.SessionIndexer)
+	if !ok {
+		return &Answer{ID: r.ID, End: &End{Failure: &Failure{Reason: "upstream " + string(r.Upstream) + " has no session index here"}}}
+	}
+	position, err := indexer.SessionIndex(ctx, r.Session)
+	if err != nil {
+		return &Answer{ID: r.ID, End: &End{Failure: newFailure(err, false)}}
+	}
+	return &Answer{ID: r.ID, End: &End{Position: position}}
+}
+
 // run passes the request to the open transaction or to the upstream's executor.
 func (p *peerConn) run(ctx context.Context, r *Request, req *core.Request, w core.ResponseWriter) (core.Result, error) {
 	if r.InTx {
