--- a/core/owner/answer.go
+++ b/core/owner/answer.go
@@ -30,6 +30,8 @@
 	// passed is set once the caller may have received a message, readOnly once a read-only failure
 	// was kept from it.
 	passed, readOnly bool
+	// retried is set once an earlier try was sent and lost.
+	retried bool
 	// callerErr is the error of the caller's side.
 	callerErr error
 	// onFirst is called at the first message.
@@ -80,7 +82,10 @@
 }
 
 // reset forgets the messages that were kept back, before a retry.
-func (a *answer) reset() { a.held, a.bytes, a.complete, a.readOnly = nil, 0, false, false }
+func (a *answer) reset() {
+	a.held, a.bytes, a.complete, a.readOnly = nil, 0, false, false
+	a.retried = true
+}
 
 func (a *answer) pass(msg pgproto3.BackendMessage) error {
 	a.passed = true
--- a/core/owner/fake_test.go
+++ b/core/owner/fake_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,6 +20,8 @@
 	other core.UpstreamID = "seal-ledger-2"
 )
 
+var errReset = errors.New("connection reset")
+
 // fakeUpstream is an upstream whose statements take service time and whose commits count up.
 type fakeUpstream struct {
 	mu       sync.Mutex
@@ -32,6 +35,8 @@
 	before, after func(ctx context.Context, req *core.Request) error
 
 	conns, maxConns, running, maxRunning, ran, rollbacks int
+	// effects counts by request how often a statement took effect.
+	effects map[uint64]int
 }
 
 func (u *fakeUpstream) Info() core.UpstreamInfo { return u.info }
@@ -122,6 +127,7 @@
 	}
 	u.mu.Lock()
 	u.ran++
+	u.effects[req.ID]++
 	readOnly := u.readOnly
 	u.mu.Unlock()
 	if err := w.Send(&pgproto3.ParseComplete{}); err != nil {
@@ -165,6 +171,9 @@
 }
 
 func sleep(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
 	select {
 	case <-time.After(d):
 		return nil
@@ -184,6 +193,8 @@
 	index    core.Position
 	confirm  func(ctx context.Context, p core.Position) error
 	suspects int
+	// confirmed holds the positions that Confirm vouched for.
+	confirmed map[core.Position]bool
 }
 
 func (v *fakeView) set(change func(v *fakeView)) {
@@ -208,10 +219,13 @@
 	v.mu.Lock()
 	confirm := v.confirm
 	v.mu.Unlock()
-	if confirm == nil {
-		return nil
+	if confirm != nil {
+		if err := confirm(ctx, p); err != nil {
+			return err
+		}
 	}
-	return confirm(ctx, p)
+	v.set(func(v *fakeView) { v.confirmed[p] = true })
+	return nil
 }
 
 func (v *fakeView) ReadIndex(context.Context) (core.Position, error) {
@@ -264,6 +278,7 @@
 type caller struct {
 	mu   sync.Mutex
 	got  []string
+	rows []string
 	fail error
 }
 
@@ -273,6 +288,9 @@
 	if c.fail != nil {
 		return c.fail
 	}
+	if row, ok := msg.(*pgproto3.DataRow); ok {
+		c.rows = append(c.rows, string(row.Values[0]))
+	}
 	c.got = append(c.got, fmt.Sprintf("%T", msg)[len("*pgproto3."):])
 	return nil
 }
@@ -289,7 +307,8 @@
 	up       *fakeUpstream
 	view     *fakeView
 	policies *fakePolicies
-	nextID   uint64
+	leaving  atomic.Bool
+	nextID   atomic.Uint64
 }
 
 // run runs the scenario on the fake clock with an owner that the change function may adapt.
@@ -306,6 +325,9 @@
 		if err := <-ended; err != nil {
 			t.Errorf("Run: %v", err)
 		}
+		if st := f.State(); st.Queue.Running != 0 || st.Queue.OpenTransactions != 0 || st.InFlight != 0 {
+			t.Errorf("left behind: %+v", st)
+		}
 		if f.up.conns != 0 {
 			t.Errorf("%d connections left open", f.up.conns)
 		}
@@ -318,18 +340,19 @@
 			info: core.UpstreamInfo{
 				ID: self, Group: "seal-ledger", Slots: 2, Connections: 10, ConnectTime: 30 * time.Millisecond,
 			},
+			effects: make(map[uint64]int),
 			term:    1,
 			service: 5 * time.Millisecond,
 		},
 		view: &fakeView{
-			primary: self, term: 1, known: true,
+			primary: self, term: 1, known: true, confirmed: make(map[core.Position]bool),
 			status: core.UpstreamStatus{Role: core.RolePrimary, Promised: 1},
 		},
 		policies: &fakePolicies{rows: map[core.Kind]core.KindPolicy{
 			"book": {Kind: "book", Rank: core.RankUrgent, Weight: 1, QueueTime: time.Second},
 		}},
 	}
-	cfg := Config{Upstream: f.up, View: f.view, Policies: f.policies}
+	cfg := Config{Upstream: f.up, View: f.view, Policies: f.policies, Leaving: f.leaving.Load}
 	if change != nil {
 		change(&cfg, f)
 	}
@@ -339,9 +362,8 @@
 
 // request returns a request with a deadline of 3 s.
 func (f *fixture) request(class core.Class) *core.Request {
-	f.nextID++
 	return &core.Request{
-		ID: f.nextID, Group: "seal-ledger", Kind: "book", Class: class,
+		ID: f.nextID.Add(1), Group: "seal-ledger", Kind: "book", Class: class,
 		Deadline: time.Now().Add(3 * time.Second), Attempt: &core.Attempt{},
 	}
 }
--- a/core/owner/serve.go
+++ b/core/owner/serve.go
@@ -25,6 +25,11 @@
 func (o *Owner) serve(ctx context.Context, path Path, req *core.Request, a *answer) (core.Result, error) {
 	for {
 		res, err := o.serveOnce(ctx, path, req, a)
+		var redirect *core.RedirectError
+		if errors.As(err, &redirect) && req.Attempt.Sent() {
+			// A redirect says that nothing ran, but an earlier try was sent.
+			return res, req.Attempt.Refuse(core.StateUnavailable, redirect.Error(), 0)
+		}
 		var lost *lostError
 		if !errors.As(err, &lost) {
 			return res, err
@@ -191,7 +196,9 @@
 // waits for the confirmation of a commit and passes on the rest of the answer.
 func (o *Owner) finish(ctx context.Context, path Path, req *core.Request, res core.Result, a *answer) (core.Result, error) {
 	if a.readOnly {
-		req.Attempt.ConfirmNotRun()
+		if !a.retried {
+			req.Attempt.ConfirmNotRun()
+		}
 		o.cfg.View.Suspect(o.id)
 		return core.Result{}, o.redirect("the upstream is read-only")
 	}
