Prepare writes on the primary, in the queue of their kind

Cause: a batch that only prepares a write was routed as a read of the default kind. Ruled out: a missing position: the table was created by another session, and the replica's data was within the accepted age of the default kind. Change: such a batch goes to the primary as an idempotent write, with the kind of the statement's comment. Conclusion: readers stay on replicas; writes are prepared where they run.

--- a/io/front/batch.go
+++ b/io/front/batch.go
@@ -4,6 +4,8 @@
 	"fmt"
 
 	"github.com/jackc/pgx/v5/pgproto3"
+
+	"snipewall/core"
 )
 
 // messageOverhead is added to the size of each message of a batch, so that the limit also bounds
@@ -173,6 +175,7 @@
 		return errInFailedTx
 	}
 	b.define(m.Name, st)
+	b.prepares(st)
 	o := op{typ: 'P', local: b.isLocal(st), st: st, name: m.Name}
 	if m.Name != "" {
 		if !o.local {
@@ -227,10 +230,20 @@
 	if !o.local {
 		m.Name = b.upstreamName(m.Name, st)
 	}
+	b.prepares(st)
 	b.push(o, m)
 	return nil
 }
 
+// prepares takes note of a statement that the batch prepares or describes.
+func (b *batch) prepares(st *statement) {
+	if b.isLocal(st) {
+		return
+	}
+	b.unit.preparesWrite = b.unit.preparesWrite || st.info.Class != core.ClassRead
+	b.unit.tags = b.unit.tags.Or(st.tags)
+}
+
 func (b *batch) execute(m *pgproto3.Execute) error {
 	p, bound := b.portals[m.Portal]
 	if !bound {
--- a/io/front/pgx_test.go
+++ b/io/front/pgx_test.go
@@ -53,3 +53,19 @@
 	assert.NilError(t, tx.Rollback(t.Context()))
 	assert.Equal(t, conn.PgConn().TxStatus(), byte('I'))
 }
+
+// Guards against a valid write that fails because it was prepared on a replica that has not applied
+// the creation of its table, and against preparation in the queue of another kind.
+func TestWriteIsPreparedOnPrimary(t *testing.T) {
+	srv := startServer(t)
+	conn := srv.connect(t, "")
+	_, err := conn.Prepare(t.Context(), "w", "/* kind='booking' */ insert into t values ($1)")
+	assert.NilError(t, err)
+	req := srv.router.last()
+	assert.Equal(t, req.Class, core.ClassWrite)
+	assert.Equal(t, req.Kind, core.Kind("booking"))
+	assert.Assert(t, req.Idempotent, "preparing changes nothing")
+	_, err = conn.Prepare(t.Context(), "r", "select v from t")
+	assert.NilError(t, err)
+	assert.Equal(t, srv.router.last().Class, core.ClassRead)
+}
--- a/io/front/unit.go
+++ b/io/front/unit.go
@@ -16,9 +16,12 @@
 	info stmt.Info
 	tags stmt.Tags
 	// blind tells that the unit executes a portal of an earlier batch, which may hold any statement.
-	blind    bool
-	messages []pgproto3.FrontendMessage
-	prepared map[string]*pgproto3.Parse
+	blind bool
+	// preparesWrite tells that the unit prepares or describes a write. It runs nothing, but must see
+	// the tables that the write will see.
+	preparesWrite bool
+	messages      []pgproto3.FrontendMessage
+	prepared      map[string]*pgproto3.Parse
 }
 
 // run executes the unit and puts the answer, except ReadyForQuery, into a. It returns true if the
@@ -131,6 +134,10 @@
 	if err := s.tagRequest(req, u); err != nil {
 		return nil, err
 	}
+	if u.preparesWrite && !req.InTx && req.Class == core.ClassRead {
+		req.Class = core.ClassWrite
+		req.Idempotent = true
+	}
 	// Only the choice of an upstream for reads needs an index.
 	if req.InTx || req.Class == core.ClassWrite || req.Class == core.ClassBegin {
 		req.NeedIndex = false
