Measure the replica share with readers that don't write

Cause: in the first mix a third of all reads followed a write of their session, and readers could start before a replica had the new table.

--- a/bench/reads.go
+++ b/bench/reads.go
@@ -25,6 +25,11 @@
 	readers = 16
 	// thinkTime is the pause of a session between two statements.
 	thinkTime = 10 * time.Millisecond
+	// writeTime is the pause of a writer after each write and read, which makes about a tenth of all
+	// reads follow a write of their session.
+	writeTime = 100 * time.Millisecond
+	// settleTables is the wait for replicas to have the table that the run creates.
+	settleTables = time.Second
 	// readsPerConnection is after how many reads a reader moves to another entry VM.
 	readsPerConnection = 10
 	// ownKind is the kind of writes and of the reads that follow them.
@@ -193,6 +198,7 @@
 			return err
 		}
 	}
+	time.Sleep(settleTables)
 	return nil
 }
 
@@ -238,6 +244,7 @@
 			r.read(ctx, conn, ownKind, i, n, res.latencies)
 			return nil
 		})
+		time.Sleep(writeTime)
 	}
 	return res
 }
