Test the keeper, the control calls and the platform's list

Cause: the keeper's watch, the calls' limits and the list had no tests. Ruled out: a hub of real members for the keeper's tests, since a membership that tests change by hand shows takeover at an exact moment. Callbacks of the keeper are serialized, since two adoptions at once could report a lower version last.

--- a/core/peers/fleet_test.go
+++ b/core/peers/fleet_test.go
@@ -124,14 +124,21 @@
 
 // fleet is a set of members that have joined.
 type fleet struct {
-	t     *testing.T
-	net   *network
-	nodes []*node
+	t        *testing.T
+	net      *network
+	nodes    []*node
+	platform Platform
+	seeds    []string
 }
 
 func newFleet(t *testing.T, size, domains int) *fleet {
 	t.Helper()
-	f := &fleet{t: t, net: &network{nodes: map[string]*node{}, cut: map[[2]core.FailureDomain]bool{}, paused: map[string]bool{}}}
+	return newListedFleet(t, size, domains, nil)
+}
+
+func newListedFleet(t *testing.T, size, domains int, platform Platform) *fleet {
+	t.Helper()
+	f := &fleet{t: t, platform: platform, seeds: []string{"10.0.0.0:7001", "10.0.0.1:7001", "10.0.0.2:7001"}, net: &network{nodes: map[string]*node{}, cut: map[[2]core.FailureDomain]bool{}, paused: map[string]bool{}}}
 	t.Cleanup(f.stop)
 	for i := range size {
 		f.add(i, domains)
@@ -142,16 +149,21 @@
 
 func domain(i int) core.FailureDomain { return core.FailureDomain(fmt.Sprintf("domain-%d", i)) }
 
-func (f *fleet) add(i, domains int) {
-	vm := core.VM{
+func testVM(i, domains int) core.VM {
+	return core.VM{
 		ID: core.VMID(fmt.Sprintf("vm-%03d", i)), FailureDomain: domain(i % domains), Region: "gulf-west",
 		Control: fmt.Sprintf("10.0.%d.%d:7001", i/250, i%250), Relay: fmt.Sprintf("10.0.%d.%d:7002", i/250, i%250),
 	}
+}
+
+func (f *fleet) add(i, domains int) { f.addVM(testVM(i, domains)) }
+
+func (f *fleet) addVM(vm core.VM) {
 	n := &node{table: &fakeTable{}, done: make(chan error, 1)}
 	var err error
 	n.Peers, err = New(Config{
-		Self: vm, Seeds: []string{"10.0.0.0:7001", "10.0.0.1:7001", "10.0.0.2:7001"},
-		Transport: &link{net: f.net, from: vm}, Table: n.table,
+		Self: vm, Seeds: f.seeds,
+		Transport: &link{net: f.net, from: vm}, Table: n.table, Platform: f.platform,
 	})
 	assert.NilError(f.t, err)
 	f.net.mu.Lock()
@@ -338,8 +350,26 @@
 	}
 }
 
-// Guards against a restarted member that stays dead because its incarnation is lower, and against
-// one with a new address that is not reached.
+// Guards against a member that stays dead after a long pause.
+func TestPausedMemberComesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 8, 2)
+		n := f.nodes[6]
+		f.net.mu.Lock()
+		f.net.paused[n.Self().Control] = true
+		f.net.mu.Unlock()
+		rest := slices.DeleteFunc(slices.Clone(f.nodes), func(other *node) bool { return other == n })
+		f.within(10*time.Second, "the member is gone", func() bool { return f.agree(rest, 7) })
+		time.Sleep(time.Minute)
+		f.net.mu.Lock()
+		f.net.paused[n.Self().Control] = false
+		f.net.mu.Unlock()
+		f.within(6*time.Second, "the member is back", func() bool { return f.agree(f.nodes, 8) })
+	})
+}
+
+// Guards against a restarted member that stays dead because its incarnation is lower, and against a
+// dead member that passes for alive since a new VM has its address.
 func TestRestart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 8, 2)
@@ -347,5 +377,70 @@
 		f.within(10*time.Second, "the member is gone", func() bool { return f.agree(f.nodes, 7) })
 		f.add(7, 2)
 		f.within(5*time.Second, "the member is back", func() bool { return f.agree(f.nodes, 8) })
+		f.kill(f.nodes[7])
+		replacement := testVM(7, 2)
+		replacement.ID = "vm-new"
+		f.addVM(replacement)
+		f.within(10*time.Second, "the new VM has replaced the old one", func() bool {
+			return f.agree(f.nodes, 8) && !slices.ContainsFunc(f.nodes, func(n *node) bool {
+				return !slices.ContainsFunc(n.Alive(), func(vm core.VM) bool { return vm.ID == "vm-new" })
+			})
+		})
+	})
+}
+
+// vmList is the platform's list of VMs.
+type vmList struct {
+	mu    sync.Mutex
+	vms   []core.VM
+	calls int
+}
+
+func (l *vmList) VMs(context.Context) ([]core.VM, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.calls++
+	return slices.Clone(l.vms), nil
+}
+
+func (l *vmList) set(vms ...core.VM) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.vms = vms
+}
+
+// Guards against a list that removes members that answer, against marks that are not spread or
+// not withdrawn, and against calls that grow with the fleet.
+func TestPlatformList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		list := &vmList{}
+		f := newListedFleet(t, 64, 4, list)
+		lost := core.VM{ID: "vm-lost", Control: "10.9.9.9:7001"}
+		// Only the list knows this member: its own seeds lead nowhere.
+		stray := core.VM{ID: "vm-stray", FailureDomain: domain(0), Control: "10.8.8.8:7001"}
+		f.platform, f.seeds = nil, nil
+		f.addVM(stray)
+		leavingVM := testVM(9, 4)
+		leavingVM.Leaving = true
+		list.set(lost, stray, leavingVM, core.VM{ID: "db-1", Upstream: "ledger-1", Leaving: true}, core.VM{ID: "db-2", Upstream: "ledger-2"})
+		f.within(6*time.Second, "all know the marks", func() bool {
+			return f.agree(f.nodes, 65) && !slices.ContainsFunc(f.nodes, func(n *node) bool {
+				i := slices.IndexFunc(n.Alive(), func(vm core.VM) bool { return vm.ID == leavingVM.ID })
+				return !n.Leaving("ledger-1") || n.Leaving("ledger-2") || !n.Alive()[i].Leaving
+			})
+		})
+		list.set(core.VM{ID: "db-1", Upstream: "ledger-1"})
+		list.mu.Lock()
+		list.calls = 0
+		list.mu.Unlock()
+		time.Sleep(10 * time.Minute)
+		assert.Assert(t, f.agree(f.nodes, 65))
+		for _, n := range f.nodes {
+			assert.Assert(t, !n.Leaving("ledger-1"))
+		}
+		list.mu.Lock()
+		defer list.mu.Unlock()
+		t.Logf("64 members poll the list %.1f times a second", float64(list.calls)/600)
+		assert.Assert(t, list.calls < 6*600)
 	})
 }
--- a/core/table/keeper.go
+++ b/core/table/keeper.go
@@ -60,6 +60,9 @@
 	cfg     KeeperConfig
 	current atomic.Pointer[inForce]
 
+	// reporting serializes callbacks, so that they see versions that only grow.
+	reporting sync.Mutex
+
 	mu        sync.Mutex
 	peers     Peers
 	callbacks []func(core.Version)
@@ -112,7 +115,7 @@
 }
 
 // OnChange registers a function that is called after each adoption with the version in force. It
-// must return quickly.
+// must return quickly and must not call Adopt.
 func (k *Keeper) OnChange(f func(core.Version)) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -177,9 +180,11 @@
 	k.mu.Lock()
 	callbacks, peers := k.callbacks, k.peers
 	k.mu.Unlock()
+	k.reporting.Lock()
 	for _, f := range callbacks {
 		f(k.Version())
 	}
+	k.reporting.Unlock()
 	// What came from a peer spreads with the ordinary pings; only news from the store is hurried.
 	if peers != nil && source == sourceStore {
 		peers.Announce()
--- /dev/null
+++ b/io/ctrl/traffic_test.go
@@ -0,0 +1,167 @@
+package ctrl
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"snipewall/core"
+	"snipewall/core/peers"
+)
+
+// maxFleet limits the fleets of TestTraffic. With 520, it takes several minutes.
+var maxFleet = flag.Int("fleet", 64, "largest fleet to simulate")
+
+// Estimates of what TCP adds on the wire.
+const (
+	segmentHeader = 52
+	// connectionSegments are those that open and close a connection.
+	connectionSegments = 7
+)
+
+// meter counts what all members together send and receive.
+type meter struct {
+	bytes, writes, dials, calls atomic.Int64
+}
+
+func (m *meter) reset() {
+	for _, c := range []*atomic.Int64{&m.bytes, &m.writes, &m.dials, &m.calls} {
+		c.Store(0)
+	}
+}
+
+// meteredConn counts what is written.
+type meteredConn struct {
+	net.Conn
+	meter *meter
+}
+
+func (c meteredConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.meter.bytes.Add(int64(n))
+	c.meter.writes.Add(1)
+	return n, err
+}
+
+// metered is a fleet whose members talk through the real encoding over net.Pipe.
+type metered struct {
+	meter
+	mu      sync.Mutex
+	servers map[string]*Server
+	conns   sync.WaitGroup
+}
+
+func (f *metered) dial(_ context.Context, address string) (net.Conn, error) {
+	f.mu.Lock()
+	server := f.servers[address]
+	f.mu.Unlock()
+	if server == nil {
+		return nil, errors.New("connection refused")
+	}
+	f.dials.Add(1)
+	a, b := net.Pipe()
+	f.conns.Go(func() { server.ServeConn(meteredConn{Conn: b, meter: &f.meter}) })
+	return meteredConn{Conn: a, meter: &f.meter}, nil
+}
+
+// counted counts the calls.
+type counted struct {
+	peers.Transport
+	meter *meter
+}
+
+func (c counted) Ping(ctx context.Context, address string, req *peers.PingRequest) (*peers.PingAnswer, error) {
+	c.meter.calls.Add(1)
+	return c.Transport.Ping(ctx, address, req)
+}
+
+func (c counted) Sync(ctx context.Context, address string, req *peers.SyncRequest) (*peers.SyncAnswer, error) {
+	c.meter.calls.Add(1)
+	return c.Transport.Sync(ctx, address, req)
+}
+
+// Guards against control traffic per entry VM that grows with the fleet: the budget for all control
+// tasks is 10 KB/s, and the membership may use half of it while nothing changes.
+func TestTraffic(t *testing.T) {
+	for _, size := range []int{8, 64, 520} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			if size > *maxFleet {
+				t.Skip("needs -fleet 520")
+			}
+			synctest.Test(t, func(t *testing.T) { measureTraffic(t, size) })
+		})
+	}
+}
+
+func measureTraffic(t *testing.T, size int) {
+	f := &metered{servers: make(map[string]*Server)}
+	ctx, cancel := context.WithCancel(context.Background())
+	ends := make(chan error, size)
+	var members []*peers.Peers
+	var clients []*Client
+	for i := range size {
+		vm := core.VM{
+			ID: core.VMID(fmt.Sprintf("entry-%03d", i)), FailureDomain: core.FailureDomain([]string{"galveston", "mobile-bay", "charleston", "tampa"}[i%4]),
+			Region: "gulf-west", Control: fmt.Sprintf("10.20.%d.%d:7001", i/200, i%200), Relay: fmt.Sprintf("10.20.%d.%d:7002", i/200, i%200),
+		}
+		c := NewClient(ClientConfig{Dial: f.dial})
+		p, err := peers.New(peers.Config{Self: vm, Seeds: []string{"10.20.0.0:7001", "10.20.0.1:7001"}, Transport: counted{c, &f.meter}})
+		assert.NilError(t, err)
+		f.mu.Lock()
+		f.servers[vm.Control] = NewServer(ServerConfig{Peers: p})
+		f.mu.Unlock()
+		members, clients = append(members, p), append(clients, c)
+		go func() { ends <- p.Run(ctx) }()
+		time.Sleep(7 * time.Millisecond)
+	}
+	time.Sleep(3 * time.Minute)
+	for _, p := range members {
+		assert.Equal(t, len(p.Alive()), size)
+	}
+	f.reset()
+	quiet := f.window(t, size, "quiet", 2*time.Minute)
+	// An ordinary day has 273 changes of the fleet; these are 30 leaving marks in half a minute.
+	for i := range 30 {
+		members[i%size].MarkLeaving(core.UpstreamID(fmt.Sprintf("ledger-%d", i)), true)
+		time.Sleep(time.Second)
+	}
+	f.window(t, size, "busy", 30*time.Second)
+	cancel()
+	for range size {
+		assert.NilError(t, <-ends)
+	}
+	for _, c := range clients {
+		assert.NilError(t, c.Close())
+	}
+	for _, s := range f.servers {
+		s.closeAll()
+	}
+	f.conns.Wait()
+	assert.Assert(t, quiet < 5000, "%f bytes per second", quiet)
+}
+
+// window measures for a time and returns the bytes per second of one member on the wire.
+func (f *metered) window(t *testing.T, size int, name string, d time.Duration) float64 {
+	if name == "quiet" {
+		time.Sleep(d)
+	}
+	per := float64(size) * d.Seconds()
+	// Each byte is sent by one member and received by another one.
+	payload := 2 * float64(f.bytes.Load()) / per
+	// Each segment is acknowledged.
+	segments := 2*2*float64(f.writes.Load()) + 2*connectionSegments*float64(f.dials.Load())
+	wire := payload + segments*segmentHeader/per
+	t.Logf("%d members, %s: payload %.0f B/s, on the wire about %.0f B/s, %.1f calls/s made and as many served, %.2f connections/s opened",
+		size, name, payload, wire, float64(f.calls.Load())/per, float64(f.dials.Load())/per)
+	f.reset()
+	return wire
+}
