Refuse waiting requests early when they have lost their chance

Change: every 10 ms the newest requests of a kind are refused whose expected wait is more than twice the time that they have left. The benchmark shows the p90 of the time to a refusal.

--- a/bench/surge.go
+++ b/bench/surge.go
@@ -46,8 +46,8 @@
 	Name                           string
 	Offered, InTime, Late, Refused int64
 	P50Ms, P99Ms                   float64
-	// RefusedP50Ms is the median time after which a refusal is known.
-	RefusedP50Ms float64
+	// RefusedP50Ms and RefusedP90Ms are the times after which refusals are known.
+	RefusedP50Ms, RefusedP90Ms float64
 	// TxWaitP99Ms is the p99 time in the queue of a statement in an open transaction.
 	TxWaitP99Ms float64
 	// Kept is the number of answers in time as a share of that without a surge.
@@ -137,6 +137,7 @@
 		P50Ms:        float64(st.latency.ValueAtQuantile(50)) / perMs,
 		P99Ms:        float64(st.latency.ValueAtQuantile(99)) / perMs,
 		RefusedP50Ms: float64(st.refusal.ValueAtQuantile(50)) / perMs,
+		RefusedP90Ms: float64(st.refusal.ValueAtQuantile(90)) / perMs,
 		TxWaitP99Ms:  float64(st.txWait.ValueAtQuantile(99)) / perMs,
 		Kept:         1, P99Factor: 1,
 	}
@@ -153,16 +154,16 @@
 func printSurges(out io.Writer, reports []surgeReport, kinds bool) error {
 	// Flush returns the first error of all writes.
 	w := tabwriter.NewWriter(out, 0, 0, 1, ' ', tabwriter.AlignRight)
-	_, _ = fmt.Fprintln(w, "Company\tSurge\tPolicy\tName\tOffered\tInTime\tLate\tRefused\tP50Ms\tP99Ms\tRefusedP50Ms\tTxWaitP99Ms\tKept%\tP99x\tAsked%\tUseful%\t")
+	_, _ = fmt.Fprintln(w, "Company\tSurge\tPolicy\tName\tOffered\tInTime\tLate\tRefused\tP50Ms\tP99Ms\tRefusedP50Ms\tRefusedP90Ms\tTxWaitP99Ms\tKept%\tP99x\tAsked%\tUseful%\t")
 	for _, r := range reports {
 		lines := r.Ranks
 		if kinds {
 			lines = append(append([]surgeLine(nil), lines...), r.Kinds...)
 		}
 		for _, l := range lines {
-			_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.2f\t%.1f\t%.1f\t\n",
+			_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.2f\t%.1f\t%.1f\t\n",
 				r.Company, r.Surge, r.Policy, l.Name, l.Offered, l.InTime, l.Late, l.Refused,
-				l.P50Ms, l.P99Ms, l.RefusedP50Ms, l.TxWaitP99Ms, 100*l.Kept, l.P99Factor, 100*r.OfferedWork, 100*r.UsefulWork)
+				l.P50Ms, l.P99Ms, l.RefusedP50Ms, l.RefusedP90Ms, l.TxWaitP99Ms, 100*l.Kept, l.P99Factor, 100*r.OfferedWork, 100*r.UsefulWork)
 		}
 	}
 	if len(reports) > 0 {
--- a/core/queue/queue_test.go
+++ b/core/queue/queue_test.go
@@ -167,3 +167,28 @@
 		assert.Assert(t, served*service > offered*service/4*95/100, "%d served", served)
 	})
 }
+
+// Guards against requests that wait for the rest of their time although an upstream that stalls has
+// taken their chance.
+func TestWaitingRequestsAreRefusedEarly(t *testing.T) {
+	run(t, Config{Slots: 1, Policies: testRows()}, func(t *testing.T, q *Queue) {
+		assert.NilError(t, serve(q, &Item{Kind: "report"}, 100*time.Millisecond))
+		slot, err := q.Acquire(t.Context(), &Item{Kind: "report"})
+		assert.NilError(t, err)
+		const waiting = 8
+		refused := make(chan time.Duration, waiting)
+		start := time.Now()
+		for range waiting {
+			go func() {
+				assert.Check(t, serve(q, &Item{Kind: "report"}, 0) != nil)
+				refused <- time.Since(start)
+			}()
+			synctest.Wait()
+		}
+		assert.Assert(t, <-refused < 750*time.Millisecond)
+		for range waiting - 1 {
+			assert.Assert(t, <-refused <= time.Second+sweepTime)
+		}
+		slot.Release(false)
+	})
+}
--- a/core/queue/shares.go
+++ b/core/queue/shares.go
@@ -35,6 +35,8 @@
 type Shares struct {
 	base
 	at time.Time
+	// sweptAt is when Expire looked for items without a chance.
+	sweptAt time.Time
 	// credit is the slot time that a rank may claim ahead of more urgent ranks; negative if it has
 	// used more than its share.
 	credit [core.RankCount]time.Duration
--- a/core/queue/wait.go
+++ b/core/queue/wait.go
@@ -2,6 +2,10 @@
 
 import "time"
 
+// hopelessFactor is how far the expected wait of an item that already waits must exceed its time,
+// since a spell of long statements makes estimates too high for a while.
+const hopelessFactor = 2
+
 // expectedWait estimates the time until the waiting item starts. It is the lower of two bounds: how
 // long the kind's own work ahead takes at the rate that the kind is guaranteed or has had recently,
 // and how long that work and all work that goes first take in the slots that more urgent ranks leave. The first item of a kind is never expected to wait, so that a wrong estimate is corrected
@@ -12,11 +16,45 @@
 	if ahead == 0 {
 		return 0
 	}
+	return s.waitFor(now, k, ahead)
+}
+
+// waitFor estimates how long an item of the kind waits that has so many others of it ahead.
+func (s *Shares) waitFor(now time.Time, k *kindState, ahead int) time.Duration {
 	own := time.Duration(ahead) * k.service.value()
 	rate := max(s.guaranteed(k), k.served.slots(now))
 	return min(time.Duration(float64(own)/rate), s.waitBehindRanks(now, k, own))
 }
 
+// Expire takes out the items that can't start in time any more: those whose time is over, and at
+// regular times also those that others ahead will keep from starting in time.
+func (s *Shares) Expire(now time.Time) []*Item {
+	late := s.base.Expire(now)
+	if now.Sub(s.sweptAt) < sweepTime {
+		return late
+	}
+	s.sweptAt = now
+	for _, k := range s.list {
+		late = s.dropHopeless(now, k, late)
+	}
+	return late
+}
+
+// dropHopeless takes out the newest items of the kind whose expected wait is too long.
+func (s *Shares) dropHopeless(now time.Time, k *kindState, late []*Item) []*Item {
+	for n := len(k.plain) - 1; n > 0; n-- {
+		it := k.plain[n]
+		wait := s.waitFor(now, k, len(k.inTx)+n)
+		if !now.Add(wait / hopelessFactor).After(it.latest) {
+			return late
+		}
+		it.refusal = &Refusal{Reason: "the expected wait became too long", RetryAfter: now.Add(wait).Sub(it.latest)}
+		k.plain.remove(it)
+		late = append(late, it)
+	}
+	return late
+}
+
 // ahead returns how many items of the kind start before the item.
 func (k *kindState) ahead(it *Item) int {
 	n := position(k.inTx, it)
