--- a/core/queue/shares.go
+++ b/core/queue/shares.go
@@ -141,30 +141,22 @@
 	return time.Duration(shares[r] * float64(s.slots) * float64(d))
 }
 
-// pickRank returns the rank that goes first: of those with credit the one whose credit took longest
-// to accrue, otherwise the most urgent one.
 func (s *Shares) pickRank(waiting [core.RankCount]bool) (core.Rank, bool) {
-	first, best := -1, -1
+	first := -1
 	for r, ok := range waiting {
 		if !ok {
 			continue
 		}
+		if s.credit[r] > 0 {
+			return core.Rank(r), true
+		}
 		if first < 0 {
 			first = r
 		}
-		if s.credit[r] > 0 && (best < 0 || s.lag(r) > s.lag(best)) {
-			best = r
-		}
-	}
-	if best >= 0 {
-		return core.Rank(best), true
 	}
 	return core.Rank(max(first, 0)), first >= 0
 }
 
-// lag returns how long the rank's credit took to accrue.
-func (s *Shares) lag(r int) float64 { return float64(s.credit[r]) / shares[r] }
-
 // pickTx returns the kind whose statement of an open transaction goes before everything else, since
 // the transaction holds a connection and locks. A rank may run ahead of its share by txOverdraft
 // for this, and a kind ahead of the others of its rank, so that transactions don't take their
