Redirect new transactions on a replica, and stop reads on an old primary

A simple query that opens a transaction and then fails as read-only got neither the failure nor a redirect, and its transaction stayed open. A statement in an open transaction was answered by a primary that no majority knew any more. Ruled out: refusing COMMIT there too, since it is confirmed or reported as unknown. Change: a read-only failure with a transaction left open closes the connection and redirects; statements other than COMMIT and ROLLBACK need the term that the monitor knows, else they are refused as not run and the transaction is rolled back. A COMMIT or ROLLBACK outside of a transaction needs no read index.

--- a/core/owner/check.go
+++ b/core/owner/check.go
@@ -97,7 +97,7 @@
 // asked for current data.
 func (o *Owner) checkIndex(ctx context.Context, path Path, req *core.Request, t *target) error {
 	current := !t.primary && req.AcceptedAge <= 0
-	if req.Class == core.ClassWrite || !req.NeedIndex && !current {
+	if req.Class == core.ClassWrite || req.Class == core.ClassEnd || !req.NeedIndex && !current {
 		return nil
 	}
 	index, err := o.readIndex(ctx, path, req)
--- a/core/owner/fake_test.go
+++ b/core/owner/fake_test.go
@@ -33,6 +33,8 @@
 	service  time.Duration
 	// before is called in a connection's Run before the statement takes effect, after once it has.
 	before, after func(ctx context.Context, req *core.Request) error
+	// script, if set, replaces what a connection does.
+	script func(w core.ResponseWriter) (core.Result, error)
 
 	conns, maxConns, running, maxRunning, ran, rollbacks int
 	// effects counts by request how often a statement took effect.
@@ -117,6 +119,9 @@
 
 func (c *fakeConn) serve(ctx context.Context, req *core.Request, w core.ResponseWriter) (core.Result, error) {
 	u := c.u
+	if u.script != nil {
+		return u.script(w)
+	}
 	if u.before != nil {
 		if err := u.before(ctx, req); err != nil {
 			return core.Result{}, err
--- a/core/owner/owner_test.go
+++ b/core/owner/owner_test.go
@@ -407,3 +407,67 @@
 	}
 	assert.ErrorIs(t, err, errWithheld)
 }
+
+// Guards against a simple query that opens a transaction and then writes on a replica: the caller
+// would get neither the failure nor a redirect, and the transaction would stay open.
+func TestReadOnlyFailureInNewTransactionRedirects(t *testing.T) {
+	run(t, nil, func(t *testing.T, f *fixture) {
+		f.up.script = func(w core.ResponseWriter) (core.Result, error) {
+			failure := &pgproto3.ErrorResponse{Severity: "ERROR", Code: core.StateReadOnly, Message: "read-only"}
+			err := errors.Join(w.Send(&pgproto3.CommandComplete{CommandTag: []byte("BEGIN")}), w.Send(failure))
+			return core.Result{Status: core.TxFailed, Err: &core.SQLError{State: core.StateReadOnly}}, err
+		}
+		c := &caller{}
+		res, err := f.Execute(t.Context(), f.request(core.ClassBegin), c)
+		var redirect *core.RedirectError
+		assert.Assert(t, errors.As(err, &redirect), "%v", err)
+		assert.Assert(t, res.Tx == nil)
+		assert.Equal(t, len(c.received()), 0)
+		assert.Equal(t, f.State().Open, 0)
+	})
+}
+
+// Guards against stale reads inside a transaction on a primary that has lost its term, and against
+// a COMMIT there that is reported as anything else than unknown.
+func TestTransactionOnOldPrimary(t *testing.T) {
+	tests := map[core.Class]any{
+		core.ClassRead: new(*core.NotRunError),
+		core.ClassEnd:  new(*core.UnknownOutcomeError),
+	}
+	for class, want := range tests {
+		t.Run(class.String(), func(t *testing.T) {
+			run(t, nil, func(t *testing.T, f *fixture) {
+				res, err := f.Execute(t.Context(), f.request(core.ClassBegin), &caller{})
+				assert.NilError(t, err)
+				f.view.set(func(v *fakeView) {
+					v.known = false
+					v.confirm = func(context.Context, core.Position) error { return errReset }
+				})
+				req := f.request(class)
+				req.InTx = true
+				c := &caller{}
+				_, err = res.Tx.Run(t.Context(), req, c)
+				assert.Assert(t, errors.As(err, want), "%v", err)
+				assert.Equal(t, len(c.received()), 0)
+				assert.Equal(t, f.State().Open, 0)
+			})
+		})
+	}
+}
+
+// Guards against new work on a leaving upstream, and against a gap in the service before failover
+// has replaced a leaving primary.
+func TestLeavingPrimary(t *testing.T) {
+	run(t, nil, func(t *testing.T, f *fixture) {
+		f.leaving.Store(true)
+		_, err := f.Execute(t.Context(), f.request(core.ClassWrite), &caller{})
+		assert.NilError(t, err)
+		time.Sleep(defaultLeaveGrace)
+		_, err = f.Execute(t.Context(), f.request(core.ClassWrite), &caller{})
+		var redirect *core.RedirectError
+		assert.Assert(t, errors.As(err, &redirect), "%v", err)
+		f.leaving.Store(false)
+		_, err = f.Execute(t.Context(), f.request(core.ClassWrite), &caller{})
+		assert.NilError(t, err)
+	})
+}
--- a/core/owner/serve.go
+++ b/core/owner/serve.go
@@ -90,15 +90,19 @@
 		return core.Result{}, err
 	}
 	res.Upstream = o.id
+	if res.Status != core.TxIdle && !a.readOnly {
+		if !opens {
+			o.queue.BeginTx()
+		}
+		return o.leaveOpen(ctx, req, h, t.primary, res, a)
+	}
 	if res.Status == core.TxIdle {
 		h.Put()
-		o.endTx(opens)
-		return o.finish(ctx, path, req, res, a)
-	}
-	if !opens {
-		o.queue.BeginTx()
+	} else {
+		h.Discard()
 	}
-	return o.leaveOpen(ctx, req, h, res, a)
+	o.endTx(opens)
+	return o.finish(ctx, path, req, res, a)
 }
 
 // opensTx reports whether the request is expected to leave a transaction open.
--- a/core/owner/tx.go
+++ b/core/owner/tx.go
@@ -14,6 +14,8 @@
 // rolls the transaction back.
 type tx struct {
 	o *Owner
+	// primary tells that the transaction was opened because the upstream is the primary.
+	primary bool
 
 	mu sync.Mutex
 	h  *pool.Handle[core.Conn]
@@ -28,8 +30,8 @@
 
 // leaveOpen passes on the answer of a request that left a transaction open and hands over the
 // connection.
-func (o *Owner) leaveOpen(ctx context.Context, req *core.Request, h *pool.Handle[core.Conn], res core.Result, a *answer) (core.Result, error) {
-	t := &tx{o: o, h: h, used: time.Now()}
+func (o *Owner) leaveOpen(ctx context.Context, req *core.Request, h *pool.Handle[core.Conn], primary bool, res core.Result, a *answer) (core.Result, error) {
+	t := &tx{o: o, primary: primary, h: h, used: time.Now()}
 	o.metrics.transactions.Inc(1)
 	o.mu.Lock()
 	o.open[t] = struct{}{}
@@ -100,6 +102,10 @@
 	if err != nil {
 		return core.Result{}, err
 	}
+	if err := t.checkTerm(req); err != nil {
+		slot.Release(false)
+		return core.Result{}, err
+	}
 	res, err := t.o.runOn(ctx, PathTx, req, h, a)
 	slot.Release(err == nil)
 	var lost *lostError
@@ -109,6 +115,19 @@
 	return res, err
 }
 
+// checkTerm refuses statements once the upstream is no longer known to be the primary, since their
+// answers could be stale. COMMIT and ROLLBACK may go on: a commit is confirmed or its outcome is
+// unknown.
+func (t *tx) checkTerm(req *core.Request) error {
+	if !t.primary || req.Class == core.ClassEnd {
+		return nil
+	}
+	if err := t.o.checkTerm(core.Position{}); err != nil {
+		return req.Attempt.Refuse(core.StateUnavailable, "the transaction was rolled back: "+err.Error(), 0)
+	}
+	return nil
+}
+
 // pause passes on the answer of a statement that left the transaction open.
 func (t *tx) pause(a *answer) error {
 	if err := a.flush(); err != nil {
