Add the fault matrix and let a driver recheck before it prepares

The second driver got the lease just after the first one had released it, and decided on statuses that were up to 100 ms old. Ruled out: a longer lease, since the lease must not be needed; computing the term at prepare, which let the second driver step over the first one's term. The driver asks for new statuses after its delay and gives up if any upstream has promised a higher term; its term is fixed at the decision; prepare doesn't wait for a primary that is known to be silent.

--- a/core/elect/assess.go
+++ b/core/elect/assess.go
@@ -16,6 +16,8 @@
 	primary int
 	// term is the primary's term, or the term that a majority has promised if there is no primary.
 	term core.Term
+	// highest is the highest term that any upstream has promised or logged.
+	highest core.Term
 	// since is when the trouble began, ready whether it has lasted long enough to act on.
 	since time.Time
 	ready bool
@@ -23,11 +25,16 @@
 	repairs []int
 }
 
-// sameTrouble reports whether b still asks for the change that a asked for.
+// sameTrouble reports whether b still asks for the change that a asked for. A higher term anywhere
+// means that another driver is at work.
 func (a assessment) sameTrouble(b assessment) bool {
-	return b.ready && a.reason.class() == b.reason.class() && a.primary == b.primary && a.term == b.term
+	return b.ready && a.reason.class() == b.reason.class() &&
+		a.primary == b.primary && a.term == b.term && a.highest == b.highest
 }
 
+// failed reports whether the upstream is a primary that no longer answers.
+func (a assessment) failed(i int) bool { return i == a.primary && a.reason.class() == ReasonSilent }
+
 // standstill remembers since when a condition over terms has held unchanged.
 type standstill struct {
 	term  core.Term
@@ -49,6 +56,9 @@
 func (d *Driver) assess(now time.Time) assessment {
 	reports := d.cfg.View.Reports()
 	a := d.findPrimary(reports)
+	for _, r := range reports {
+		a.highest = max(a.highest, r.Status.Promised, r.Status.Log.Term)
+	}
 	switch {
 	case d.fresh(now, reports) < d.majority:
 		// A driver that reaches no majority can't complete a change and would only raise terms.
@@ -118,12 +128,8 @@
 // assessHeadless handles a group in which a majority has promised a term that has no primary: a
 // driver died between its steps, or the primary of that term can't be reached from here.
 func (d *Driver) assessHeadless(now time.Time, reports []quorum.Report, a *assessment) {
-	highest := core.Term(0)
-	for _, r := range reports {
-		highest = max(highest, r.Status.Promised)
-	}
 	a.reason = ReasonNone
-	a.since = d.headless.hold(now, highest)
+	a.since = d.headless.hold(now, a.highest)
 	a.ready = d.lasted(now, a.since, d.cfg.Timing.HeadlessAfter, reports)
 }
 
@@ -152,16 +158,26 @@
 	case now.Sub(p.ContactAt) >= t.SilentAfter:
 		a.reason = ReasonSilent
 		a.since = p.ContactAt
-		a.ready = d.lasted(now, a.since, t.SilentAfter, reports)
+		a.ready = d.lasted(now, a.since, t.SilentAfter, reports) && !d.contested(now, a)
 	case !p.RefusedSince.IsZero():
 		a.reason = ReasonRefused
 		a.since = p.RefusedSince
-		a.ready = d.lasted(now, a.since, t.RefusedAfter, reports)
+		a.ready = d.lasted(now, a.since, t.RefusedAfter, reports) && !d.contested(now, a)
 	case d.isFresh(now, p):
 		d.assessHealthy(now, reports, a)
 	}
 }
 
+// contested reports whether another driver has raised the terms so recently that it may still be
+// about to complete its change.
+func (d *Driver) contested(now time.Time, a *assessment) bool {
+	if a.highest == a.term || a.highest == d.highest {
+		d.contest.reset()
+		return false
+	}
+	return now.Sub(d.contest.hold(now, a.highest)) < d.cfg.Timing.HeadlessAfter
+}
+
 // assessHealthy handles a group whose primary works.
 func (d *Driver) assessHealthy(now time.Time, reports []quorum.Report, a *assessment) {
 	highest := a.term
--- a/core/elect/change.go
+++ b/core/elect/change.go
@@ -11,8 +11,14 @@
 	"snipewall/core"
 )
 
-// errNoMajority ends a change for which too few upstreams accepted prepare.
-var errNoMajority = errors.New("no majority accepted prepare")
+// Ends of a change that didn't happen.
+var (
+	errNoMajority  = errors.New("no majority answered")
+	errTroubleOver = errors.New("the trouble is over or another driver is at work")
+)
+
+// recheckTick is the time between looks at the answers of a recheck.
+const recheckTick = 2 * time.Millisecond
 
 // promise is an upstream's answer to prepare.
 type promise struct {
@@ -105,10 +111,10 @@
 		now := time.Now()
 		d.progress = now
 		if !a.sameTrouble(d.assess(now)) {
-			return errors.New("the trouble is over")
+			return errTroubleOver
 		}
 		if !now.Before(end) {
-			return nil
+			return d.recheck(ctx, a)
 		}
 		if !sleep(ctx, min(d.cfg.Timing.Tick, end.Sub(now))) {
 			return ctx.Err()
@@ -116,6 +122,37 @@
 	}
 }
 
+// recheck looks at statuses that were asked for after the wait. Idle polls can be 100 ms old, and
+// another driver completes a change in less.
+func (d *Driver) recheck(ctx context.Context, a assessment) error {
+	start := time.Now()
+	d.suspectAll()
+	for d.polledSince(start) < d.majority {
+		if time.Since(start) > d.cfg.Timing.CallTimeout {
+			return errNoMajority
+		}
+		if !sleep(ctx, recheckTick) {
+			return ctx.Err()
+		}
+	}
+	d.progress = time.Now()
+	if !a.sameTrouble(d.assess(d.progress)) {
+		return errTroubleOver
+	}
+	return nil
+}
+
+// polledSince counts the upstreams with a status from a poll that started after the time.
+func (d *Driver) polledSince(start time.Time) int {
+	n := 0
+	for _, r := range d.cfg.View.Reports() {
+		if r.Known && !r.PollAt.Before(start) {
+			n++
+		}
+	}
+	return n
+}
+
 func (d *Driver) askLease(ctx context.Context, term core.Term) (leaseAnswer, error) {
 	start := time.Now()
 	if err := d.enter(ctx, StepLease, term); err != nil {
@@ -130,29 +167,27 @@
 // gather picks the term and collects promises from a majority. A planned change first stops the
 // primary's commits and lets a replica catch up.
 func (d *Driver) gather(ctx context.Context, a assessment, c *Change) ([]promise, error) {
-	c.Term = d.nextTerm()
+	c.Term = d.nextTerm(a)
 	if a.reason != ReasonLeaving {
-		return d.prepare(ctx, c.Term, nil)
+		return d.prepare(ctx, a, c.Term, nil)
 	}
 	first, err := d.drain(ctx, a, c)
 	if err != nil {
 		return nil, err
 	}
-	return d.prepare(ctx, c.Term, first)
+	return d.prepare(ctx, a, c.Term, first)
 }
 
-// nextTerm returns a term above any that was seen or used.
-func (d *Driver) nextTerm() core.Term {
-	for _, r := range d.cfg.View.Reports() {
-		d.highest = max(d.highest, r.Status.Promised, r.Status.Log.Term)
-	}
-	d.highest++
+// nextTerm returns a term above any that was seen at the decision or used before. Terms that appeared
+// since belong to another driver: prepare is then refused, which lets that driver go on.
+func (d *Driver) nextTerm(a assessment) core.Term {
+	d.highest = max(d.highest, a.highest) + 1
 	return d.highest
 }
 
-// prepare sends prepare to all upstreams that are not in given. It returns the promises once all
-// have answered, or a majority has and the others had as long again.
-func (d *Driver) prepare(ctx context.Context, term core.Term, given []promise) ([]promise, error) {
+// prepare sends prepare to all upstreams that are not in given. It returns the promises once all that
+// are likely to answer have done so, or a majority has and the others had as long again.
+func (d *Driver) prepare(ctx context.Context, a assessment, term core.Term, given []promise) ([]promise, error) {
 	answers := make(chan promise, len(d.cfg.Upstreams))
 	start := time.Now()
 	waiting := 0
@@ -160,7 +195,9 @@
 		if len(given) > 0 && given[0].index == i {
 			continue
 		}
-		waiting++
+		if !a.failed(i) {
+			waiting++
+		}
 		d.call(ctx, i, answers, func(ctx context.Context, up core.Upstream) (core.UpstreamStatus, error) {
 			return up.Prepare(ctx, term)
 		})
@@ -169,9 +206,14 @@
 	var failures []error
 	grace := time.NewTimer(d.cfg.Timing.CallTimeout)
 	defer grace.Stop()
-	for ; waiting > 0; waiting-- {
+	for waiting > 0 {
 		select {
+		case <-grace.C:
+			waiting = 0
 		case p := <-answers:
+			if !a.failed(p.index) {
+				waiting--
+			}
 			if p.err != nil || p.status.Promised != term {
 				failures = append(failures, p.err)
 				continue
@@ -180,8 +222,6 @@
 			if len(promises) == d.majority {
 				grace.Reset(time.Since(start) + d.cfg.Timing.Tick)
 			}
-		case <-grace.C:
-			waiting = 1
 		}
 	}
 	if len(promises) < d.majority {
--- a/core/fakes/fault.go
+++ b/core/fakes/fault.go
@@ -26,9 +26,25 @@
 
 // Start starts the upstream's process again. A former primary still takes itself for the primary.
 func (g *Group) Start(id core.UpstreamID) {
-	g.with(id, func(n *node) {
-		n.down = false
-	})
+	g.with(id, func(n *node) { n.down = false })
+}
+
+// SetDown kills or starts the upstream.
+func (g *Group) SetDown(id core.UpstreamID, down bool) {
+	if down {
+		g.Kill(id)
+		return
+	}
+	g.Start(id)
+}
+
+// SetFrozen freezes or thaws the upstream.
+func (g *Group) SetFrozen(id core.UpstreamID, frozen bool) {
+	if frozen {
+		g.Freeze(id)
+		return
+	}
+	g.Thaw(id)
 }
 
 // Freeze stops the upstream's process until Thaw.
@@ -161,3 +177,42 @@
 		}
 	}
 }
+
+// Connected reports whether a majority of the upstreams work, exchange messages in both directions
+// with each other, and do so with one of the sites.
+func (g *Group) Connected(sites []string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, site := range sites {
+		var working []string
+		for _, n := range g.nodes {
+			id := string(n.info.ID)
+			if !n.down && n.thawed == nil && g.linkedLocked(site, id) {
+				working = append(working, id)
+			}
+		}
+		if g.clusterLocked(working) > len(g.nodes)/2 {
+			return true
+		}
+	}
+	return false
+}
+
+// clusterLocked returns the size of the largest set of upstreams that are all linked with one of them.
+func (g *Group) clusterLocked(ids []string) int {
+	largest := 0
+	for _, a := range ids {
+		n := 0
+		for _, b := range ids {
+			if a == b || g.linkedLocked(a, b) {
+				n++
+			}
+		}
+		largest = max(largest, n)
+	}
+	return largest
+}
+
+func (g *Group) linkedLocked(a, b string) bool {
+	return !g.cuts[route{a, b}] && !g.cuts[route{b, a}]
+}
--- a/core/fakes/group.go
+++ b/core/fakes/group.go
@@ -23,6 +23,8 @@
 	Processing time.Duration
 	// Blank starts the group without a primary. Otherwise u1 is primary of term 1.
 	Blank bool
+	// AnyTerm lets upstreams accept terms that they must refuse, to show that checks notice.
+	AnyTerm bool
 }
 
 // Entry is one entry of a log. The first entry of a term has no key.
--- a/core/fakes/remote.go
+++ b/core/fakes/remote.go
@@ -108,15 +108,13 @@
 
 // sleep waits and reports whether the group is still open.
 func (g *Group) sleep(d time.Duration) bool {
-	if d <= 0 {
-		return true
+	if d > 0 {
+		time.Sleep(d)
 	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
 	select {
 	case <-g.closed:
 		return false
-	case <-timer.C:
+	default:
 		return true
 	}
 }
@@ -136,7 +134,7 @@
 // Prepare implements core.Upstream. A primary of a lower term steps down.
 func (r *Remote) Prepare(ctx context.Context, term core.Term) (core.UpstreamStatus, error) {
 	a, err := r.call(ctx, CallPrepare, func(n *node) reply {
-		if term <= n.promised {
+		if term <= n.promised && !r.group.cfg.AnyTerm {
 			return reply{err: fmt.Errorf("prepare %d after %d: %w", term, n.promised, ErrTerm)}
 		}
 		n.promised = term
@@ -150,7 +148,7 @@
 // Promote implements core.Upstream.
 func (r *Remote) Promote(ctx context.Context, term core.Term) (core.UpstreamStatus, error) {
 	a, err := r.call(ctx, CallPromote, func(n *node) reply {
-		if n.promised != term {
+		if n.promised != term && !r.group.cfg.AnyTerm {
 			return reply{err: fmt.Errorf("promote %d after %d: %w", term, n.promised, ErrTerm)}
 		}
 		if n.role != core.RolePrimary || n.reign != term {
@@ -169,7 +167,7 @@
 // Follow implements core.Upstream.
 func (r *Remote) Follow(ctx context.Context, term core.Term, primary core.UpstreamInfo) (core.UpstreamStatus, error) {
 	a, err := r.call(ctx, CallFollow, func(n *node) reply {
-		if term < n.promised {
+		if term < n.promised && !r.group.cfg.AnyTerm {
 			return reply{err: fmt.Errorf("follow %d after %d: %w", term, n.promised, ErrTerm)}
 		}
 		if n.following != primary.ID || n.promised != term {
--- a/core/fakes/replicate.go
+++ b/core/fakes/replicate.go
@@ -34,7 +34,9 @@
 		if to.following != n.info.ID || g.cuts[route{string(n.info.ID), string(to.info.ID)}] {
 			continue
 		}
-		time.AfterFunc(g.cfg.Delay, func() { g.hear(n, to, reign) })
+		if g.cfg.Lag > 0 {
+			time.AfterFunc(g.cfg.Delay, func() { g.hear(n, to, reign) })
+		}
 		time.AfterFunc(g.cfg.Delay+g.cfg.Lag, func() { g.receive(n, to, reign, log) })
 	}
 }
@@ -62,6 +64,10 @@
 	if !g.followsLocked(n, to, reign) {
 		return
 	}
+	if g.cfg.Lag == 0 {
+		to.heard = true
+		to.heardAt = time.Now()
+	}
 	extends := len(to.log) > 0 && to.log[len(to.log)-1].Term == reign
 	if extends && len(log) <= len(to.log) {
 		return
--- a/core/quorum/view.go
+++ b/core/quorum/view.go
@@ -12,8 +12,8 @@
 	// Status is the last status, if Known.
 	Status core.UpstreamStatus
 	Known  bool
-	// At is when the answer with the status came.
-	At time.Time
+	// PollAt is when the poll that brought the status started, At when its answer came.
+	PollAt, At time.Time
 	// ContactAt is when the upstream last answered anything, even a refusal at its connection limit.
 	ContactAt time.Time
 	// RefusedSince is when the current run of refused connections began, or zero.
@@ -99,7 +99,7 @@
 	for i := range m.members {
 		mb := &m.members[i]
 		reports[i] = Report{
-			ID: mb.id, Status: mb.status, Known: mb.have, At: mb.gotAt,
+			ID: mb.id, Status: mb.status, Known: mb.have, PollAt: mb.pollAt, At: mb.gotAt,
 			ContactAt: mb.contactAt, RefusedSince: mb.refusedSince, Err: mb.err,
 		}
 	}
--- /dev/null
+++ b/matrix/check.go
@@ -0,0 +1,280 @@
+package matrix
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"snipewall/core"
+)
+
+// RecoveryLimit is how long a group with a connected majority may go without a confirmed write.
+const RecoveryLimit = 16 * time.Second
+
+// linearLimit bounds the search of the linearizability checker.
+const linearLimit = 20 * time.Second
+
+// Check is one invariant over a history.
+type Check struct {
+	Name string
+	Run  func(h History) error
+}
+
+// Checks returns all invariants.
+func Checks() []Check {
+	return []Check{
+		{"AcknowledgedKept", CheckAcknowledged},
+		{"NoOldPrimary", CheckOldPrimary},
+		{"ReadYourWrites", CheckReadYourWrites},
+		{"TermsForward", CheckTerms},
+		{"Recovered", CheckRecovered},
+		{"Repaired", CheckRepaired},
+		{"Linearizable", CheckLinearizable},
+	}
+}
+
+// CheckAll runs all invariants.
+func CheckAll(h History) error {
+	var failures []error
+	for _, c := range Checks() {
+		if err := c.Run(h); err != nil {
+			failures = append(failures, fmt.Errorf("%s: %w", c.Name, err))
+		}
+	}
+	return errors.Join(failures...)
+}
+
+// CheckAcknowledged reports an acknowledged write that the primary's log doesn't hold at its place.
+func CheckAcknowledged(h History) error {
+	log := h.Logs[h.Primary]
+	for _, op := range h.Ops {
+		if !op.Write || !op.Done {
+			continue
+		}
+		i := int(op.Position.Offset) - 1
+		if i < 0 || i >= len(log) || log[i].Value != op.Value || log[i].Term != op.Position.Term {
+			return fmt.Errorf("write of %d at %s is lost; %s is primary", op.Value, op.Position, h.Primary)
+		}
+	}
+	return nil
+}
+
+// CheckOldPrimary reports a write that was acknowledged under a term although a write of a higher
+// term had been acknowledged before it began.
+func CheckOldPrimary(h History) error {
+	writes := acknowledged(h)
+	first := make(map[core.Term]Op)
+	for _, op := range writes {
+		if f, ok := first[op.Position.Term]; !ok || op.End.Before(f.End) {
+			first[op.Position.Term] = op
+		}
+	}
+	for _, op := range writes {
+		for term, other := range first {
+			if term > op.Position.Term && other.End.Before(op.Start) {
+				return fmt.Errorf("write of %d acknowledged at %s, after one at %s", op.Value, op.Position, other.Position)
+			}
+		}
+	}
+	return nil
+}
+
+func acknowledged(h History) []Op {
+	var ops []Op
+	for _, op := range h.Ops {
+		if op.Write && op.Done {
+			ops = append(ops, op)
+		}
+	}
+	return ops
+}
+
+// CheckReadYourWrites reports a read whose index doesn't cover a write acknowledged before it began.
+// Any two operations can belong to one session, on any entry VMs.
+func CheckReadYourWrites(h History) error {
+	writes := acknowledged(h)
+	slices.SortFunc(writes, func(a, b Op) int { return a.End.Compare(b.End) })
+	for _, op := range h.Ops {
+		if op.Write || !op.Done {
+			continue
+		}
+		for _, write := range writes {
+			if !write.End.Before(op.Start) {
+				break
+			}
+			if !op.Position.Covers(write.Position) {
+				return fmt.Errorf("read at %s after the write at %s", op.Position, write.Position)
+			}
+		}
+	}
+	return nil
+}
+
+// CheckTerms reports a term with two primaries and an entry VM whose term or confirmed position went
+// back.
+func CheckTerms(h History) error {
+	for term, ids := range h.Reigns {
+		if len(ids) > 1 {
+			return fmt.Errorf("term %d has the primaries %v", term, ids)
+		}
+	}
+	last := make(map[string]Sighting)
+	for _, s := range h.Sightings {
+		before := last[s.Site]
+		if s.Term < before.Term || s.Confirmed.Less(before.Confirmed) {
+			return fmt.Errorf("%s saw term %d, confirmed %s after term %d, confirmed %s",
+				s.Site, s.Term, s.Confirmed, before.Term, before.Confirmed)
+		}
+		if s.Term == before.Term && s.Primary != before.Primary {
+			return fmt.Errorf("%s saw %s and %s in term %d", s.Site, before.Primary, s.Primary, s.Term)
+		}
+		last[s.Site] = s
+	}
+	return nil
+}
+
+// CheckRecovered reports a stretch of RecoveryLimit with a connected majority and without an
+// acknowledged write.
+func CheckRecovered(h History) error {
+	marks := []time.Time{h.End}
+	for _, op := range acknowledged(h) {
+		marks = append(marks, op.End)
+	}
+	for _, c := range h.Connected {
+		if !c.Majority {
+			marks = append(marks, c.At)
+		}
+	}
+	slices.SortFunc(marks, time.Time.Compare)
+	since := time.Time{}
+	for i, c := range h.Connected {
+		if c.Majority == (i > 0 && h.Connected[i-1].Majority) {
+			continue
+		}
+		if !c.Majority {
+			continue
+		}
+		since = c.At
+		if gap := longestGap(marks, since, disconnected(h, i)); gap > RecoveryLimit {
+			return fmt.Errorf("no acknowledged write for %s with a connected majority", gap)
+		}
+	}
+	if since.IsZero() {
+		return errors.New("no majority was ever connected")
+	}
+	return nil
+}
+
+// disconnected returns when the connection that began at i ended.
+func disconnected(h History, i int) time.Time {
+	for _, c := range h.Connected[i:] {
+		if !c.Majority {
+			return c.At
+		}
+	}
+	return h.End
+}
+
+// longestGap returns the longest time between marks from start to end.
+func longestGap(marks []time.Time, start, end time.Time) time.Duration {
+	longest := time.Duration(0)
+	last := start
+	for _, m := range marks {
+		if m.Before(start) || m.After(end) {
+			continue
+		}
+		longest = max(longest, m.Sub(last))
+		last = m
+	}
+	return max(longest, end.Sub(last))
+}
+
+// CheckRepaired reports an upstream that doesn't follow the primary at the end.
+func CheckRepaired(h History) error {
+	primary, ok := h.States[h.Primary]
+	if !ok {
+		return errors.New("no primary at the end")
+	}
+	for id, s := range h.States {
+		if id == h.Primary {
+			continue
+		}
+		if s.Role != core.RoleReplica || s.Promised != primary.Promised || s.Log.Term != primary.Log.Term {
+			return fmt.Errorf("%s is %s in term %d at %s, the primary %s is at %s",
+				id, s.Role, s.Promised, s.Log, h.Primary, primary.Log)
+		}
+	}
+	return nil
+}
+
+// input is an operation on a register for the linearizability checker.
+type input struct {
+	key   string
+	write bool
+	value int
+}
+
+// register models keys that each hold one value, 0 at first.
+var register = porcupine.Model{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		byKey := make(map[string][]porcupine.Operation)
+		for _, op := range history {
+			key := op.Input.(input).key
+			byKey[key] = append(byKey[key], op)
+		}
+		var parts [][]porcupine.Operation
+		for _, ops := range byKey {
+			parts = append(parts, ops)
+		}
+		return parts
+	},
+	Init: func() any { return 0 },
+	Step: func(state, in, out any) (bool, any) {
+		if op := in.(input); op.write {
+			return true, op.value
+		}
+		return out.(int) == state.(int), state
+	},
+}
+
+// CheckLinearizable reports a history of acknowledged writes and reads that no order of a register
+// explains. A write with an unknown outcome takes part if some read saw it, with an open end.
+func CheckLinearizable(h History) error {
+	seen := make(map[int]bool)
+	for _, op := range h.Ops {
+		if !op.Write {
+			seen[op.Value] = true
+		}
+	}
+	var history []porcupine.Operation
+	start := h.End
+	for _, op := range h.Ops {
+		if op.Start.Before(start) {
+			start = op.Start
+		}
+	}
+	for _, op := range h.Ops {
+		end := op.End
+		if !op.Done {
+			if !seen[op.Value] {
+				continue
+			}
+			end = h.End.Add(time.Hour)
+		}
+		history = append(history, porcupine.Operation{
+			ClientId: op.Client, Input: input{op.Key, op.Write, op.Value}, Output: op.Value,
+			Call: op.Start.Sub(start).Nanoseconds(), Return: end.Sub(start).Nanoseconds(),
+		})
+	}
+	switch porcupine.CheckOperationsTimeout(register, history, linearLimit) {
+	case porcupine.Illegal:
+		return errors.New("history is not linearizable")
+	case porcupine.Unknown:
+		return fmt.Errorf("linearizability of %d operations not decided within %s", len(history), linearLimit)
+	default:
+		return nil
+	}
+}
--- /dev/null
+++ b/matrix/gap_test.go
@@ -0,0 +1,115 @@
+package matrix
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"snipewall/core"
+)
+
+var gapRuns = flag.Uint64("matrix.runs", 25, "runs per failover gap")
+
+// Guards against a failover gap above the target of 2 s at p99.
+func TestFailoverGap(t *testing.T) {
+	faults := map[string]func(w *World, id core.UpstreamID){
+		"Kill":    func(w *World, id core.UpstreamID) { w.Group.Kill(id) },
+		"Isolate": func(w *World, id core.UpstreamID) { w.Group.Isolate(id, true, w.Sites()...) },
+		"Freeze":  func(w *World, id core.UpstreamID) { w.Group.Freeze(id) },
+	}
+	for name, fault := range faults {
+		for _, delay := range []time.Duration{500 * time.Microsecond, 12 * time.Millisecond} {
+			for _, platform := range []string{"Up", "Down"} {
+				t.Run(fmt.Sprintf("%s/%s/Platform%s", name, delay, platform), func(t *testing.T) {
+					t.Parallel()
+					gaps := measureGaps(t, delay, platform == "Down", fault)
+					t.Log(gaps)
+					assert.Assert(t, gaps.Quantile("Writers", 0.99) < 2*time.Second, "%s", gaps)
+				})
+			}
+		}
+	}
+}
+
+func measureGaps(t *testing.T, delay time.Duration, down bool, fault func(*World, core.UpstreamID)) *Gaps {
+	gaps := &Gaps{}
+	for seed := range *gapRuns {
+		// Writers with a deadline of 100 ms probe the group; a longer one would add up to its own length.
+		cfg := WorldConfig{
+			Seed: seed, Delay: delay, Clients: 1, Every: 20 * time.Millisecond, WriteDeadline: 100 * time.Millisecond,
+		}
+		synctest.Test(t, func(t *testing.T) {
+			w := NewWorld(cfg)
+			w.Store.SetDown(down)
+			time.Sleep(warmTime + time.Duration(rand.New(rand.NewPCG(seed, 3)).Int64N(int64(200*time.Millisecond))))
+			w.busy()
+			fault(w, "u1")
+			time.Sleep(busyTime)
+			w.Group.Heal()
+			time.Sleep(busyTime / 2)
+			h := w.Close()
+			if len(h.Changes) != 1 {
+				t.Errorf("seed %d: %d changes: %+v", seed, len(h.Changes), h.Changes)
+				return
+			}
+			if err := CheckAll(h); err != nil {
+				t.Errorf("seed %d: %v", seed, err)
+			}
+			gaps.Add(h.Changes[0], WriteGap(h))
+		})
+	}
+	return gaps
+}
+
+// Guards against a change of primary because of periods shorter than 1 s in which an upstream is 10
+// times slower, stands still or can't be reached.
+func TestShortTroubleKeepsPrimary(t *testing.T) {
+	troubles := map[string]func(w *World, id core.UpstreamID, on bool){
+		"Slow": func(w *World, id core.UpstreamID, on bool) {
+			factor := 1
+			if on {
+				factor = slowFactor
+			}
+			w.Group.Slow(id, factor)
+		},
+		"Freeze":  func(w *World, id core.UpstreamID, on bool) { w.Group.SetFrozen(id, on) },
+		"Isolate": func(w *World, id core.UpstreamID, on bool) { w.Group.Isolate(id, on, w.Sites()...) },
+	}
+	for name, trouble := range troubles {
+		for _, delay := range []time.Duration{500 * time.Microsecond, 12 * time.Millisecond} {
+			t.Run(fmt.Sprintf("%s/%s", name, delay), func(t *testing.T) {
+				t.Parallel()
+				changes, spells := troubledHour(t, delay, trouble)
+				t.Logf("%d changes of primary in %d short spells within a simulated hour", changes, spells)
+				assert.Equal(t, changes, 0)
+			})
+		}
+	}
+}
+
+func troubledHour(t *testing.T, delay time.Duration, trouble func(*World, core.UpstreamID, bool)) (int, int) {
+	var h History
+	spells := 0
+	synctest.Test(t, func(*testing.T) {
+		w := NewWorld(WorldConfig{Seed: 9, Delay: delay, Processing: 5 * time.Millisecond, Clients: 1, Every: 2 * time.Second})
+		random := rand.New(rand.NewPCG(9, 4))
+		time.Sleep(warmTime)
+		for end := time.Now().Add(time.Hour); time.Now().Before(end); spells++ {
+			// Every other spell strikes the primary.
+			id := w.Group.IDs()[random.IntN(2)*random.IntN(3)]
+			trouble(w, id, true)
+			time.Sleep(time.Duration(random.Int64N(int64(999 * time.Millisecond))))
+			trouble(w, id, false)
+			// Spells that nearly touch would add up to more than 1 s.
+			time.Sleep(500*time.Millisecond + time.Duration(random.Int64N(int64(4*time.Second))))
+		}
+		h = w.Close()
+	})
+	assert.NilError(t, CheckAcknowledged(h))
+	return len(h.Reigns) - 1, spells
+}
--- /dev/null
+++ b/matrix/matrix_test.go
@@ -0,0 +1,53 @@
+package matrix
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+var seedFlag = flag.Uint64("matrix.seed", 1, "base seed of the matrix")
+
+// Guards against a fault at any step of a change of primary that loses an acknowledged write, lets an
+// old primary acknowledge one, shows old data to a session or leaves the group without a primary.
+func TestMatrix(t *testing.T) {
+	var passed, failed atomic.Int64
+	var mu sync.Mutex
+	t.Run("Cells", func(t *testing.T) {
+		for _, c := range Cells(*seedFlag) {
+			t.Run(c.Name(), func(t *testing.T) {
+				t.Parallel()
+				var h History
+				var err error
+				synctest.Test(t, func(*testing.T) { h, err = c.Run(cellWorld(c.Seed)) })
+				mu.Lock()
+				defer mu.Unlock()
+				if err != nil {
+					failed.Add(1)
+					fmt.Printf("FAIL %s seed %d: %v\n", c.Name(), c.Seed, err)
+					t.Errorf("seed %d: %v", c.Seed, err)
+					return
+				}
+				passed.Add(1)
+				fmt.Printf("ok   %s seed %d: %d operations, %d changes\n", c.Name(), c.Seed, len(h.Ops), len(h.Changes))
+			})
+		}
+	})
+	fmt.Printf("%d passed, %d failed\n", passed.Load(), failed.Load())
+}
+
+// cellWorld varies the distances and the lag with the seed.
+func cellWorld(seed uint64) WorldConfig {
+	random := rand.New(rand.NewPCG(seed, 2))
+	delays := []time.Duration{500 * time.Microsecond, 1500 * time.Microsecond, 12 * time.Millisecond}
+	lags := []time.Duration{0, 20 * time.Millisecond, 200 * time.Millisecond}
+	return WorldConfig{
+		Delay: delays[random.IntN(len(delays))], Lag: lags[random.IntN(len(lags))],
+		Clients: 2, Every: 100 * time.Millisecond,
+	}
+}
