--- a/core/stmt/classify_test.go
+++ b/core/stmt/classify_test.go
@@ -27,7 +27,7 @@
 			"set transaction read only", "set local role x", "select set_config('a', 'b', true)",
 			"select a::varchar(10) from t", "select U&'\\0441', b'1', x'f', n'x'", "", ";",
 			"select 1; select 2;", "select a from t tablesample system (10)",
-			"select count /* a */ (*) from t", "select pg_sleep (1), random(), clock_timestamp()",
+			"select count /* a */ (*) from t", "select random (), clock_timestamp()",
 		},
 		core.ClassWrite: {
 			"insert into t values (1)", "update t set a = 1", "delete from t", "merge into t using s",
@@ -35,7 +35,7 @@
 			"select * from t for key share", "select a into b from t",
 			"with x as (insert into t values (1) returning *) select * from x",
 			"with x as (delete from t) select 1", "select nextval('s')", "select setval('s', 1)",
-			"select charge(4)", "select public.lower(x)", "select \"lower\"(x)", "select setseed (1)",
+			"select charge(4)", "select public.lower(x)", "select \"lower\"(x)", "select setseed (1)", "select pg_sleep(1)",
 			"select count/* a */(*), charge -- b\n (4)", "select pg_advisory_xact_lock(1)",
 			"create table t (a int)", "drop table t", "truncate t", "alter table t add b int", "call p()",
 			"close (; insert into t values (1)", "do $$ begin commit; end $$", "vacuum t", "lock table t", "grant select on t to x",
--- a/core/stmt/harmless.go
+++ b/core/stmt/harmless.go
@@ -56,7 +56,7 @@
 		jsonb_to_record jsonb_to_recordset jsonb_typeof plainto_tsquery row_to_json setweight
 		to_json to_jsonb to_tsquery to_tsvector ts_headline ts_rank ts_rank_cd
 		websearch_to_tsquery`
-	volatile = `clock_timestamp gen_random_uuid pg_sleep random timeofday`
+	volatile = `clock_timestamp gen_random_uuid random timeofday`
 	catalog  = `col_description current_database current_schema current_schemas current_setting
 		current_user format_type has_schema_privilege has_table_privilege obj_description
 		pg_encoding_to_char pg_get_constraintdef pg_get_expr pg_get_functiondef pg_get_indexdef
