Leave no failed block behind when Flush can't open its transaction

Cause: a test of the transaction that the listener opens for a batch with Flush found that the caller was left in a failed transaction block if its BEGIN was lost and more had been sent behind it. The caller had sent no BEGIN and would have had to send a ROLLBACK. Ruled out: dropping the rule for a BEGIN that fails with more behind it, which a caller's own BEGIN needs. Change: units that the listener adds are marked. Tests for the failures of that transaction, an upstream that ends its connection, a removed kind, and a lack of descriptors on accept. Conclusion: the caller's transaction status follows its own statements only.

--- a/io/front/session_test.go
+++ b/io/front/session_test.go
@@ -107,3 +107,76 @@
 	}
 	return pgErr.Position
 }
+
+// failClass is a hook that loses the requests of a class.
+func failClass(class core.Class) hook {
+	return func(_ context.Context, req *core.Request, _ core.ResponseWriter) (core.Result, bool, error) {
+		if req.Class != class {
+			return core.Result{}, false, nil
+		}
+		req.Attempt.MarkSent()
+		return core.Result{}, true, errors.New("reset")
+	}
+}
+
+// A batch that Flush cuts runs in a transaction of the listener, whose failures the caller must
+// learn, although it sent neither BEGIN nor COMMIT.
+func TestFlushTransactionFails(t *testing.T) {
+	for name, tc := range map[string]struct {
+		class core.Class
+		state string
+	}{
+		"begin":  {core.ClassBegin, "40003"},
+		"middle": {core.ClassWrite, "40003"},
+		"commit": {core.ClassEnd, "08007"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			srv := startServer(t)
+			d := newDialogue(t, srv, nil)
+			d.ready(1)
+			srv.router.setHook(failClass(tc.class))
+			d.send(join(run("insert into t values (1)"), flushMsg, run("insert into t values (2)"), syncMsg)...)
+			d.ready(1)
+			assert.Assert(t, strings.Contains(d.out.String(), "ERROR "+tc.state), d.out.String())
+			assert.Assert(t, strings.HasSuffix(strings.Split(d.out.String(), "U\t")[0], " I\n"), d.out.String())
+			srv.router.setHook(nil)
+			d.exchange("after", query("insert into t values (3)"))
+			assert.Assert(t, !srv.router.last().InTx)
+		})
+	}
+}
+
+// An upstream that ends its connection with an error must not end the caller's.
+func TestUpstreamFatal(t *testing.T) {
+	srv := startServer(t)
+	srv.router.setHook(func(_ context.Context, _ *core.Request, w core.ResponseWriter) (core.Result, bool, error) {
+		return core.Result{Status: core.TxIdle}, true, w.Send(&pgproto3.ErrorResponse{Severity: "FATAL", Code: "57P01"})
+	})
+	conn := srv.connect(t, "")
+	_, err := conn.Exec(t.Context(), "select 1")
+	assert.Equal(t, stateOf(err), "57P01")
+	srv.router.setHook(nil)
+	_, err = conn.Exec(t.Context(), "select 1")
+	assert.NilError(t, err)
+}
+
+// Removing a kind from the table must not stop its callers, and must not let them read old data.
+func TestRemovedKind(t *testing.T) {
+	table := fakePolicies{"quote": {Kind: "quote"},
+		"booking": {Kind: "booking", Rank: core.RankUrgent, AcceptedAge: time.Hour, Idempotent: true}}
+	srv := startServer(t, func(c *Config) { c.Policies = table })
+	conn := srv.connect(t, "&snipewall.kind=quote")
+	request := func() *core.Request {
+		_, err := conn.Exec(t.Context(), "select 1")
+		assert.NilError(t, err)
+		return srv.router.last()
+	}
+	assert.Equal(t, request().Kind, core.Kind("quote"))
+	delete(table, "quote")
+	req := request()
+	assert.Equal(t, req.Kind, core.Kind("booking"))
+	assert.Equal(t, req.AcceptedAge, time.Duration(0))
+	assert.Assert(t, !req.Idempotent)
+	delete(table, "booking")
+	assert.Equal(t, request().Rank, core.RankLast)
+}
--- a/io/front/startup_test.go
+++ b/io/front/startup_test.go
@@ -1,9 +1,12 @@
 package front
 
 import (
+	"encoding/json"
 	"io"
 	"net"
+	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -103,3 +106,29 @@
 	assert.Equal(t, exchange(query("select 1")), int32(1))
 	assert.NilError(t, here.Close())
 }
+
+// failingListener fails with EMFILE before it accepts.
+type failingListener struct {
+	net.Listener
+	failures atomic.Int32
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if l.failures.Add(-1) >= 0 {
+		return nil, &net.OpError{Op: "accept", Err: syscall.EMFILE}
+	}
+	return l.Listener.Accept()
+}
+
+// A process that runs out of descriptors must accept again once some are free.
+func TestAcceptRetries(t *testing.T) {
+	srv := startServer(t, func(c *Config) {
+		l := &failingListener{Listener: c.Listener}
+		l.failures.Store(2)
+		c.Listener = l
+	})
+	srv.connect(t, "")
+	dump, err := json.Marshal(srv.Dump())
+	assert.NilError(t, err)
+	assert.Assert(t, strings.HasPrefix(string(dump), `{"Connections":1,`), "%s", dump)
+}
--- a/io/front/sync.go
+++ b/io/front/sync.go
@@ -64,6 +64,7 @@
 // beginImplicit opens the transaction of a batch that is cut by Flush.
 func (s *session) beginImplicit(a *answer) bool {
 	u := unit{
+		own:      true,
 		info:     stmt.Info{Class: core.ClassBegin, Statements: 1, Begins: true},
 		messages: []pgproto3.FrontendMessage{&pgproto3.Query{String: "BEGIN"}},
 	}
@@ -82,7 +83,7 @@
 	if !s.implicit || s.tx == nil {
 		return
 	}
-	u := unit{info: stmt.Info{Class: core.ClassEnd, Statements: 1, Ends: true, Commits: true},
+	u := unit{own: true, info: stmt.Info{Class: core.ClassEnd, Statements: 1, Ends: true, Commits: true},
 		messages: []pgproto3.FrontendMessage{&pgproto3.Query{String: "COMMIT"}}}
 	if a.failed || s.txStatus == core.TxFailed {
 		s.endTx()
--- a/io/front/unit.go
+++ b/io/front/unit.go
@@ -16,7 +16,9 @@
 	info stmt.Info
 	tags stmt.Tags
 	// blind tells that the unit executes a portal of an earlier batch, which may hold any statement.
-	blind    bool
+	blind bool
+	// own tells that the listener added the unit, which opens no transaction block for the caller.
+	own      bool
 	messages []pgproto3.FrontendMessage
 	prepared map[string]*pgproto3.Parse
 }
@@ -94,7 +96,7 @@
 	if u.info.Ends {
 		return
 	}
-	s.failed = explicit || !inTx && u.info.Begins && s.rd.buffered() > 0
+	s.failed = explicit || !inTx && !u.own && u.info.Begins && s.rd.buffered() > 0
 }
 
 // request builds the request of the unit from the state of the session and the kind's policy.
