--- a/io/front/unit.go
+++ b/io/front/unit.go
@@ -20,8 +20,10 @@
 	// preparesWrite tells that the unit prepares or describes a write. It runs nothing, but must see
 	// the tables that the write will see.
 	preparesWrite bool
-	messages      []pgproto3.FrontendMessage
-	prepared      map[string]*pgproto3.Parse
+	// own tells that the listener added the unit, which opens no transaction block for the caller.
+	own      bool
+	messages []pgproto3.FrontendMessage
+	prepared map[string]*pgproto3.Parse
 }
 
 // run executes the unit and puts the answer, except ReadyForQuery, into a. It returns true if the
@@ -97,7 +99,7 @@
 	if u.info.Ends {
 		return
 	}
-	s.failed = explicit || !inTx && u.info.Begins && s.rd.buffered() > 0
+	s.failed = explicit || !inTx && !u.own && u.info.Begins && s.rd.buffered() > 0
 }
 
 // request builds the request of the unit from the state of the session and the kind's policy.
