--- a/core/owner/tx.go
+++ b/core/owner/tx.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/go-kit/log/level"
+
 	"snipewall/core"
 	"snipewall/core/pool"
 )
@@ -200,6 +202,7 @@
 		idle := t.cancel == nil && now.Sub(t.used) >= o.cfg.TxIdle
 		t.mu.Unlock()
 		if idle {
+			_ = level.Info(o.cfg.Log).Log("Message", "idle transaction rolled back", "Upstream", o.id)
 			_ = t.Close()
 		}
 	}
--- a/core/queue/queue_test.go
+++ b/core/queue/queue_test.go
@@ -150,7 +150,9 @@
 			go func() {
 				defer func() { ended <- struct{}{} }()
 				slot, err := q.Acquire(t.Context(), &Item{Kind: "report"})
-				if err != nil {
+				var refusal *Refusal
+				if errors.As(err, &refusal) {
+					assert.Check(t, refusal.RetryAfter > 0, "hint %v", refusal.RetryAfter)
 					return
 				}
 				time.Sleep(service)
--- a/core/queue/shares.go
+++ b/core/queue/shares.go
@@ -66,7 +66,7 @@
 	if wait := s.expectedWait(now, it); wait > limit {
 		s.Remove(it)
 		it.state.overAt = now
-		return &Refusal{Reason: "the expected wait is too long", RetryAfter: now.Add(wait).Sub(it.latest)}
+		return &Refusal{Reason: "the expected wait is too long", RetryAfter: wait - limit}
 	}
 	if it.state.policy.Rank == core.RankUrgent {
 		s.urgentAt = now
