Classify EXPLAIN by its statement, and unreserved words as functions

Words such as next, first, last, system, filter and over were taken for keywords before a parenthesis, although an application can have functions of these names. Ruled out: taking every EXPLAIN as a write, since plans of reads are asked for often. Change: EXPLAIN is classified by the statement behind its options; words that can name a function are accepted only where the grammar has the keyword.

--- a/core/stmt/classify.go
+++ b/core/stmt/classify.go
@@ -21,7 +21,9 @@
 
 	beginsRead bool
 	// alias tells that the previous word is one after which an alias with a column list may stand.
-	alias  bool
+	alias bool
+	// closed tells that the previous token is a closing parenthesis.
+	closed bool
 	remote int
 }
 
@@ -99,8 +101,10 @@
 // first dispatches on the first word of a statement.
 func (c *classifier) first() {
 	switch string(c.wordOf()) {
-	case "select", "with", "values", "table", "explain":
+	case "select", "with", "values", "table":
 		c.query()
+	case "explain":
+		c.explain()
 	case "begin":
 		c.advance()
 		c.begin()
@@ -171,6 +175,37 @@
 	c.scan()
 }
 
+// explain classifies EXPLAIN like the statement that it may execute.
+func (c *classifier) explain() {
+	c.advance()
+	if c.acceptPunct('(') {
+		for depth := 1; depth > 0 && c.tok.kind != tokenEnd && c.tok.kind != tokenBroken; c.advance() {
+			switch {
+			case c.tok.kind != tokenPunct:
+			case c.tok.punct == '(':
+				depth++
+			case c.tok.punct == ')':
+				depth--
+			}
+		}
+	}
+	for c.accept("analyze") || c.accept("analyse") || c.accept("verbose") {
+		continue
+	}
+	switch string(c.wordOf()) {
+	case "select", "with", "values", "table":
+		c.query()
+	case "execute":
+		c.refuse(errPrepare)
+	default:
+		if c.tok.kind == tokenPunct && c.tok.punct == '(' {
+			c.query()
+			return
+		}
+		c.write()
+	}
+}
+
 func (c *classifier) begin() {
 	if c.info.Ends {
 		c.refuse(errTwoTransactions)
--- a/core/stmt/harmless.go
+++ b/core/stmt/harmless.go
@@ -16,15 +16,13 @@
 }()
 
 const (
-	keywords = `all and any array as between by case cast coalesce cross cube distinct else end
-		escape except exists filter first for from full greatest group grouping having ilike in
-		inner intersect is isnull join last lateral least left like limit materialized natural not
-		notnull nullif offset on only operator or order ordinality outer over overlaps partition
-		range recursive right rollup row rows select set sets similar some tablesample then to
-		union using values variadic when where window with within xmlelement xmlforest explain
-		analyze verbose fetch next explain returning bernoulli system table`
-	types = `bit bpchar char character dec decimal float interval numeric time timestamp
-		timestamptz timetz varbit varchar varying`
+	// Words that can also name a function of the application, such as next or first, aren't listed.
+	keywords = `all and any array as between by case cast coalesce cube distinct else except exists
+		from greatest group grouping having ilike in intersect join lateral least like limit
+		materialized not nullif offset on only operator or overlaps rollup row select sets some
+		then to union using values variadic when where with xmlelement xmlforest`
+	types = `bit bool bpchar char character date dec decimal float float8 int4 int8 interval numeric text
+		time timestamp timestamptz timetz varbit varchar varying`
 	aggregates = `array_agg avg bit_and bit_or bool_and bool_or corr count covar_pop covar_samp
 		cume_dist dense_rank every first_value json_agg json_object_agg jsonb_agg jsonb_object_agg
 		lag last_value lead max min mode nth_value ntile percent_rank percentile_cont
--- a/core/stmt/query.go
+++ b/core/stmt/query.go
@@ -22,7 +22,7 @@
 			if !prevDot {
 				schema = c.tok
 			}
-			prevDot = false
+			prevDot, c.closed = false, false
 		case tokenPunct:
 			switch c.tok.punct {
 			case ';':
@@ -35,9 +35,10 @@
 				depth--
 			}
 			prevDot = c.tok.punct == '.'
+			c.closed = c.tok.punct == ')'
 			c.alias, prevInto = false, false
 		default:
-			prevDot, c.alias, prevInto = false, false, false
+			prevDot, prevInto, c.alias, c.closed = false, false, false, false
 		}
 		c.advance()
 	}
@@ -60,7 +61,7 @@
 			return false
 		}
 		switch string(name) {
-		case "as", "with", "recursive":
+		case "as", "with", "recursive", "tablesample":
 			c.alias = true
 		case "insert", "update", "delete", "merge", "share":
 			c.info.Writes = true
@@ -74,6 +75,11 @@
 		return false
 	}
 	known := name != nil && harmless[string(name)]
+	switch string(name) {
+	case "filter", "over":
+		// They follow a call of an aggregate; elsewhere they can name a function.
+		known = c.closed && !qualified
+	}
 	if qualified {
 		var buf [maxWord]byte
 		known = known && schema.kind == tokenWord &&
