--- /dev/null
+++ b/core/queue/queue_test.go
@@ -0,0 +1,196 @@
+package queue
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"snipewall/core"
+)
+
+// rows is a table that a test can change.
+type rows map[core.Kind]core.KindPolicy
+
+func (r rows) Policy(kind core.Kind) (core.KindPolicy, bool) {
+	row, ok := r[kind]
+	return row, ok
+}
+
+func (r rows) Kinds() []core.KindPolicy { return nil }
+
+func testRows() rows {
+	return rows{
+		"book":   {Kind: "book", Rank: core.RankUrgent, Weight: 1, QueueTime: time.Second},
+		"quote":  {Kind: "quote", Rank: core.RankMiddle, Weight: 2, QueueTime: time.Second},
+		"reseal": {Kind: "reseal", Rank: core.RankMiddle, Weight: 1, QueueTime: time.Second},
+		"report": {Kind: "report", Rank: core.RankLast, Weight: 1, QueueTime: time.Second},
+	}
+}
+
+// run runs the scenario on the fake clock with a queue of the proxy's scheduler.
+func run(t *testing.T, cfg Config, scenario func(t *testing.T, q *Queue)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		q := New(NewShares(cfg))
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- q.Run(ctx) }()
+		scenario(t, q)
+		cancel()
+		assert.NilError(t, <-ended)
+	})
+}
+
+// Guards against a request that waits beyond its time in the queue.
+func TestQueueTimeIsBounded(t *testing.T) {
+	run(t, Config{Slots: 1, Policies: testRows()}, func(t *testing.T, q *Queue) {
+		slot, err := q.Acquire(t.Context(), &Item{Kind: "report"})
+		assert.NilError(t, err)
+		start := time.Now()
+		_, err = q.Acquire(t.Context(), &Item{Kind: "book"})
+		var refusal *Refusal
+		assert.Assert(t, errors.As(err, &refusal), "%v", err)
+		assert.Assert(t, time.Since(start) <= time.Second+2*sweepTime)
+		slot.Release(true)
+		assert.Equal(t, q.Dump().Running, 0)
+	})
+}
+
+// serve occupies a slot for d once it gets one.
+func serve(q *Queue, it *Item, d time.Duration) error {
+	slot, err := q.Acquire(context.Background(), it)
+	if err != nil {
+		return err
+	}
+	time.Sleep(d)
+	slot.Release(true)
+	return nil
+}
+
+// Guards against callers that learn only at the end of their time in the queue that they had no
+// chance, and against a kind that stays refused once its estimate is too high.
+func TestHopelessRequestsAreRefusedAtOnce(t *testing.T) {
+	run(t, Config{Slots: 1, Policies: testRows()}, func(t *testing.T, q *Queue) {
+		assert.NilError(t, serve(q, &Item{Kind: "book"}, 100*time.Millisecond))
+		const offered = 30
+		ended := make(chan time.Duration, offered)
+		for range offered {
+			go func() {
+				start := time.Now()
+				if serve(q, &Item{Kind: "book"}, 100*time.Millisecond) != nil {
+					ended <- time.Since(start)
+					return
+				}
+				ended <- -1
+			}()
+			synctest.Wait()
+		}
+		atOnce, late := 0, 0
+		for range offered {
+			switch wait := <-ended; {
+			case wait == 0:
+				atOnce++
+			case wait > 0:
+				late++
+			}
+		}
+		// One runs, ten can be served within the second that they may wait, and the last of them is
+		// at the margin.
+		assert.Equal(t, atOnce, offered-12)
+		assert.Assert(t, late <= 1, "%d refused late", late)
+		// One statement that took far longer than the queue's time doesn't keep others out.
+		assert.NilError(t, serve(q, &Item{Kind: "quote"}, time.Minute))
+		assert.NilError(t, serve(q, &Item{Kind: "quote"}, time.Millisecond))
+	})
+}
+
+// Guards against long statements that occupy all slots while pedestals or technicians need one, and
+// against a slot that stays unused when nobody urgent is there.
+func TestLongStatementsLeaveASlot(t *testing.T) {
+	run(t, Config{Slots: 2, Policies: testRows()}, func(t *testing.T, q *Queue) {
+		assert.NilError(t, serve(q, &Item{Kind: "report"}, time.Minute))
+		assert.NilError(t, serve(q, &Item{Kind: "book"}, time.Millisecond))
+		ended := make(chan error, 2)
+		for range 2 {
+			go func() { ended <- serve(q, &Item{Kind: "report"}, 500*time.Millisecond) }()
+			synctest.Wait()
+		}
+		assert.Equal(t, q.Dump().Running, 1)
+		start := time.Now()
+		assert.NilError(t, serve(q, &Item{Kind: "book"}, time.Millisecond))
+		assert.Equal(t, time.Since(start), time.Millisecond)
+		for range 2 {
+			assert.NilError(t, <-ended)
+		}
+		time.Sleep(2 * urgentInUse)
+		for range 2 {
+			go func() { ended <- serve(q, &Item{Kind: "report"}, 500*time.Millisecond) }()
+			synctest.Wait()
+		}
+		assert.Equal(t, q.Dump().Running, 2)
+		for range 2 {
+			assert.NilError(t, <-ended)
+		}
+	})
+}
+
+// Guards against a standing queue: in an overload each request that is served would have waited for
+// nearly its whole time in the queue.
+func TestOverloadKeepsTheQueueShort(t *testing.T) {
+	run(t, Config{Slots: 1, Policies: testRows()}, func(t *testing.T, q *Queue) {
+		const service = 10 * time.Millisecond
+		ended := make(chan struct{})
+		const offered = 2000
+		var served, waited time.Duration
+		for range offered {
+			go func() {
+				defer func() { ended <- struct{}{} }()
+				slot, err := q.Acquire(t.Context(), &Item{Kind: "report"})
+				var refusal *Refusal
+				if errors.As(err, &refusal) {
+					assert.Check(t, refusal.RetryAfter > 0, "hint %v", refusal.RetryAfter)
+					return
+				}
+				time.Sleep(service)
+				served++
+				waited += slot.Waited()
+				slot.Release(true)
+			}()
+			time.Sleep(service / 4)
+		}
+		for range offered {
+			<-ended
+		}
+		assert.Assert(t, waited/served < 400*time.Millisecond, "mean wait %v", waited/served)
+		assert.Assert(t, served*service > offered*service/4*95/100, "%d served", served)
+	})
+}
+
+// Guards against requests that wait for the rest of their time although an upstream that stalls has
+// taken their chance.
+func TestWaitingRequestsAreRefusedEarly(t *testing.T) {
+	run(t, Config{Slots: 1, Policies: testRows()}, func(t *testing.T, q *Queue) {
+		assert.NilError(t, serve(q, &Item{Kind: "report"}, 100*time.Millisecond))
+		slot, err := q.Acquire(t.Context(), &Item{Kind: "report"})
+		assert.NilError(t, err)
+		const waiting = 8
+		refused := make(chan time.Duration, waiting)
+		start := time.Now()
+		for range waiting {
+			go func() {
+				assert.Check(t, serve(q, &Item{Kind: "report"}, 0) != nil)
+				refused <- time.Since(start)
+			}()
+			synctest.Wait()
+		}
+		assert.Assert(t, <-refused < 750*time.Millisecond)
+		for range waiting - 1 {
+			assert.Assert(t, <-refused <= time.Second+sweepTime)
+		}
+		slot.Release(false)
+	})
+}
--- a/io/front/unit.go
+++ b/io/front/unit.go
@@ -17,6 +17,9 @@
 	tags stmt.Tags
 	// blind tells that the unit executes a portal of an earlier batch, which may hold any statement.
 	blind bool
+	// preparesWrite tells that the unit prepares or describes a write. It runs nothing, but must see
+	// the tables that the write will see.
+	preparesWrite bool
 	// own tells that the listener added the unit, which opens no transaction block for the caller.
 	own      bool
 	messages []pgproto3.FrontendMessage
@@ -133,6 +136,10 @@
 	if err := s.tagRequest(req, u); err != nil {
 		return nil, err
 	}
+	if u.preparesWrite && !req.InTx && req.Class == core.ClassRead {
+		req.Class = core.ClassWrite
+		req.Idempotent = true
+	}
 	// Only the choice of an upstream for reads needs an index.
 	if req.InTx || req.Class == core.ClassWrite || req.Class == core.ClassBegin {
 		req.NeedIndex = false
