Tell a lost preparation from a lost write

Cause: since the preparation of a write goes to the primary as a write, losing its answer was reported with the hint that it may have taken effect. Ruled out: another class for it, which the router and the owner would have to learn. Change: whether something may have committed follows from the statements that the request executes, not from its class. Measured: TestLostPrepare failed first with the hint of a write. Conclusion: only requests that execute a write are reported as such.

--- a/io/front/errors.go
+++ b/io/front/errors.go
@@ -133,10 +133,10 @@
 			Hint:    "It is safe to repeat the transaction from BEGIN."}
 	case at.expired || errors.Is(err, context.DeadlineExceeded):
 		return &callerError{State: stateQueryCanceled, Message: "canceling statement: " + unknown.Reason,
-			Hint: "A read has no effect; it is safe to repeat."}
+			Hint: "The request changes nothing; it is safe to repeat."}
 	}
 	return &callerError{State: core.StateUnknownOutcome, Message: unknown.Error(),
-		Hint: "A read has no effect; it is safe to repeat."}
+		Hint: "The request changes nothing; it is safe to repeat."}
 }
 
 // mayHaveCommitted reports whether the request could have made a change durable. Inside a
@@ -145,7 +145,7 @@
 	if at.inTx || at.info.Begins {
 		return at.info.Commits || at.blind
 	}
-	return at.req.Class != core.ClassRead
+	return at.info.Writes
 }
 
 func canceledFailure(at *attempt) *callerError {
--- a/io/front/errors_test.go
+++ b/io/front/errors_test.go
@@ -32,7 +32,7 @@
 		"unknown write": {"insert into t values (1)", plain(&core.UnknownOutcomeError{Reason: "lost"}), "08007",
 			"The request may have taken effect. To repeat it safely, send it with snipewall.request_id, and send the same id again."},
 		"unknown read": {"select 1", plain(&core.UnknownOutcomeError{Reason: "lost"}), "08007",
-			"A read has no effect; it is safe to repeat."},
+			"The request changes nothing; it is safe to repeat."},
 		"duplicate": {"insert into t values (1)", plain(&core.DuplicateError{ID: "r-81"}), "SW003",
 			"The write has taken effect once. Read its result, or use a new request id."},
 		"redirect": {"insert into t values (1)", sent(&core.RedirectError{Group: "berth-ledger"}), "SW002",
@@ -42,7 +42,7 @@
 		"deadline, write sent": {"insert into t values (1)", sent(context.DeadlineExceeded), "08007",
 			"The request may have taken effect. To repeat it safely, send it with snipewall.request_id, and send the same id again."},
 		"deadline, read sent": {"select 1", sent(context.DeadlineExceeded), "57014",
-			"A read has no effect; it is safe to repeat."},
+			"The request changes nothing; it is safe to repeat."},
 		"transport, not sent": {"insert into t values (1)", plain(errors.New("connection refused")), "SW002",
 			"It is safe to repeat the request."},
 		"transport, sent": {"insert into t values (1)", sent(errors.New("reset")), "08007",
@@ -122,3 +122,15 @@
 	d.exchange("execute", execute("c"), syncMsg)
 	assert.Assert(t, strings.Contains(d.out.String(), "ERROR 08007"), d.out.String())
 }
+
+// Preparing a write goes to the primary like a write, but losing it must not be reported as a write
+// that may have taken effect.
+func TestLostPrepare(t *testing.T) {
+	srv := startServer(t)
+	conn := srv.connect(t, "")
+	srv.router.setHook(failClass(core.ClassWrite))
+	_, err := conn.Prepare(t.Context(), "a", "insert into t values ($1)")
+	var pgErr *pgconn.PgError
+	assert.Assert(t, errors.As(err, &pgErr), "%v", err)
+	assert.Equal(t, pgErr.Hint, "The request changes nothing; it is safe to repeat.")
+}
