Count the row's limits in the expected wait

Cause: requests of a kind with a Rate or a Concurrency waited for their whole time in the queue although the limit alone kept them from starting in time. Ruled out: refusing at the rate itself, since a short burst is served within the kind's time in the queue. Change: the expected wait is at least the work ahead at the row's Rate and Concurrency.

--- a/core/queue/queue_test.go
+++ b/core/queue/queue_test.go
@@ -194,3 +194,39 @@
 		slot.Release(false)
 	})
 }
+
+// Guards against requests that wait for their whole time although their row's limits alone keep
+// them from starting in time.
+func TestLimitsOfTheRowCountInTheExpectedWait(t *testing.T) {
+	limits := map[string]core.KindPolicy{
+		"rate":        {Rate: 10},
+		"concurrency": {Concurrency: 1},
+	}
+	for name, row := range limits {
+		t.Run(name, func(t *testing.T) {
+			table := testRows()
+			row.Kind, row.Rank, row.QueueTime = "quote", core.RankMiddle, time.Second
+			table["quote"] = row
+			run(t, Config{Slots: 8, Policies: table}, func(t *testing.T, q *Queue) {
+				assert.NilError(t, serve(q, &Item{Kind: "quote"}, 100*time.Millisecond))
+				const offered = 40
+				ended := make(chan bool, offered)
+				for range offered {
+					go func() {
+						start := time.Now()
+						err := serve(q, &Item{Kind: "quote"}, 100*time.Millisecond)
+						ended <- err != nil && time.Since(start) == 0
+					}()
+					synctest.Wait()
+				}
+				atOnce := 0
+				for range offered {
+					if <-ended {
+						atOnce++
+					}
+				}
+				assert.Assert(t, atOnce >= offered-13, "%d refused at once", atOnce)
+			})
+		})
+	}
+}
--- a/core/queue/wait.go
+++ b/core/queue/wait.go
@@ -23,7 +23,21 @@
 func (s *Shares) waitFor(now time.Time, k *kindState, ahead int) time.Duration {
 	own := time.Duration(ahead) * k.service.value()
 	rate := max(s.guaranteed(k), k.served.slots(now))
-	return min(time.Duration(float64(own)/rate), s.waitBehindRanks(now, k, own))
+	wait := min(time.Duration(float64(own)/rate), s.waitBehindRanks(now, k, own))
+	return max(wait, k.waitForLimits(ahead, own))
+}
+
+// waitForLimits returns how long the row's own limits keep an item waiting that has so many others
+// ahead, which take own in all.
+func (k *kindState) waitForLimits(ahead int, own time.Duration) time.Duration {
+	var wait time.Duration
+	if k.policy.Rate > 0 {
+		wait = time.Duration(float64(ahead) / k.policy.Rate * float64(time.Second))
+	}
+	if k.policy.Concurrency > 0 {
+		wait = max(wait, own/time.Duration(k.policy.Concurrency))
+	}
+	return wait
 }
 
 // Expire takes out the items that can't start in time any more: those whose time is over, and at
