Limit the wait for a connection to 500 ms

Cause: a request holds its slot while it waits for a connection. When another owner has the rest of the upstream's connections, only open transactions of this one can free some, and their statements found no slot for 2 s. Ruled out: releasing the slot during the wait, since the queue would then admit one request after the other into the wait. Conclusion: bounded; moving ownership between entry VMs is the case to watch.

--- a/core/owner/config.go
+++ b/core/owner/config.go
@@ -17,7 +17,7 @@
 	defaultConnections = 20
 	defaultSpare       = 2
 	defaultCatchUp     = 100 * time.Millisecond
-	defaultConnect     = 2 * time.Second
+	defaultConnect     = 500 * time.Millisecond
 	defaultTxIdle      = 30 * time.Second
 	defaultRequestTime = 30 * time.Second
 	defaultLeaveGrace  = 3 * time.Second
@@ -46,7 +46,9 @@
 	Spare int
 	// CatchUp limits how long a read waits for a replica to apply a position.
 	CatchUp time.Duration
-	// Connect limits the wait for a connection.
+	// Connect limits the wait for a connection. The request holds its slot meanwhile, and when
+	// another owner has most of the upstream's connections, only statements of open transactions
+	// can free one, which need the slots.
 	Connect time.Duration
 	// TxIdle is how long an open transaction may stay without a statement.
 	TxIdle time.Duration
--- a/core/owner/owner_test.go
+++ b/core/owner/owner_test.go
@@ -471,3 +471,40 @@
 		assert.NilError(t, err)
 	})
 }
+
+// Guards against slots that are blocked by requests without a connection, while the transactions
+// that occupy the connections wait for a slot.
+func TestConnectionsHeldByTransactions(t *testing.T) {
+	run(t, nil, func(t *testing.T, f *fixture) {
+		var txs []core.Tx
+		for range 3 {
+			res, err := f.Execute(t.Context(), f.request(core.ClassBegin), &caller{})
+			assert.NilError(t, err)
+			txs = append(txs, res.Tx)
+			// Another owner takes the rest of the upstream's connections.
+			f.up.mu.Lock()
+			f.up.dialErr = &core.RefusedError{Upstream: self, Message: "too many connections"}
+			f.up.mu.Unlock()
+		}
+		ended := make(chan error, 4)
+		for range cap(ended) {
+			go func() {
+				_, err := f.Execute(t.Context(), f.request(core.ClassRead), &caller{})
+				ended <- err
+			}()
+		}
+		time.Sleep(time.Millisecond)
+		for _, tx := range txs {
+			end := f.request(core.ClassEnd)
+			end.InTx = true
+			_, err := tx.Run(t.Context(), end, &caller{})
+			assert.NilError(t, err)
+		}
+		for range cap(ended) {
+			var notRun *core.NotRunError
+			if err := <-ended; err != nil {
+				assert.Assert(t, errors.As(err, &notRun), "%v", err)
+			}
+		}
+	})
+}
