--- a/core/elect/elect_test.go
+++ b/core/elect/elect_test.go
@@ -174,3 +174,44 @@
 		})
 	}
 }
+
+// Guards against a change because one entry VM can't reach a primary that its replicas hear, and
+// against a veto that lasts forever.
+func TestReplicasVetoUntilOverruled(t *testing.T) {
+	start(t, fakes.GroupConfig{}, func(r *rig) {
+		cut := func(on bool) {
+			r.group.Cut("vm", "u1", on)
+			r.group.Cut("u1", "vm", on)
+		}
+		cut(true)
+		time.Sleep(4500 * time.Millisecond)
+		cut(false)
+		time.Sleep(3 * time.Second)
+		id, term := r.primary(t)
+		assert.Equal(t, id, core.UpstreamID("u1"))
+		assert.Equal(t, term, core.Term(1))
+		cut(true)
+		time.Sleep(6 * time.Second)
+		id, _ = r.primary(t)
+		assert.Assert(t, id != "u1")
+	})
+}
+
+// Guards against a planned change that passes over an entry that a majority holds: the leaving primary
+// and one replica hold it, the other replica is far behind.
+func TestLeavingPrimaryKeepsConfirmed(t *testing.T) {
+	start(t, fakes.GroupConfig{}, func(r *rig) {
+		r.group.Cut("u1", "u2", true)
+		ctx := context.Background()
+		p, err := r.group.Remote("vm", "u1").Write(ctx, "k", 7)
+		assert.NilError(t, err)
+		assert.NilError(t, r.view.Confirm(ctx, p))
+		r.group.SetLeaving("u1", true)
+		time.Sleep(3 * time.Second)
+		id, _ := r.primary(t)
+		assert.Equal(t, id, core.UpstreamID("u3"))
+		v, err := r.group.Remote("vm", id).ReadAt(ctx, "k", p)
+		assert.NilError(t, err)
+		assert.Equal(t, v, 7)
+	})
+}
