Test isolated and slow primaries on whole deployments

Cause: the tests of whole deployments killed and froze processes, but never cut a primary off that goes on working, and never slowed one down.

Ruled out: cuts by the simulator alone. They hold back all callers, so an entry VM in the primary's failure domain could not go on believing in it.

Change: a wire between each entry VM and each upstream can be cut per direction; the simulator cuts the upstreams from each other. Deployments run at once, at most 3, on ports below the range of outgoing connections, which could take a port before its process has started.

--- a/e2e/cluster_test.go
+++ b/e2e/cluster_test.go
@@ -5,8 +5,10 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"flag"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -14,6 +16,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -39,7 +42,16 @@
 	return dir, nil
 })
 
+// maxDeployments limits the deployments that run at once, so that they don't starve each other on a
+// busy machine.
+const maxDeployments = "3"
+
 func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("test.parallel", maxDeployments); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
 	code := m.Run()
 	if dir, err := buildOnce(); err == nil {
 		_ = os.RemoveAll(dir)
@@ -79,8 +91,24 @@
 	bin, dir  string
 	platform  string
 	upstreams []string
-	vms       []entryVM
-	procs     map[string]*process
+	// admins holds the upstreams' admin addresses, which faults don't affect.
+	admins []string
+	vms    []entryVM
+	procs  map[string]*process
+	// wires holds the connections from each entry VM to each upstream, if the options ask for them.
+	wires [][]*wire
+	opts  options
+}
+
+// options are the variations of a deployment.
+type options struct {
+	// vms is the number of entry VMs.
+	vms int
+	// upstream holds extra flags of the upstreams, settings extra lines for the entry VMs.
+	upstream []string
+	settings string
+	// wires puts a wire between each entry VM and each upstream.
+	wires bool
 }
 
 const tableCSV = `Kind,Rank,AcceptedAge,Idempotent,Deadline
@@ -93,23 +121,31 @@
 
 // newCluster starts a deployment with n entry VMs and extra flags for the upstreams.
 func newCluster(t *testing.T, n int, upstreamFlags ...string) *cluster {
+	t.Helper()
+	return options{vms: n, upstream: upstreamFlags}.start(t)
+}
+
+// start starts a deployment.
+func (o options) start(t *testing.T) *cluster {
 	t.Helper()
 	bin, err := buildOnce()
 	assert.NilError(t, err)
-	c := &cluster{t: t, bin: bin, dir: t.TempDir(), procs: make(map[string]*process)}
-	ports := freePorts(t, 4+4*n)
+	c := &cluster{t: t, bin: bin, dir: t.TempDir(), procs: make(map[string]*process), opts: o}
+	ports := freePorts(t, 7+4*o.vms)
 	c.platform = ports[0]
 	c.upstreams = ports[1:4]
-	for i := range n {
-		p := ports[4+4*i:]
+	c.admins = ports[4:7]
+	for i := range o.vms {
+		p := ports[7+4*i:]
 		vm := entryVM{id: fmt.Sprintf("vm-%d", i+1), domain: fmt.Sprintf("domain-%d", i%3+1), callers: p[0], control: p[1], relay: p[2], admin: p[3]}
 		vm.settings = filepath.Join(c.dir, vm.id+".ini")
 		c.vms = append(c.vms, vm)
 	}
+	c.openWires()
 	c.writeSettings()
 	c.start("platform", "standin", "platform", "--listen", c.platform)
-	for i, address := range c.upstreams {
-		c.startUpstream(i, address, upstreamFlags)
+	for i := range c.upstreams {
+		c.startUpstream(i)
 	}
 	c.waitHTTP("http://" + c.platform + "/v1/vms")
 	for _, vm := range c.vms {
@@ -125,8 +161,12 @@
 	return c
 }
 
-func (c *cluster) startUpstream(i int, address string, flags []string) {
-	args := append([]string{"upstream", "--listen", address, "--slots", "3", "--connections", "20", "--connect-time", "10ms"}, flags...)
+func (c *cluster) startUpstream(i int) {
+	args := []string{
+		"upstream", "--listen", c.upstreams[i], "--admin", c.admins[i],
+		"--slots", "3", "--connections", "20", "--connect-time", "10ms",
+	}
+	args = append(args, c.opts.upstream...)
 	if i > 0 {
 		args = append(args, "--follow", c.upstreams[0])
 	}
@@ -172,13 +212,16 @@
 	for _, vm := range c.vms {
 		seeds = append(seeds, vm.control)
 	}
-	for _, vm := range c.vms {
+	for n, vm := range c.vms {
 		var b strings.Builder
 		fmt.Fprintf(&b, "[VM]\nID = %s\nFailureDomain = %s\nRegion = here\n", vm.id, vm.domain)
 		fmt.Fprintf(&b, "[Listen]\nCallers = %s\nControl = %s\nRelay = %s\nAdmin = %s\n", vm.callers, vm.control, vm.relay, vm.admin)
 		fmt.Fprintf(&b, "[Platform]\nAddress = %s\n[Peers]\nSeeds = %s\n", c.platform, strings.Join(seeds, ", "))
-		fmt.Fprintf(&b, "[Callers]\nDefaultKind = current\n[Stop]\nGrace = 500ms\n")
+		fmt.Fprintf(&b, "[Callers]\nDefaultKind = current\n[Stop]\nGrace = 500ms\n%s", c.opts.settings)
 		for i, address := range c.upstreams {
+			if c.opts.wires {
+				address = c.wires[n][i].address
+			}
 			fmt.Fprintf(&b, "[Upstream %s]\nGroup = berth\nAddress = %s\nFailureDomain = domain-%d\nRegion = here\n", upstreamID(i), address, i+1)
 		}
 		assert.NilError(c.t, os.WriteFile(vm.settings, []byte(b.String()), 0o600))
@@ -299,13 +342,25 @@
 	return conn
 }
 
+// Ports are taken from below the range of outgoing connections, which could otherwise take one before
+// the process that it is meant for has started.
+const firstPort, lastPort = 20000, 32000
+
+// nextPort is the next port to try. Test binaries that run at once start at different places.
+var nextPort atomic.Int64
+
+func init() { nextPort.Store(firstPort + rand.Int64N(lastPort-firstPort)) }
+
 // freePorts returns loopback addresses that were free a moment ago.
 func freePorts(t *testing.T, n int) []string {
 	t.Helper()
 	var addresses []string
-	for range n {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		assert.NilError(t, err)
+	for len(addresses) < n {
+		port := firstPort + nextPort.Add(1)%(lastPort-firstPort)
+		ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue
+		}
 		defer func() { _ = ln.Close() }()
 		addresses = append(addresses, ln.Addr().String())
 	}
--- a/e2e/e2e_test.go
+++ b/e2e/e2e_test.go
@@ -131,6 +131,7 @@
 // Guards against lost acknowledged writes and false refusals when the primary is killed, frozen and
 // resumed, or when entry VMs are killed, with real processes.
 func TestWritesSurviveFaults(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name  string
 		fault func(t *testing.T, c *cluster)
@@ -161,6 +162,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
 			c := newCluster(t, 4)
 			mustExec(t, c.connect(c.vms[0]), "create table sessions (id int8 primary key, berth int8)")
 			writers := runWriters(t, c, func() {
@@ -190,6 +192,7 @@
 
 // Guards against a session that misses its own write on another entry VM while replicas lag.
 func TestReadYourWritesWhileRoaming(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, 3, "--ship-lag", "20ms", "--apply-lag", "80ms")
 	mustExec(t, c.connect(c.vms[0]), "create table sessions (id int8 primary key, berth int8)")
 	for _, carries := range []bool{false, true} {
@@ -216,6 +219,7 @@
 // Guards against a second run of a request that its caller repeats with its id elsewhere, also after
 // a failover.
 func TestRequestIDRunsOnce(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, 4)
 	mustExec(t, c.connect(c.vms[0]), "create table invoices (id int8 primary key, amount int8)")
 	mustExec(t, c.connect(c.vms[0]), "insert into invoices (id, amount) values (1, 0)")
@@ -238,6 +242,7 @@
 
 // Guards against a planned stop that cuts a request or a transaction in flight.
 func TestPlannedStopCutsNothing(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, 3)
 	mustExec(t, c.connect(c.vms[1]), "create table sessions (id int8 primary key, berth int8)")
 	ctx := context.Background()
@@ -274,6 +279,7 @@
 // Guards against edits that don't reach every entry VM in 7 s, that overwrite another operator's
 // edit, or that an old checkout reverts.
 func TestTableEdits(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, 4)
 	settings := c.vms[0].settings
 	checkout, code := c.run("", "table", "show", "--settings", settings)
@@ -299,6 +305,7 @@
 
 // Guards against an entry VM that can't start during an outage of the platform.
 func TestStartDuringOutage(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, 3)
 	c.procs["vm-3"].kill()
 	c.procs["platform"].kill()
@@ -313,6 +320,7 @@
 // Guards against errors that don't tell the caller what was wrong, and against a listener that
 // doesn't survive them.
 func TestBadInput(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, 3)
 	dial := func(params string) error {
 		conn, err := pgx.Connect(context.Background(), "postgres://test@"+c.vms[0].callers+"/"+params)
