Spread the leaving mark of an upstream's status

Cause: nothing called Members.MarkLeaving, so an upstream that reports leaving in its status kept getting reads from all entry VMs; only the driver of its group heeded the mark.

Ruled out: the platform's list, whose mark worked, and the owner's check, which heeds the members.

Change: the failover driver passes on the mark of each fresh status. It withdraws a mark only after 1 s without it, since a status may be older than another entry VM's mark.

--- a/core/elect/config.go
+++ b/core/elect/config.go
@@ -153,6 +153,7 @@
 		majority: n/2 + 1,
 		lease:    lease{store: cfg.Store, key: "snipewall/lead/" + string(cfg.Group), self: cfg.Self},
 		repaired: make([]time.Time, n),
+		staying:  make([]time.Time, n),
 		ends:     make(chan confirmEnd, 1),
 	}
 }
--- a/core/elect/driver.go
+++ b/core/elect/driver.go
@@ -32,8 +32,10 @@
 	// progress is the end of the last step of a change.
 	progress time.Time
 	repaired []time.Time
-	ends     chan confirmEnd
-	calls    sync.WaitGroup
+	// staying is since when each upstream's status has not said that it is leaving.
+	staying []time.Time
+	ends    chan confirmEnd
+	calls   sync.WaitGroup
 
 	mu      sync.Mutex
 	events  []Event
@@ -70,6 +72,7 @@
 func (d *Driver) look(ctx context.Context) time.Duration {
 	now := time.Now()
 	d.noticePause(now)
+	d.spreadLeaving(now, d.cfg.View.Reports())
 	a := d.assess(now)
 	d.setReason(a.reason)
 	d.repair(ctx, now, a)
