Attempt a silent read a second time without giving the first attempt up

Cause: a connection that goes silent and a statement that is slow look the same. Ruled out: TCP keepalive alone, which doesn't see a peer whose kernel still answers; a longer share, which leaves silent connections unnoticed for longer.

--- a/core/owner/answer.go
+++ b/core/owner/answer.go
@@ -34,15 +34,19 @@
 	retried bool
 	// callerErr is the error of the caller's side.
 	callerErr error
-	// onFirst is called at the first message.
-	onFirst func()
+	// hedge, if set, allows a second attempt while this one is silent.
+	hedge *hedge
+	// onFirst is called at the first message. An error ends the answer.
+	onFirst func() error
 }
 
 // Send takes one message of the upstream's answer.
 func (a *answer) Send(msg pgproto3.BackendMessage) error {
-	if a.onFirst != nil {
-		a.onFirst()
+	if first := a.onFirst; first != nil {
 		a.onFirst = nil
+		if err := first(); err != nil {
+			return err
+		}
 	}
 	if a.readOnly {
 		return nil
--- a/core/owner/owner_test.go
+++ b/core/owner/owner_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -305,12 +306,12 @@
 // sent twice.
 func TestSilentConnection(t *testing.T) {
 	run(t, nil, func(t *testing.T, f *fixture) {
-		silent := true
+		var silent atomic.Bool
+		silent.Store(true)
 		f.up.before = func(ctx context.Context, _ *core.Request) error {
-			if !silent {
+			if !silent.CompareAndSwap(true, false) {
 				return nil
 			}
-			silent = false
 			<-ctx.Done()
 			return ctx.Err()
 		}
@@ -319,7 +320,7 @@
 		_, err := f.Execute(t.Context(), req, c)
 		assert.NilError(t, err)
 		assert.DeepEqual(t, c.rows, []string{fmt.Sprint(req.ID)})
-		silent = true
+		silent.Store(true)
 		_, err = f.Execute(t.Context(), f.request(core.ClassWrite), &caller{})
 		var unknown *core.UnknownOutcomeError
 		assert.Assert(t, errors.As(err, &unknown), "%v", err)
@@ -327,6 +328,24 @@
 	})
 }
 
+// Guards against a slow read that is cut short because its connection might be silent, and against
+// two answers to one request.
+func TestSlowReadKeepsItsTime(t *testing.T) {
+	run(t, nil, func(t *testing.T, f *fixture) {
+		for _, slow := range []time.Duration{400 * time.Millisecond, 2500 * time.Millisecond} {
+			f.up.before = func(ctx context.Context, _ *core.Request) error { return sleep(ctx, slow) }
+			c := &caller{}
+			req := f.request(core.ClassRead)
+			began := time.Now()
+			_, err := f.Execute(t.Context(), req, c)
+			assert.NilError(t, err)
+			assert.DeepEqual(t, c.rows, []string{fmt.Sprint(req.ID)})
+			assert.Equal(t, time.Since(began), slow+f.up.service)
+		}
+		assert.Equal(t, f.State().Pool.InUse, 0)
+	})
+}
+
 // Guards against retries that multiply the load on an upstream in trouble.
 func TestRetryBudget(t *testing.T) {
 	run(t, nil, func(t *testing.T, f *fixture) {
--- a/core/owner/serve.go
+++ b/core/owner/serve.go
@@ -10,21 +10,10 @@
 	"snipewall/core/queue"
 )
 
-const (
-	// silentShare is the part of the remaining time after which a read without any answer is
-	// retried on another connection.
-	silentShare = 0.5
-	// silentFactor keeps statements that usually take long from being retried too early, as a
-	// multiple of the kind's service time.
-	silentFactor = 4
-)
-
-var errSilent = errors.New("the connection gave no answer")
-
 // serve runs a request from outside a transaction. Reads are retried within the budget.
 func (o *Owner) serve(ctx context.Context, path Path, req *core.Request, a *answer) (core.Result, error) {
 	for {
-		res, err := o.serveOnce(ctx, path, req, a)
+		res, err := o.attempt(ctx, path, req, a)
 		var redirect *core.RedirectError
 		if errors.As(err, &redirect) && req.Attempt.Sent() {
 			// A redirect says that nothing ran, but an earlier try was sent.
@@ -42,6 +31,16 @@
 	}
 }
 
+// attempt runs a request once, or a read twice if its first connection stays silent.
+func (o *Owner) attempt(ctx context.Context, path Path, req *core.Request, a *answer) (core.Result, error) {
+	if path != PathRead {
+		return o.serveOnce(ctx, path, req, a)
+	}
+	a.hedge = &hedge{owner: o, req: req}
+	res, err := o.serveOnce(ctx, path, req, a)
+	return a.hedge.settle(a, res, err)
+}
+
 // mayRetry reports whether a request whose answer was lost may run again here.
 func (o *Owner) mayRetry(ctx context.Context, req *core.Request, a *answer) bool {
 	if req.Class != core.ClassRead || a.passed || a.callerErr != nil || ctx.Err() != nil {
@@ -168,10 +167,13 @@
 	}
 	runCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	if path == PathRead {
-		timer := time.AfterFunc(o.silentTime(ctx, req), func() { cancel(errSilent) })
+	if hedge := a.hedge; hedge != nil {
+		timer := time.AfterFunc(o.silentTime(ctx, req), func() { hedge.launch(ctx, a, cancel) })
 		defer timer.Stop()
-		a.onFirst = func() { timer.Stop() }
+		a.onFirst = func() error {
+			timer.Stop()
+			return hedge.claim(a)
+		}
 	}
 	res, err := o.runCounted(runCtx, path, req, h, a)
 	if err == nil {
@@ -195,13 +197,6 @@
 	return res, err
 }
 
-// silentTime returns how long a read waits for the first message of its answer.
-func (o *Owner) silentTime(ctx context.Context, req *core.Request) time.Duration {
-	deadline, _ := ctx.Deadline()
-	d := time.Duration(silentShare * float64(time.Until(deadline)))
-	return max(d, silentFactor*o.queue.Estimate(req.Kind))
-}
-
 // lost marks a transport failure and tells the monitor, unless the caller's side is the cause.
 func (o *Owner) lost(ctx context.Context, err error, a *answer) error {
 	if a.callerErr == nil && !errors.Is(ctx.Err(), context.Canceled) {
