Measure the bytes of a status poll

Cause: the capacity page needs the size of the most frequent control message. Change: BenchmarkStatus counts the bytes of both directions.

--- a/io/dbconn/bench_test.go
+++ b/io/dbconn/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"testing"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -92,3 +93,47 @@
 	}
 	return buf
 }
+
+// countingConn counts the bytes of both directions.
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// BenchmarkStatus measures a poll of an upstream's status: its time, with the simulator in the same
+// process, and the bytes of both directions without TCP's headers.
+func BenchmarkStatus(b *testing.B) {
+	_, up := start(b, dbsim.Config{}, dbsim.NewPrimary(1))
+	var bytes atomic.Int64
+	cfg := up.cfg
+	cfg.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+		var d net.Dialer
+		conn, err := d.DialContext(ctx, network, address)
+		return countingConn{Conn: conn, bytes: &bytes}, err
+	}
+	counted, err := cfg.New()
+	assert.NilError(b, err)
+	defer func() { _ = counted.Close() }()
+	_, err = counted.Status(b.Context())
+	assert.NilError(b, err)
+	bytes.Store(0)
+	n := 0
+	for b.Loop() {
+		_, err := counted.Status(b.Context())
+		assert.NilError(b, err)
+		n++
+	}
+	b.ReportMetric(float64(bytes.Load())/float64(n), "wire-B/op")
+}
