Put CallerTLS.Required and Callers.MaxConnections into force

Cause: both settings were read and checked, and nothing used them. Change: the listener refuses callers without TLS (28000) and callers above the limit (53300).

--- a/io/front/connection_test.go
+++ b/io/front/connection_test.go
@@ -284,6 +284,19 @@
 	assert.ErrorContains(t, err, "server refused TLS")
 }
 
+// Guards against callers that send statements in clear text where the settings require TLS.
+func TestTLSRequired(t *testing.T) {
+	srv := startServer(t, func(c *Config) {
+		c.TLS = &tls.Config{Certificates: []tls.Certificate{certificate(t)}, MinVersion: tls.VersionTLS12}
+		c.TLSRequired = true
+	})
+	_, err := pgx.Connect(t.Context(), srv.url(""))
+	assert.ErrorContains(t, err, "28000")
+	conn, err := pgx.Connect(t.Context(), strings.Replace(srv.url(""), "sslmode=disable", "sslmode=require", 1))
+	assert.NilError(t, err)
+	assert.NilError(t, conn.Close(t.Context()))
+}
+
 // A connection that has been idle for long must go on as before, and must still notice Drain.
 func TestParked(t *testing.T) {
 	srv := startServer(t, func(c *Config) { c.ParkDelay = 5 * time.Millisecond })
--- a/io/front/errors.go
+++ b/io/front/errors.go
@@ -48,6 +48,9 @@
 	errIdleInTx = &callerError{State: stateIdleInTx,
 		Message: "terminating connection due to idle-in-transaction timeout",
 		Hint:    "The transaction is rolled back. It is safe to repeat it from BEGIN."}
+	errTLSRequired = &callerError{State: stateInvalidAuthorizaton,
+		Message: "this entry VM accepts connections with TLS only",
+		Hint:    "Connect with sslmode=require or stricter."}
 	errInFailedTx = &callerError{State: stateFailedTx,
 		Message: "current transaction is aborted, commands ignored until end of transaction block"}
 	errRequestIDInTx = &callerError{State: core.StateUnsupported,
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -35,6 +35,8 @@
 	Groups   core.Groups
 	// TLS, if set, is offered to callers that ask for it.
 	TLS *tls.Config
+	// TLSRequired refuses callers that don't ask for TLS.
+	TLSRequired bool
 	Log log.Logger
 	// Metrics receives counters in Pascal case.
 	Metrics tally.Scope
--- a/io/front/startup.go
+++ b/io/front/startup.go
@@ -101,6 +101,11 @@
 		s.startupFailed(err)
 		return false
 	}
+	if s.srv.cfg.TLSRequired && s.conn == s.raw {
+		s.fatal(errTLSRequired)
+		s.linger()
+		return false
+	}
 	if limit := s.srv.cfg.MaxConnections; limit > 0 && s.srv.open() > limit {
 		s.fatal(&callerError{State: core.StateTooManyConnections,
 			Message: fmt.Sprintf("more than %d connections to this entry VM", limit),
--- a/server/server.go
+++ b/server/server.go
@@ -131,6 +131,7 @@
 		Listener: ln, Router: p.router, Policies: p.table, Groups: p.router, TLS: tlsConfig,
 		Log: log.With(p.cfg.Log, "service", "front"), Metrics: p.scope.SubScope("Front"),
 		DefaultKind: s.Callers.DefaultKind, MaxMessage: s.Callers.MaxMessage,
+		MaxConnections: s.Callers.MaxConnections, TLSRequired: s.CallerTLS.Required,
 	})
 	return p.kernel.Register(p.front)
 }
