--- a/io/front/server.go
+++ b/io/front/server.go
@@ -37,7 +37,7 @@
 	TLS *tls.Config
 	// TLSRequired refuses callers that don't ask for TLS.
 	TLSRequired bool
-	Log log.Logger
+	Log         log.Logger
 	// Metrics receives counters in Pascal case.
 	Metrics tally.Scope
 	// DefaultKind is the kind of callers that name none.
