Bound polls under Suspect and shorten the retry after a failed promotion

Cause: each failing request calls Suspect, which repeated polls of a refusing upstream without a pause (TestSuspectDoesNotFlood, written with the fix). A driver whose promotion failed waited 600 ms for a change that only it could complete. Ruled out: skipping that wait after any failed change: a driver that was refused at prepare shares its term with the driver that got the majority and would contest its promotion. Change: Suspect respects the shortest interval and the pause after a failure; a term that this driver had a majority for and failed to promote in isn't waited for; the zero position counts as confirmed.

--- a/core/elect/assess.go
+++ b/core/elect/assess.go
@@ -130,7 +130,11 @@
 func (d *Driver) assessHeadless(now time.Time, reports []quorum.Report, a *assessment) {
 	a.reason = ReasonNone
 	a.since = d.headless.hold(now, a.highest)
-	a.ready = d.lasted(now, a.since, d.cfg.Timing.HeadlessAfter, reports)
+	limit := d.cfg.Timing.HeadlessAfter
+	if d.abandoned > 0 && a.highest == d.abandoned {
+		limit = 0
+	}
+	a.ready = d.lasted(now, a.since, limit, reports)
 }
 
 // lasted reports whether trouble is old enough, and no replica vetoes or the veto has run out.
@@ -171,7 +175,7 @@
 // contested reports whether another driver has raised the terms so recently that it may still be
 // about to complete its change.
 func (d *Driver) contested(now time.Time, a *assessment) bool {
-	if a.highest == a.term || a.highest == d.highest {
+	if a.highest == a.term || a.highest == d.abandoned {
 		d.contest.reset()
 		return false
 	}
--- a/core/elect/change.go
+++ b/core/elect/change.go
@@ -72,6 +72,7 @@
 		return err
 	})
 	if err != nil {
+		d.abandoned = c.Term
 		return err
 	}
 	d.followAll(ctx, target.index, *c)
--- a/core/elect/driver.go
+++ b/core/elect/driver.go
@@ -29,6 +29,9 @@
 	attempts  int
 	// highest is the highest term that this driver has used.
 	highest core.Term
+	// abandoned is the last term for which this driver had a majority and then failed to promote. No
+	// other driver can be at work in it.
+	abandoned core.Term
 	// progress is the end of the last step of a change.
 	progress time.Time
 	repaired []time.Time
--- a/core/quorum/monitor.go
+++ b/core/quorum/monitor.go
@@ -173,7 +173,7 @@
 // dueLocked returns the time until the member's next poll.
 func (m *Monitor) dueLocked(i int, now time.Time) time.Duration {
 	mb := &m.members[i]
-	if mb.startedAt.IsZero() || mb.urgent {
+	if mb.startedAt.IsZero() {
 		return 0
 	}
 	gap := m.interval
@@ -183,6 +183,9 @@
 	if g, ok := mb.waits.gap(now, m.cfg.DemandInterval, gap); ok {
 		gap = g
 	}
+	if mb.urgent {
+		gap = m.cfg.DemandInterval
+	}
 	if mb.err != nil {
 		gap = max(gap, min(failedGap, m.cfg.PollInterval))
 	}
--- a/core/quorum/quorum_test.go
+++ b/core/quorum/quorum_test.go
@@ -186,3 +186,17 @@
 		g.Thaw("u1")
 	})
 }
+
+// Guards against a flood of polls to an upstream that refuses connections while requests fail.
+func TestSuspectDoesNotFlood(t *testing.T) {
+	run(t, fakes.GroupConfig{}, func(_ context.Context, g *fakes.Group, m *quorum.Monitor) {
+		g.Kill("u1")
+		before := m.Dump().(quorum.State).Polls
+		for range 1000 {
+			m.Suspect("u1")
+			time.Sleep(time.Millisecond)
+		}
+		polls := m.Dump().(quorum.State).Polls - before
+		assert.Assert(t, polls >= 40 && polls <= 100, "%d polls", polls)
+	})
+}
--- a/core/quorum/waiter.go
+++ b/core/quorum/waiter.go
@@ -171,7 +171,8 @@
 	return m.confirmedLocked(w.pos)
 }
 
-// confirmedLocked reports whether a majority has held p under p's own term.
+// confirmedLocked reports whether a majority has held p under p's own term. The place before the first
+// entry always counts.
 func (m *Monitor) confirmedLocked(p core.Position) bool {
-	return p.Term == m.confirmed.Term && p.Offset <= m.confirmed.Offset
+	return p.IsZero() || p.Term == m.confirmed.Term && p.Offset <= m.confirmed.Offset
 }
