Confirm the earlier run before a duplicate request is answered

Cause: a caller whose write ended as unknown repeats it with its request id and takes SW003, has run before, for an acknowledgment. On an isolated primary the record of the id was visible although no majority held it, so that the failover then lost a write that its caller believed done. Ruled out: trusting the record because it was committed: the primary's commit alone proves nothing. Change: the owner takes a read index after it met the duplicate and answers SW003 only if the term is still the one in which the request met the record; otherwise the outcome stays unknown (08007). Conclusion: every answer that a caller may take for an acknowledgment is confirmed now.

--- a/core/owner/check_test.go
+++ b/core/owner/check_test.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"context"
 	"errors"
 	"testing"
 	"time"
@@ -43,3 +44,31 @@
 		})
 	}
 }
+
+// Guards against "has run before" for a write that an isolated primary committed and a failover
+// then loses: the caller takes the answer for an acknowledgment.
+func TestDuplicateIsConfirmed(t *testing.T) {
+	duplicate := func(_ *Config, f *fixture) {
+		f.view.index = core.Position{Term: 1, Offset: 9}
+		f.up.before = func(context.Context, *core.Request) error { return &core.DuplicateError{ID: "r-81"} }
+	}
+	run(t, duplicate, func(t *testing.T, f *fixture) {
+		_, err := f.Execute(t.Context(), f.request(core.ClassWrite), &caller{})
+		var known *core.DuplicateError
+		assert.Assert(t, errors.As(err, &known), "%v", err)
+
+		f.view.set(func(v *fakeView) { v.index.Term = 2 })
+		_, err = f.Execute(t.Context(), f.request(core.ClassWrite), &caller{})
+		var unknown *core.UnknownOutcomeError
+		assert.Assert(t, errors.As(err, &unknown), "the term ended: %v", err)
+	})
+	run(t, duplicate, func(t *testing.T, f *fixture) {
+		f.up.before = func(context.Context, *core.Request) error {
+			f.view.set(func(v *fakeView) { v.known = false })
+			return &core.DuplicateError{ID: "r-81"}
+		}
+		_, err := f.Execute(t.Context(), f.request(core.ClassWrite), &caller{})
+		var unknown *core.UnknownOutcomeError
+		assert.Assert(t, errors.As(err, &unknown), "no majority: %v", err)
+	})
+}
--- a/core/owner/serve.go
+++ b/core/owner/serve.go
@@ -175,17 +175,34 @@
 			return hedge.claim(a)
 		}
 	}
+	_, term, _ := o.cfg.View.Primary()
 	res, err := o.runCounted(runCtx, path, req, h, a)
 	if err == nil {
 		err = o.step(ctx, path, StepReceive, req)
 	}
 	var duplicate *core.DuplicateError
-	if err == nil || errors.As(err, &duplicate) {
-		return res, err
+	switch {
+	case err == nil:
+		return res, nil
+	case errors.As(err, &duplicate):
+		return res, o.confirmDuplicate(ctx, term, duplicate)
 	}
 	return core.Result{}, o.lost(ctx, err, a)
 }
 
+// confirmDuplicate makes sure that the earlier run of a request is confirmed, since the caller takes
+// the duplicate for an acknowledgment. The upstream had the record in the term.
+func (o *Owner) confirmDuplicate(ctx context.Context, term core.Term, duplicate *core.DuplicateError) error {
+	index, err := o.cfg.View.ReadIndex(ctx)
+	if err != nil {
+		return &core.UnknownOutcomeError{Reason: duplicate.Error() + ", but that run is not confirmed: " + err.Error()}
+	}
+	if index.Term != term {
+		return &core.UnknownOutcomeError{Reason: duplicate.Error() + ", but in a term that has ended"}
+	}
+	return duplicate
+}
+
 // runCounted runs the request and accounts for its commit before anybody hears of it.
 func (o *Owner) runCounted(ctx context.Context, path Path, req *core.Request, h *pool.Handle[core.Conn], a *answer) (core.Result, error) {
 	if path == PathRead {
