Keep a keeper from missing the moment to watch

Cause: a keeper checked whether it has to hold a watch, and read the generation of the membership afterwards. TestKeeperSeesChangeDuringCheck failed first. Ruled out: a check at each tick regardless of the generation, which hashes the whole membership twice a second. Change: the generation is read before the members. Conclusion: takeover doesn't depend on the moment of the change.

--- a/core/table/keeper_test.go
+++ b/core/table/keeper_test.go
@@ -24,6 +24,8 @@
 	gen     uint64
 	answer  []byte
 	spreads int
+	// afterAlive, if set, runs once after the next call of Alive.
+	afterAlive func()
 }
 
 func (h *hub) remove(id core.VMID) {
@@ -44,8 +46,13 @@
 
 func (p hubPeers) Alive() []core.VM {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.alive
+	alive, after := p.alive, p.afterAlive
+	p.afterAlive = nil
+	p.mu.Unlock()
+	if after != nil {
+		after()
+	}
+	return alive
 }
 
 func (p hubPeers) Generation() uint64 {
@@ -189,6 +196,36 @@
 	}
 }
 
+// Guards against a watch that nobody takes over, since the watchers went away between the check of
+// the membership and the wait for its next change.
+func TestKeeperSeesChangeDuringCheck(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &keepers{platform: newPlatform(t), hub: &hub{}}
+		for _, id := range []core.VMID{"a", "b", "c"} {
+			f.hub.alive = append(f.hub.alive, core.VM{ID: id})
+		}
+		for _, vm := range slices.Clone(f.hub.alive) {
+			f.hub.afterAlive = func() {
+				for _, other := range []core.VMID{"a", "b", "c"} {
+					if other != vm.ID {
+						f.hub.remove(other)
+					}
+				}
+			}
+			k := NewKeeper(KeeperConfig{Store: f.store})
+			k.Join(hubPeers{hub: f.hub, self: vm})
+			ctx, cancel := context.WithCancel(t.Context())
+			end := make(chan error, 1)
+			go func() { end <- k.Run(ctx) }()
+			time.Sleep(2 * time.Second)
+			assert.Check(t, k.Dump().(keeperDump).Watching, "%s doesn't watch", vm.ID)
+			cancel()
+			assert.NilError(t, <-end)
+			f.hub.alive = []core.VM{{ID: "a"}, {ID: "b"}, {ID: "c"}}
+		}
+	})
+}
+
 // Guards against a version that goes back, in any order of arrival and from any source, and against
 // callbacks that show it.
 func TestKeeperVersionNeverGoesBack(t *testing.T) {
--- a/core/table/watch.go
+++ b/core/table/watch.go
@@ -27,11 +27,13 @@
 	w := watcher{keeper: k}
 	w.poll(ctx)
 	for ctx.Err() == nil {
+		// The generation is read before the members, so that no change in between is missed.
+		seen := k.generation()
 		if k.isWatcher() {
 			w.watch(ctx)
 			continue
 		}
-		w.idle(ctx)
+		w.idle(ctx, seen)
 	}
 	<-asked
 	return nil
@@ -64,6 +66,14 @@
 	return k.peers
 }
 
+// generation returns the number of the membership's state, or 0 without one.
+func (k *Keeper) generation() uint64 {
+	if peers := k.joined(); peers != nil {
+		return peers.Generation()
+	}
+	return 0
+}
+
 // isWatcher reports whether this entry VM is one of those of its failure domain that hold a watch.
 func (k *Keeper) isWatcher() bool {
 	peers := k.joined()
@@ -127,18 +137,17 @@
 }
 
 // idle waits until this entry VM has to hold a watch, or polls after a long time. Without a table it
-// polls sooner.
-func (w *watcher) idle(ctx context.Context) {
+// polls sooner. It was decided at the generation seen that no watch is needed.
+func (w *watcher) idle(ctx context.Context, seen uint64) {
 	until := time.Now().Add(w.keeper.pollTime())
 	if w.keeper.Version() == 0 {
 		until = time.Now().Add(emptyPollTime)
 	}
-	seen := w.keeper.joined().Generation()
 	for time.Now().Before(until) {
 		if !pause(ctx, roleCheckTime) {
 			return
 		}
-		gen := w.keeper.joined().Generation()
+		gen := w.keeper.generation()
 		if gen != seen && w.keeper.isWatcher() {
 			return
 		}
