Close relay connections that nobody uses, and count both sides' CPU of a forwarded statement

Cause: in a fleet of 520 an entry VM forwards to hundreds of others, and kept every connection. Ruled out: a smaller number of idle connections for each entry VM, which costs set-ups under load. Change: relay.Client is a service that closes connections after 30 s without use; bench overhead adds up the processes of a way. Conclusion: idle connections follow the traffic of the last 30 s.

--- a/bench/overhead.go
+++ b/bench/overhead.go
@@ -35,7 +35,7 @@
 		Name:  "overhead",
 		Usage: "measure what each way to the upstream adds to a simple statement",
 		Flags: []cli.Flag{
-			&cli.StringSliceFlag{Name: "target", Usage: "`NAME=HOST:PORT=PID` of a way to the upstream; the first is the direct one", Required: true},
+			&cli.StringSliceFlag{Name: "target", Usage: "`NAME=HOST:PORT=PID+PID` of a way to the upstream and its processes; the first is the direct one", Required: true},
 			&cli.StringFlag{Name: "database", Usage: "group to use", Required: true},
 			&cli.IntFlag{Name: "connections", Value: 32, Usage: "connections when the rate is measured"},
 			&cli.StringFlag{Name: "json", Usage: "`FILE` for the result as JSON"},
@@ -51,7 +51,7 @@
 	P50, P99 float64
 	// Rate is the number of statements per second over all connections.
 	Rate float64
-	// CPU is the processor time of the process per statement in microseconds, 0 if unknown.
+	// CPU is the processor time of the processes per statement in microseconds, 0 if there are none.
 	CPU float64
 	// PerCore is the number of statements per second of processor time.
 	PerCore float64
@@ -60,7 +60,8 @@
 // target is one way to the upstream.
 type target struct {
 	name, address string
-	pid           int
+	// pids are the processes between the caller and the upstream.
+	pids []int
 }
 
 func parseTarget(s string) (target, error) {
@@ -68,11 +69,15 @@
 	if len(parts) != 3 {
 		return target{}, fmt.Errorf("target %q: want NAME=HOST:PORT=PID", s)
 	}
-	pid, err := strconv.Atoi(parts[2])
-	if err != nil {
-		return target{}, fmt.Errorf("target %q: process id: %w", s, err)
+	t := target{name: parts[0], address: parts[1]}
+	for text := range strings.SplitSeq(parts[2], "+") {
+		pid, err := strconv.Atoi(text)
+		if err != nil {
+			return target{}, fmt.Errorf("target %q: process id: %w", s, err)
+		}
+		t.pids = append(t.pids, pid)
 	}
-	return target{name: parts[0], address: parts[1], pid: pid}, nil
+	return t, nil
 }
 
 func runOverhead(ctx context.Context, cmd *cli.Command) error {
@@ -162,12 +167,12 @@
 		}()
 	}
 	time.Sleep(time.Until(begin))
-	before, err := cpuTime(t.pid)
+	before, err := cpuTimes(t.pids)
 	if err != nil {
 		return nil, 0, err
 	}
 	time.Sleep(time.Until(end))
-	after, err := cpuTime(t.pid)
+	after, err := cpuTimes(t.pids)
 	if err != nil {
 		return nil, 0, err
 	}
@@ -202,6 +207,19 @@
 	}
 }
 
+// cpuTimes adds up the processor times of processes.
+func cpuTimes(pids []int) (time.Duration, error) {
+	var sum time.Duration
+	for _, pid := range pids {
+		d, err := cpuTime(pid)
+		if err != nil {
+			return 0, err
+		}
+		sum += d
+	}
+	return sum, nil
+}
+
 // cpuTime returns the processor time that a process has spent, or 0 for process id 0.
 func cpuTime(pid int) (time.Duration, error) {
 	if pid == 0 {
--- a/io/relay/client.go
+++ b/io/relay/client.go
@@ -23,8 +23,13 @@
 	MaxIdle int
 }
 
-// DefaultMaxIdle is the number of idle connections kept for each entry VM.
-const DefaultMaxIdle = 32
+const (
+	// DefaultMaxIdle is the number of idle connections kept for each entry VM.
+	DefaultMaxIdle = 32
+	// IdleTime is how long an idle connection is kept. In a large fleet an entry VM forwards to
+	// hundreds of others, to most of them seldom.
+	IdleTime = 30 * time.Second
+)
 
 // Client opens connections to other entry VMs and keeps idle ones.
 type Client struct {
@@ -48,6 +53,58 @@
 	return &Client{cfg: cfg, idle: make(map[string][]*link)}
 }
 
+// Name implements core.Service.
+func (c *Client) Name() string { return "relay-client" }
+
+// ClientState is the client's part of a state dump.
+type ClientState struct {
+	// Idle is the number of idle connections, Peers of the entry VMs that they lead to.
+	Idle, Peers int
+}
+
+// Dump implements core.Dumper.
+func (c *Client) Dump() any {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := ClientState{Peers: len(c.idle)}
+	for _, links := range c.idle {
+		s.Idle += len(links)
+	}
+	return s
+}
+
+// Run closes connections that were idle for too long, until ctx ends, and then all idle ones.
+func (c *Client) Run(ctx context.Context) error {
+	ticker := time.NewTicker(IdleTime / 3)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			c.Close()
+			return nil
+		case now := <-ticker.C:
+			c.expire(now)
+		}
+	}
+}
+
+// expire closes the connections that were not used since IdleTime.
+func (c *Client) expire(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, links := range c.idle {
+		old := 0
+		for old < len(links) && now.Sub(links[old].lastUsed) >= IdleTime {
+			links[old].close()
+			old++
+		}
+		c.idle[address] = links[old:]
+		if old == len(links) {
+			delete(c.idle, address)
+		}
+	}
+}
+
 // Executor returns an executor that forwards to the entry VM for the upstream.
 func (c *Client) Executor(vm core.VM, upstream core.UpstreamID) core.Executor {
 	return &executor{client: c, address: vm.Relay, upstream: upstream}
@@ -65,17 +122,6 @@
 	}
 }
 
-// Idle returns the number of idle connections.
-func (c *Client) Idle() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	n := 0
-	for _, links := range c.idle {
-		n += len(links)
-	}
-	return n
-}
-
 // take returns a connection that is known to answer.
 func (c *Client) take(ctx context.Context, address string) (*link, error) {
 	for {
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -171,7 +171,7 @@
 		_, err := client.Executor(core.VM{Relay: "vm-2"}, "berth-1").Execute(t.Context(), req, &collect{})
 		assert.Assert(t, err != nil && req.Attempt.Sent())
 		assert.Equal(t, time.Since(began), SilenceLimit)
-		assert.Equal(t, client.Idle(), 0)
+		assert.Equal(t, client.Dump(), any(ClientState{}))
 	})
 }
 
@@ -193,6 +193,29 @@
 	})
 }
 
+// Guards against connections to hundreds of entry VMs that stay open after their last use.
+func TestRelayIdleConnectionsExpire(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ln := newPipeListener()
+		srv := NewServer(ServerConfig{Listener: ln, Find: func(core.UpstreamID) (core.Executor, bool) { return fakeExecutor(echo), true }})
+		client := NewClient(ClientConfig{Dial: ln.dial})
+		ctx, cancel := context.WithCancel(t.Context())
+		ends := make(chan error, 2)
+		go func() { ends <- srv.Run(ctx) }()
+		go func() { ends <- client.Run(ctx) }()
+		for _, address := range []string{"vm-2", "vm-3"} {
+			_, err := client.Executor(core.VM{Relay: address}, "berth-1").Execute(t.Context(), newTestRequest(1, "select 1"), &collect{})
+			assert.NilError(t, err)
+		}
+		assert.Equal(t, client.Dump(), any(ClientState{Idle: 2, Peers: 2}))
+		time.Sleep(IdleTime + IdleTime/2)
+		assert.Equal(t, client.Dump(), any(ClientState{}))
+		cancel()
+		assert.NilError(t, <-ends)
+		assert.NilError(t, <-ends)
+	})
+}
+
 type fakeTx struct {
 	fakeExecutor
 	closed *atomic.Bool
--- a/scripts/overhead.sh
+++ b/scripts/overhead.sh
@@ -62,4 +62,4 @@
 bin/bench seed --address 127.0.0.1:19610 --database bench
 bin/bench overhead --database bench --json "${1:-$run/overhead.json}" \
 	--target direct=127.0.0.1:19401=0 --target "tcp-relay=127.0.0.1:19600=$relay_pid" \
-	--target "served-locally=127.0.0.1:19610=$owner_pid" --target "forwarded=127.0.0.1:19620=$other_pid"
+	--target "served-locally=127.0.0.1:19610=$owner_pid" --target "forwarded=127.0.0.1:19620=$other_pid+$owner_pid"
--- a/server/server.go
+++ b/server/server.go
@@ -106,7 +106,7 @@
 	}
 	p.relay = relay.NewServer(relay.ServerConfig{Listener: ln, Find: p.assign.Executor, Log: log.With(p.cfg.Log, "service", "relay")})
 	p.client = relay.NewClient(relay.ClientConfig{})
-	return errors.Join(p.kernel.Register(p.assign), p.kernel.Register(p.relay))
+	return errors.Join(p.kernel.Register(p.assign), p.kernel.Register(p.relay), p.kernel.Register(p.client))
 }
 
 func (p *Process) openRouter() error {
@@ -209,7 +209,6 @@
 			level.Warn(p.cfg.Log).Log("msg", "stopped with work in flight", "service", d.Name(), "err", err)
 		}
 	}
-	p.client.Close()
 	level.Info(p.cfg.Log).Log("msg", "stopped")
 }
 
