Take the owners of an upstream from the cache

Cause: rendezvous hashing over 520 entry VMs takes 11.1 us. The manager of the assignment asked for all upstreams 5 times a second: 3,600 upstreams would take 200 ms/s of CPU, nine times the budget of 2.3% of a core for all control; a routed request paid for it too. Ruled out: asking less often, which delays a takeover. Change: router and manager use place.Cache, which hashes again only when the membership changes.

--- a/core/assign/assign.go
+++ b/core/assign/assign.go
@@ -46,8 +46,9 @@
 type Config struct {
 	Upstreams []core.UpstreamInfo
 	Members   core.Members
-	// Owners returns up to n entry VMs in the order in which they own the upstream.
-	Owners func(info core.UpstreamInfo, alive []core.VM, n int) []core.VM
+	// Owners returns entry VMs in the order in which they own the upstream. It is asked for all
+	// upstreams several times a second, so it has to answer from a cache.
+	Owners func(info core.UpstreamInfo) []core.VM
 	// NewGroup builds the monitor and the driver of a group.
 	NewGroup func(id core.GroupID, upstreams []core.UpstreamInfo) Group
 	// NewOwner builds the owner of an upstream.
@@ -136,12 +137,11 @@
 
 // adjust starts what this entry VM owns and stops what nobody needs.
 func (m *Manager) adjust() error {
-	alive := m.cfg.Members.Alive()
 	self := m.cfg.Members.Self().ID
 	var stopped []*ownerCell
 	m.mu.Lock()
 	for id, info := range m.upstreams {
-		first := m.cfg.Owners(info, alive, 1)
+		first := m.cfg.Owners(info)
 		assigned := len(first) > 0 && first[0].ID == self && !m.draining
 		cell := m.owners[id]
 		if cell == nil && assigned {
--- a/core/assign/assign_test.go
+++ b/core/assign/assign_test.go
@@ -98,8 +98,11 @@
 		f.Manager = New(Config{
 			Upstreams: []core.UpstreamInfo{{ID: "berth-1", Group: "berth"}},
 			Members:   f.members,
-			Owners:    func(_ core.UpstreamInfo, alive []core.VM, _ int) []core.VM { return alive[len(alive)-1:] },
-			NewGroup:  func(core.GroupID, []core.UpstreamInfo) Group { return Group{} },
+			Owners: func(core.UpstreamInfo) []core.VM {
+				alive := f.members.Alive()
+				return alive[len(alive)-1:]
+			},
+			NewGroup: func(core.GroupID, []core.UpstreamInfo) Group { return Group{} },
 			NewOwner: func(info core.UpstreamInfo, _ core.GroupView) Owner {
 				f.mu.Lock()
 				defer f.mu.Unlock()
--- a/core/assign/doc.go
+++ b/core/assign/doc.go
@@ -8,7 +8,7 @@
 // # Usage
 //
 //	m := assign.New(assign.Config{
-//		Upstreams: settings.Upstreams, Members: members, Owners: place.Owners,
+//		Upstreams: settings.Upstreams, Members: members, Owners: cache.Owners,
 //		NewGroup: newGroup, NewOwner: newOwner,
 //	})
 //	go func() { end <- m.Run(ctx) }()
--- a/core/route/choose.go
+++ b/core/route/choose.go
@@ -110,7 +110,7 @@
 // attempt runs the request on the upstream, through the first of its owners that can be reached.
 func (t *trial) attempt(ctx context.Context, info core.UpstreamInfo) (core.Result, error) {
 	self := t.router.cfg.Members.Self()
-	for _, vm := range t.router.cfg.Owners(info, t.router.cfg.Members.Alive(), owners) {
+	for _, vm := range t.router.cfg.Owners(info) {
 		if vm.ID == self.ID {
 			return t.runLocal(ctx, info)
 		}
--- a/core/route/doc.go
+++ b/core/route/doc.go
@@ -9,7 +9,7 @@
 // # Usage
 //
 //	r := route.New(route.Config{
-//		Upstreams: settings.Upstreams, Members: members, Owners: place.Owners,
+//		Upstreams: settings.Upstreams, Members: members, Owners: cache.Owners,
 //		Local: cells.Executor, Remote: client.Executor,
 //	})
 //	res, err := r.Execute(ctx, req, w)
--- a/core/route/index.go
+++ b/core/route/index.go
@@ -37,7 +37,7 @@
 
 // indexer returns the owner of the primary, here or on another entry VM.
 func (t *trial) indexer(info core.UpstreamInfo) (core.SessionIndexer, bool) {
-	vms := t.router.cfg.Owners(info, t.router.cfg.Members.Alive(), 1)
+	vms := t.router.cfg.Owners(info)
 	if len(vms) == 0 || t.router.isPenalized(vms[0].ID) {
 		return nil, false
 	}
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -24,16 +24,15 @@
 	answerReserve = 50 * time.Millisecond
 	// peerPenalty is how long an entry VM that could not be reached is passed over.
 	peerPenalty = 500 * time.Millisecond
-	// owners is how many entry VMs are tried for an upstream before this one dials it itself.
-	owners = 2
 )
 
 // Config configures a Router.
 type Config struct {
 	Upstreams []core.UpstreamInfo
 	Members   core.Members
-	// Owners returns up to n entry VMs in the order in which they own the upstream.
-	Owners func(info core.UpstreamInfo, alive []core.VM, n int) []core.VM
+	// Owners returns entry VMs in the order in which they own the upstream. It is on the path of each
+	// request, so it has to answer from a cache.
+	Owners func(info core.UpstreamInfo) []core.VM
 	// Local returns the executor of an upstream in this process and starts it if needed.
 	Local func(id core.UpstreamID) (core.Executor, bool)
 	// Remote returns the executor of an upstream on another entry VM.
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -65,12 +65,12 @@
 
 type members struct{ alive []core.VM }
 
-func (m *members) Self() core.VM                             { return m.alive[0] }
-func (m *members) Alive() []core.VM                          { return m.alive }
-func (m *members) Generation() uint64                        { return 1 }
-func (m *members) Leaving(core.UpstreamID) bool              { return false }
-func (m *members) MarkLeaving(core.UpstreamID, bool)         {}
-func ownersNone(core.UpstreamInfo, []core.VM, int) []core.VM { return nil }
+func (m *members) Self() core.VM                     { return m.alive[0] }
+func (m *members) Alive() []core.VM                  { return m.alive }
+func (m *members) Generation() uint64                { return 1 }
+func (m *members) Leaving(core.UpstreamID) bool      { return false }
+func (m *members) MarkLeaving(core.UpstreamID, bool) {}
+func ownersNone(core.UpstreamInfo) []core.VM         { return nil }
 
 // newRouter returns a router in domain a whose upstreams a, b, c all run in this process.
 func newRouter(scripts map[core.UpstreamID]*script) *Router {
--- a/server/server.go
+++ b/server/server.go
@@ -41,6 +41,7 @@
 
 	store   *store.Store
 	members *peers.Peers
+	owners  *place.Cache
 	table   *table.Keeper
 	assign  *assign.Manager
 	client  *relay.Client
@@ -96,8 +97,9 @@
 
 func (p *Process) openOwners() error {
 	s := p.cfg.Settings
+	p.owners = place.NewCache(place.CacheConfig{Members: p.members})
 	p.assign = assign.New(assign.Config{
-		Upstreams: s.Upstreams, Members: p.members, Owners: place.Owners,
+		Upstreams: s.Upstreams, Members: p.members, Owners: p.owners.Owners,
 		NewGroup: p.newGroup, NewOwner: p.newOwner, Log: log.With(p.cfg.Log, "service", "assign"),
 	})
 	ln, err := listen("Relay", s.Listen.Relay)
@@ -111,7 +113,7 @@
 
 func (p *Process) openRouter() error {
 	p.router = route.New(route.Config{
-		Upstreams: p.cfg.Settings.Upstreams, Members: p.members, Owners: place.Owners,
+		Upstreams: p.cfg.Settings.Upstreams, Members: p.members, Owners: p.owners.Owners,
 		Local: p.assign.Executor, Remote: p.client.Executor, View: p.assign.View,
 	})
 	return p.kernel.Register(p.router)
