Record request ids inside explicit transactions

Ruled out: a refusal, since drivers put writes into transactions; the record in a transaction of its own, which outlives a rollback. Change: the record is inserted in the caller's transaction before its first write, and fails it if the id has committed before. Conclusion: a request id counts wherever its write runs.

--- a/e2e/e2e_test.go
+++ b/e2e/e2e_test.go
@@ -235,9 +235,16 @@
 		}
 		return nil
 	})
+	for i, want := range []string{"", "SW003"} {
+		conn := c.connect(c.vms[1+i])
+		mustExec(t, conn, "begin")
+		_, err := conn.Exec(context.Background(), "/* request_id='invoice-2' */ update invoices set amount = amount + 7 where id = 1")
+		assert.Equal(t, sqlState(err), want, "%v", err)
+		mustExec(t, conn, "commit")
+	}
 	var amount int
 	assert.NilError(t, c.connect(c.vms[2], "session", "checker").QueryRow(context.Background(), "select amount from invoices where id = 1").Scan(&amount))
-	assert.Equal(t, amount, 5)
+	assert.Equal(t, amount, 12)
 }
 
 // Guards against a planned stop that cuts a request or a transaction in flight.
--- a/io/dbconn/answer.go
+++ b/io/dbconn/answer.go
@@ -184,7 +184,7 @@
 	if s.record {
 		if a.ownErr == nil && a.result.Err == nil {
 			a.ownErr = copyError(msg)
-			a.commitFailed = len(a.steps) == 1
+			a.commitFailed = s.kind == stepQuery && len(a.steps) == 1
 		}
 		return nil
 	}
--- a/io/dbconn/conn.go
+++ b/io/dbconn/conn.go
@@ -66,9 +66,9 @@
 
 // Run sends the request and passes the answer on, except ReadyForQuery and the commit position.
 //
-// A write with a request id outside of a transaction runs in a transaction that records the id; a
-// repeated id is a *core.DuplicateError, after which the connection is still usable. After any
-// other error it is closed. If req.Attempt is not marked then, nothing was sent. An error of w has the
+// A write with a request id records the id in its transaction, or in one of its own; a repeated id is
+// a *core.DuplicateError, after which the connection is still usable and an open transaction has
+// failed. After any other error it is closed. If req.Attempt is not marked then, nothing was sent. An error of w has the
 // class core.ErrCaller, all others core.ErrUpstream.
 func (c *Conn) Run(ctx context.Context, req *core.Request, w core.ResponseWriter) (core.Result, error) {
 	if !c.usable() {
--- a/io/dbconn/dbconn_test.go
+++ b/io/dbconn/dbconn_test.go
@@ -186,6 +186,43 @@
 	assert.Equal(t, answer, "RowDescription | (10) | SELECT 1")
 }
 
+// Guards against a transaction that runs twice when its caller repeats it with its request id, and
+// against a record that outlives a transaction that was rolled back.
+func TestRequestIDInTransaction(t *testing.T) {
+	ctx := testContext(t)
+	_, up := start(t, dbsim.Config{}, dbsim.NewPrimary(1))
+	run(ctx, t, dial(ctx, t, up), simple(core.ClassWrite, "CREATE TABLE bills (id int8 PRIMARY KEY, amount int8); INSERT INTO bills VALUES (1, 0)"))
+	for _, build := range []func() *core.Request{
+		func() *core.Request {
+			return simple(core.ClassWrite, "UPDATE bills SET amount = amount + 5 WHERE id = 1")
+		},
+		func() *core.Request {
+			return extended(core.ClassWrite, "add", "UPDATE bills SET amount = amount + 5 WHERE id = 1")
+		},
+	} {
+		id := core.RequestID(fmt.Sprintf("tx-%d", len(build().Messages)))
+		for _, end := range []string{"ROLLBACK", "COMMIT"} {
+			c := dial(ctx, t, up)
+			run(ctx, t, c, simple(core.ClassBegin, "BEGIN"))
+			write := build()
+			write.RequestID, write.InTx = id, true
+			res, answer := run(ctx, t, c, write)
+			assert.Equal(t, strings.TrimPrefix(answer, "BindComplete | "), "UPDATE 1")
+			assert.Equal(t, res.Status, core.TxOpen)
+			run(ctx, t, c, simple(core.ClassEnd, end))
+		}
+		c := dial(ctx, t, up)
+		run(ctx, t, c, simple(core.ClassBegin, "BEGIN"))
+		again := build()
+		again.RequestID, again.InTx = id, true
+		_, err := c.Run(ctx, again, &recorder{})
+		var dup *core.DuplicateError
+		assert.Assert(t, errors.As(err, &dup), "%v", err)
+	}
+	_, answer := run(ctx, t, dial(ctx, t, up), simple(core.ClassRead, "SELECT amount FROM bills"))
+	assert.Equal(t, answer, "RowDescription | (10) | SELECT 1")
+}
+
 // Guards against a connection limit that is taken for a broken upstream.
 func TestConnectionLimit(t *testing.T) {
 	ctx := testContext(t)
--- a/io/dbconn/once.go
+++ b/io/dbconn/once.go
@@ -24,7 +24,7 @@
 // needsRecord reports whether the request's id has to be recorded with its write. A request that only
 // prepares a statement must not use up the id of the one that executes it.
 func needsRecord(req *core.Request) bool {
-	if req.RequestID == "" || req.Class != core.ClassWrite || req.InTx {
+	if req.RequestID == "" || req.Class != core.ClassWrite {
 		return false
 	}
 	for _, msg := range req.Messages {
@@ -41,15 +41,23 @@
 	recordExecute = &pgproto3.Execute{}
 	beginQuery    = &pgproto3.Query{String: "BEGIN"}
 	commitQuery   = &pgproto3.Query{String: "COMMIT"}
+	createQuery   = &pgproto3.Query{String: recordCreate}
 	syncMessage   = &pgproto3.Sync{}
 )
 
 // once plans BEGIN, the record of the request id, the request and COMMIT. If the record fails, the
 // upstream runs no part of the request: an extended request is skipped up to its Sync, a simple
 // query meets a failed transaction. COMMIT then rolls back.
+//
+// In an open transaction the record is part of it, and the transaction fails with the record. The
+// table of the records is created first unless it is known, since the transaction can't be repeated.
 func (p *plan) once(c *Conn, req *core.Request) error {
 	p.reset()
-	p.send(beginQuery, step{kind: stepQuery, own: true, record: true})
+	if !req.InTx {
+		p.send(beginQuery, step{kind: stepQuery, own: true, record: true})
+	} else if !c.up.recorded.Load() {
+		p.send(createQuery, step{kind: stepQuery, own: true, record: true})
+	}
 	p.closeStatements(c)
 	if c.has(recordStatement) {
 		p.names = append(p.names, recordStatement)
@@ -63,7 +71,9 @@
 		p.send(syncMessage, step{kind: stepSync, own: true, record: true})
 	}
 	p.messages(c, req)
-	p.send(commitQuery, step{kind: stepQuery, own: true, record: true})
+	if !req.InTx {
+		p.send(commitQuery, step{kind: stepQuery, own: true, record: true})
+	}
 	return p.err
 }
 
@@ -75,7 +85,7 @@
 		return res, err
 	}
 	failure := c.answer.ownErr
-	if failure != nil && failure.Code == stateNoTable && !c.answer.commitFailed {
+	if failure != nil && failure.Code == stateNoTable && !c.answer.commitFailed && !req.InTx {
 		if req.Attempt != nil {
 			req.Attempt.ConfirmNotRun()
 		}
@@ -90,6 +100,10 @@
 		}
 	}
 	if failure == nil {
+		// A table that an open transaction created may still be rolled back.
+		if !req.InTx {
+			c.up.recorded.Store(true)
+		}
 		return res, nil
 	}
 	if failure.Code == stateUnique && !c.answer.commitFailed {
--- a/io/dbconn/upstream.go
+++ b/io/dbconn/upstream.go
@@ -5,6 +5,7 @@
 	"errors"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgconn"
@@ -22,6 +23,8 @@
 	control chan *Conn
 	// cancels holds a token for each cancel request on the way.
 	cancels chan struct{}
+	// recorded tells that the table of the request ids has been used.
+	recorded atomic.Bool
 }
 
 var _ core.Upstream = (*Upstream)(nil)
--- a/io/front/errors.go
+++ b/io/front/errors.go
@@ -54,8 +54,8 @@
 	errInFailedTx = &callerError{State: stateFailedTx,
 		Message: "current transaction is aborted, commands ignored until end of transaction block"}
 	errRequestIDInTx = &callerError{State: core.StateUnsupported,
-		Message: "a request id with BEGIN and COMMIT in one request is not supported",
-		Hint:    "Send BEGIN, the statements and COMMIT separately, or the write without BEGIN."}
+		Message: "a request id for a write in the same request as BEGIN is not supported",
+		Hint:    "Send BEGIN by itself, or the write without BEGIN."}
 )
 
 func invalidParameter(msg string) *callerError {
--- a/io/front/unit.go
+++ b/io/front/unit.go
@@ -174,7 +174,7 @@
 			id = s.requestID
 		}
 		s.requestID = ""
-		if id != "" && u.info.Begins && u.info.Ends {
+		if id != "" && u.info.Begins {
 			return errRequestIDInTx
 		}
 		req.RequestID = id
