Refuse plain callers where TLS is required, and limit connections

Cause: the settings CallerTLS.Required and Callers.MaxConnections were read and checked, but never handed to the listener for callers. A caller without TLS was served where the settings refuse it.

Ruled out: the other settings; each has a use outside of conf.

Change: the listener refuses a start-up message without TLS with 28000 if TLS is required, and the process hands over both settings. Tests on whole deployments: callers by sslmode=require and verify-full with a self-signed certificate, upstreams by TLS (the simulator takes a certificate), an upstream whose certificate is not trusted, the limit of connections, and the files of both examples. Ports for tests come from a block that one test binary reserves: a wire's port was taken by another process once.

Figures: plain caller before: served, after: 28000. Fourth connection with a limit of 3 before: accepted, after: 53300.

Conclusion: red before, green after.

--- a/e2e/cluster_test.go
+++ b/e2e/cluster_test.go
@@ -8,7 +8,6 @@
 	"flag"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -104,9 +103,10 @@
 type options struct {
 	// vms is the number of entry VMs.
 	vms int
-	// upstream holds extra flags of the upstreams, settings extra lines for the entry VMs.
+	// upstream holds extra flags of the upstreams.
 	upstream []string
-	settings string
+	// callers holds extra lines of the entry VMs' section Callers, settings extra sections.
+	callers, settings string
 	// wires puts a wire between each entry VM and each upstream.
 	wires bool
 }
@@ -217,7 +217,7 @@
 		fmt.Fprintf(&b, "[VM]\nID = %s\nFailureDomain = %s\nRegion = here\n", vm.id, vm.domain)
 		fmt.Fprintf(&b, "[Listen]\nCallers = %s\nControl = %s\nRelay = %s\nAdmin = %s\n", vm.callers, vm.control, vm.relay, vm.admin)
 		fmt.Fprintf(&b, "[Platform]\nAddress = %s\n[Peers]\nSeeds = %s\n", c.platform, strings.Join(seeds, ", "))
-		fmt.Fprintf(&b, "[Callers]\nDefaultKind = current\n[Stop]\nGrace = 500ms\n%s", c.opts.settings)
+		fmt.Fprintf(&b, "[Callers]\nDefaultKind = current\n%s[Stop]\nGrace = 500ms\n%s", c.opts.callers, c.opts.settings)
 		for i, address := range c.upstreams {
 			if c.opts.wires {
 				address = c.wires[n][i].address
@@ -343,20 +343,44 @@
 }
 
 // Ports are taken from below the range of outgoing connections, which could otherwise take one before
-// the process that it is meant for has started.
-const firstPort, lastPort = 20000, 32000
+// the process that it is meant for has started. Each test binary uses a block of its own, since two
+// that run at once could find the same port free.
+const (
+	firstGuard = 19900
+	firstPort  = 20000
+	blockSize  = 1000
+	// blocks keeps below the ports of examples/.
+	blocks = 5
+)
 
-// nextPort is the next port to try. Test binaries that run at once start at different places.
-var nextPort atomic.Int64
+// guard reserves the block of ports. A listener that nothing refers to is closed by the garbage
+// collector.
+var guard net.Listener
 
-func init() { nextPort.Store(firstPort + rand.Int64N(lastPort-firstPort)) }
+// portBlock returns the first port of a block that no other test binary uses. A listener on the
+// block's guard port reserves it as long as this process runs.
+var portBlock = sync.OnceValues(func() (int64, error) {
+	for i := range blocks {
+		ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstGuard+i))
+		if err == nil {
+			guard = ln
+			return firstPort + int64(i)*blockSize, nil
+		}
+	}
+	return 0, errors.New("all blocks of ports are in use")
+})
+
+// portsTaken counts the ports that were tried.
+var portsTaken atomic.Int64
 
 // freePorts returns loopback addresses that were free a moment ago.
 func freePorts(t *testing.T, n int) []string {
 	t.Helper()
+	block, err := portBlock()
+	assert.NilError(t, err)
 	var addresses []string
 	for len(addresses) < n {
-		port := firstPort + nextPort.Add(1)%(lastPort-firstPort)
+		port := block + portsTaken.Add(1)%blockSize
 		ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err != nil {
 			continue
--- a/e2e/wire_test.go
+++ b/e2e/wire_test.go
@@ -33,7 +33,7 @@
 
 func newWire(t *testing.T, target string) *wire {
 	t.Helper()
-	ln, err := net.Listen("tcp", freePorts(t, 1)[0])
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	w := &wire{address: ln.Addr().String(), ln: ln, target: target, conns: make(map[net.Conn]bool)}
 	for i := range w.open {
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -35,7 +35,9 @@
 	Groups   core.Groups
 	// TLS, if set, is offered to callers that ask for it.
 	TLS *tls.Config
-	Log log.Logger
+	// RequireTLS refuses callers that don't ask for TLS. Cancel requests are taken without it.
+	RequireTLS bool
+	Log        log.Logger
 	// Metrics receives counters in Pascal case.
 	Metrics tally.Scope
 	// DefaultKind is the kind of callers that name none.
--- a/io/front/startup.go
+++ b/io/front/startup.go
@@ -101,6 +101,12 @@
 		s.startupFailed(err)
 		return false
 	}
+	if s.srv.cfg.RequireTLS && s.conn == s.raw {
+		s.fatal(&callerError{State: stateInvalidAuthorizaton, Message: "this entry VM requires TLS",
+			Hint: "Connect with sslmode=require or above."})
+		s.linger()
+		return false
+	}
 	if limit := s.srv.cfg.MaxConnections; limit > 0 && s.srv.open() > limit {
 		s.fatal(&callerError{State: core.StateTooManyConnections,
 			Message: fmt.Sprintf("more than %d connections to this entry VM", limit),
--- a/server/server.go
+++ b/server/server.go
@@ -128,9 +128,10 @@
 		return err
 	}
 	p.front = front.New(front.Config{
-		Listener: ln, Router: p.router, Policies: p.table, Groups: p.router, TLS: tlsConfig,
+		Listener: ln, Router: p.router, Policies: p.table, Groups: p.router, TLS: tlsConfig, RequireTLS: s.CallerTLS.Required,
 		Log: log.With(p.cfg.Log, "service", "front"), Metrics: p.scope.SubScope("Front"),
 		DefaultKind: s.Callers.DefaultKind, MaxMessage: s.Callers.MaxMessage,
+		MaxConnections: s.Callers.MaxConnections,
 	})
 	return p.kernel.Register(p.front)
 }
--- a/stand/upstream.go
+++ b/stand/upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -35,6 +36,8 @@
 			&cli.DurationFlag{Name: "ship-lag", Usage: "delay before entries enter a replica's log"},
 			&cli.DurationFlag{Name: "apply-lag", Usage: "delay before reads on a replica see entries"},
 			&cli.DurationFlag{Name: "heartbeat", Usage: "interval of a primary's heartbeats"},
+			&cli.StringFlag{Name: "tls-certificate", Usage: "PEM certificate, to offer TLS"},
+			&cli.StringFlag{Name: "tls-key", Usage: "PEM key of the certificate"},
 			&cli.BoolFlag{Name: "verbose", Usage: "log the end of each connection"},
 		},
 		Action: runUpstream,
@@ -46,7 +49,15 @@
 	if err != nil {
 		return err
 	}
-	srv := upstreamConfig(cmd).New(upstreamDatabase(cmd))
+	cfg := upstreamConfig(cmd)
+	if name := cmd.String("tls-certificate"); name != "" {
+		cert, err := tls.LoadX509KeyPair(name, cmd.String("tls-key"))
+		if err != nil {
+			return err
+		}
+		cfg.TLS = &tls.Config{Certificates: []tls.Certificate{cert}, MinVersion: tls.VersionTLS12}
+	}
+	srv := cfg.New(upstreamDatabase(cmd))
 	if address := cmd.String("admin"); address != "" {
 		stop, err := serveAdmin(ctx, address, srv.AdminHandler())
 		if err != nil {
