Check idle connections after one was discarded

Cause: when connections go silent together, each request that times out discards one and the next request takes another silent one from the pool. The heartbeat checks only those idle for 5 s.

Change: after a discard, idle connections that have not answered within the time of a check (1 s) are checked before their next use. A request that finds only those waits for a check or a dial.

Conclusion: one silent connection costs one request its time, not several in a row.

--- a/core/pool/handle.go
+++ b/core/pool/handle.go
@@ -40,7 +40,8 @@
 	}
 }
 
-// Discard closes a connection that failed or whose state is unknown.
+// Discard closes a connection that failed or whose state is unknown. Whatever broke it may have broken
+// the idle connections, too, unless they have answered within the time of a check.
 func (h *Handle[T]) Discard() {
 	if h.ended.Swap(true) {
 		return
@@ -48,6 +49,7 @@
 	p := h.pool
 	p.mu.Lock()
 	p.inUse--
+	p.doubt = time.Now().Add(-p.cfg.HeartbeatTime)
 	p.mu.Unlock()
 	p.close(h.entry)
 }
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -27,6 +27,9 @@
 	dialErr                         error
 	backoff                         time.Duration
 	retryAt                         time.Time
+	// doubt is a time: idle connections that last answered before it may be as silent as one that
+	// was discarded, and are checked before they are used again.
+	doubt time.Time
 }
 
 // waiter is a call of Get that found no idle connection.
@@ -93,6 +96,10 @@
 	if n == 0 {
 		return nil, false
 	}
+	if p.doubted(p.idle[n-1]) {
+		p.signal()
+		return nil, false
+	}
 	h := p.hold(p.idle[n-1])
 	p.idle = p.idle[:n-1]
 	if p.lacking() > 0 {
@@ -195,6 +202,11 @@
 	p.signal()
 }
 
+// doubted reports whether the connection must be checked before its next use. The caller holds mu.
+func (p *Pool[T]) doubted(e *entry[T]) bool {
+	return p.cfg.Ping != nil && e.checked.Before(p.doubt)
+}
+
 // abandon removes a waiter whose context ended and passes on what it may have been given meanwhile.
 func (p *Pool[T]) abandon(w *waiter[T]) {
 	p.mu.Lock()
@@ -295,7 +307,7 @@
 	defer p.mu.Unlock()
 	var due []*entry[T]
 	p.idle = slices.DeleteFunc(p.idle, func(e *entry[T]) bool {
-		if now.Sub(e.checked) < p.cfg.Heartbeat {
+		if now.Sub(e.checked) < p.cfg.Heartbeat && !p.doubted(e) {
 			return false
 		}
 		due = append(due, e)
--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -139,6 +139,29 @@
 }
 
 // Guards against connections above the reserve that are kept forever.
+// Guards against a request that takes a silent connection just after another one was found silent.
+func TestDiscardPutsIdleConnectionsInDoubt(t *testing.T) {
+	run(t, Config[*conn]{Limit: 8, Warm: 3, Heartbeat: time.Minute}, func(t *testing.T, p *Pool[*conn], s *server) {
+		time.Sleep(time.Second)
+		h, ok := p.TryGet()
+		assert.Assert(t, ok)
+		old := s.dials.Load()
+		s.silent.Store(true)
+		time.Sleep(4 * time.Second)
+		h.Discard()
+		_, ok = p.TryGet()
+		assert.Assert(t, !ok, "a connection that may be silent was handed out")
+		start := time.Now()
+		fresh, err := p.Get(t.Context())
+		assert.NilError(t, err)
+		assert.Assert(t, s.dials.Load() > old)
+		assert.Assert(t, time.Since(start) <= dialTime)
+		fresh.Put()
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, p.Stats().Idle, 3)
+	})
+}
+
 func TestIdleExpiry(t *testing.T) {
 	run(t, Config[*conn]{Limit: 6, Warm: 2}, func(t *testing.T, p *Pool[*conn], s *server) {
 		var handles []*Handle[*conn]
