--- a/io/dbconn/fault_test.go
+++ b/io/dbconn/fault_test.go
@@ -1,7 +1,6 @@
 package dbconn
 
 import (
-	"bytes"
 	"context"
 	"crypto/ecdsa"
 	"crypto/elliptic"
@@ -9,11 +8,9 @@
 	"crypto/tls"
 	"crypto/x509"
 	"errors"
-	"fmt"
 	"math/big"
 	"net"
 	"strings"
-	"sync"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -181,17 +178,6 @@
 	})
 }
 
-// Guards against a replica's refusal that is hidden by the missing table of the records.
-func TestRequestIDOnReplica(t *testing.T) {
-	ctx := testContext(t)
-	_, up := start(t, dbsim.Config{}, dbsim.NewReplica(1, ""))
-	req := simple(core.ClassWrite, "CREATE TABLE t (id int8)")
-	req.RequestID = "r-1"
-	res, answer := run(ctx, t, dial(ctx, t, up), req)
-	assert.Equal(t, answer, core.StateReadOnly)
-	assert.Equal(t, res.Err.State, core.StateReadOnly)
-}
-
 // Guards against a connection that died while idle and makes the next request's outcome unknown.
 func TestRestartWhileIdle(t *testing.T) {
 	ctx := testContext(t)
@@ -210,52 +196,6 @@
 	assert.Assert(t, !req.Attempt.Sent())
 }
 
-// Guards against requests with the same id that run side by side, and against ids of failed writes
-// that block their repetition.
-func TestRequestIDConcurrent(t *testing.T) {
-	ctx := testContext(t)
-	_, up := start(t, dbsim.Config{}, dbsim.NewPrimary(1))
-	c := dial(ctx, t, up)
-	run(ctx, t, c, simple(core.ClassWrite, "CREATE TABLE bills (id bigserial PRIMARY KEY, n int8)"))
-	var wg sync.WaitGroup
-	var mu sync.Mutex
-	ran, duplicates := 0, 0
-	for range 8 {
-		c := dial(ctx, t, up)
-		wg.Go(func() {
-			req := simple(core.ClassWrite, "INSERT INTO bills (n) VALUES (1)")
-			req.RequestID = "r-1"
-			_, err := c.Run(ctx, req, &recorder{})
-			mu.Lock()
-			defer mu.Unlock()
-			var dup *core.DuplicateError
-			switch {
-			case err == nil:
-				ran++
-			case errors.As(err, &dup):
-				duplicates++
-			}
-		})
-	}
-	wg.Wait()
-	assert.Equal(t, ran, 1)
-	assert.Equal(t, duplicates, 7)
-	prepare := &core.Request{Class: core.ClassWrite, RequestID: "r-2", Messages: []pgproto3.FrontendMessage{
-		&pgproto3.Parse{Name: "ins", Query: "INSERT INTO bills (n) VALUES (2)"}, &pgproto3.Sync{},
-	}}
-	_, answer := run(ctx, t, c, prepare)
-	assert.Equal(t, answer, "ParseComplete")
-	for _, want := range []string{"22P02", "INSERT 0 1"} {
-		value := map[string]string{"22P02": "'x'", "INSERT 0 1": "2"}[want]
-		req := simple(core.ClassWrite, "INSERT INTO bills (n) VALUES ("+value+")")
-		req.RequestID = "r-2"
-		res, answer := run(ctx, t, c, req)
-		assert.Equal(t, answer, want)
-		assert.Equal(t, res.Err == nil, want != "22P02")
-		assert.Equal(t, res.Status, core.TxIdle)
-	}
-}
-
 // Guards against an acknowledged write whose commit was refused.
 func TestRefusedCommit(t *testing.T) {
 	for _, id := range []core.RequestID{"", "r-1"} {
@@ -347,22 +287,6 @@
 	})
 }
 
-// Guards against the record's statement being prepared twice after it was evicted.
-func TestRecordStatementEvicted(t *testing.T) {
-	ctx := testContext(t)
-	_, up := start(t, dbsim.Config{}, dbsim.NewPrimary(1))
-	up.cfg.MaxPrepared = 1
-	c := dial(ctx, t, up)
-	run(ctx, t, c, simple(core.ClassWrite, "CREATE TABLE bills (id bigserial PRIMARY KEY, n int8)"))
-	for i := range 3 {
-		req := simple(core.ClassWrite, "INSERT INTO bills (n) VALUES (1)")
-		req.RequestID = core.RequestID(fmt.Sprint("r-", i))
-		_, answer := run(ctx, t, c, req)
-		assert.Equal(t, answer, "INSERT 0 1")
-		run(ctx, t, c, extended(core.ClassRead, "get", "SELECT count(*) FROM bills"))
-	}
-}
-
 // Guards against requests that would leave both sides waiting.
 func TestIncompleteRequest(t *testing.T) {
 	ctx := testContext(t)
@@ -464,66 +388,3 @@
 	pool.AddCert(parsed)
 	return tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}, pool
 }
-
-// Guards against answers that make the adapter panic, wait for ever or pass on ReadyForQuery.
-func FuzzAnswer(f *testing.F) {
-	var seed []byte
-	for _, msg := range []pgproto3.BackendMessage{
-		&pgproto3.CommandComplete{CommandTag: []byte("BEGIN")}, &pgproto3.ReadyForQuery{TxStatus: 'T'},
-		&pgproto3.ParseComplete{}, &pgproto3.BindComplete{}, &pgproto3.CommandComplete{CommandTag: []byte("INSERT 0 1")},
-		&pgproto3.ParseComplete{}, &pgproto3.BindComplete{}, &pgproto3.DataRow{Values: [][]byte{{'x'}, nil}},
-		&pgproto3.CommandComplete{CommandTag: []byte("SELECT 1")}, &pgproto3.ReadyForQuery{TxStatus: 'T'},
-		&pgproto3.ParameterStatus{Name: commitParameter, Value: "1/2"}, &pgproto3.ErrorResponse{Code: "23505"},
-		&pgproto3.ReadyForQuery{TxStatus: 'I'},
-	} {
-		seed, _ = msg.Encode(seed)
-	}
-	f.Add(seed, true)
-	f.Add(seed, false)
-	f.Fuzz(func(t *testing.T, src []byte, once bool) {
-		c := &Conn{cfg: &Config{MaxPrepared: 1}, prepared: make(map[string]struct{}), front: pgproto3.NewFrontend(bytes.NewReader(src), nil)}
-		c.front.SetMaxBodyLen(1 << 16)
-		c.answer.c = c
-		req := extended(core.ClassWrite, "get", "SELECT 1")
-		plan := c.plan.request
-		if once {
-			plan = c.plan.once
-		}
-		assert.NilError(t, plan(c, req))
-		var rec recorder
-		c.answer.start(req, &rec, &c.plan)
-		if c.read() == nil {
-			assert.Assert(t, c.answer.done())
-		}
-		assert.Assert(t, !strings.Contains(rec.String(), "ReadyForQuery"))
-	})
-}
-
-// Guards against a status row with missing or malformed columns that passes for a status.
-func FuzzStatusRow(f *testing.F) {
-	f.Add("primary", "1", "2", "-1", "t", uint8(8))
-	f.Add("replica", "x", "2", "7", "f", uint8(3))
-	f.Fuzz(func(t *testing.T, role, term, offset, heard, leaving string, columns uint8) {
-		r := statusRow{
-			rows:   1,
-			names:  []string{"role", "promised_term", "log_term", "log_offset", "applied_term", "applied_offset", "heard_ms", "leaving"},
-			values: []string{role, term, term, offset, term, offset, heard, leaving},
-		}
-		n := min(int(columns), len(r.names))
-		r.names, r.values = r.names[:n], r.values[:n]
-		s, err := r.status()
-		if err != nil {
-			return
-		}
-		assert.Assert(t, s.Role != core.RoleUnknown)
-		assert.Equal(t, n, statusColumns)
-		assert.Equal(t, fmt.Sprint(uint64(s.Promised)), strings.TrimLeft(term, "0")+strings.Repeat("0", b2i(s.Promised == 0)))
-	})
-}
-
-func b2i(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
--- /dev/null
+++ b/io/dbconn/once_test.go
@@ -0,0 +1,87 @@
+package dbconn
+
+import (
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"gotest.tools/v3/assert"
+
+	"snipewall/core"
+	"snipewall/stand/dbsim"
+)
+
+// Guards against a replica's refusal that is hidden by the missing table of the records.
+func TestRequestIDOnReplica(t *testing.T) {
+	ctx := testContext(t)
+	_, up := start(t, dbsim.Config{}, dbsim.NewReplica(1, ""))
+	req := simple(core.ClassWrite, "CREATE TABLE t (id int8)")
+	req.RequestID = "r-1"
+	res, answer := run(ctx, t, dial(ctx, t, up), req)
+	assert.Equal(t, answer, core.StateReadOnly)
+	assert.Equal(t, res.Err.State, core.StateReadOnly)
+}
+
+// Guards against requests with the same id that run side by side, and against ids of failed writes
+// that block their repetition.
+func TestRequestIDConcurrent(t *testing.T) {
+	ctx := testContext(t)
+	_, up := start(t, dbsim.Config{}, dbsim.NewPrimary(1))
+	c := dial(ctx, t, up)
+	run(ctx, t, c, simple(core.ClassWrite, "CREATE TABLE bills (id bigserial PRIMARY KEY, n int8)"))
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	ran, duplicates := 0, 0
+	for range 8 {
+		c := dial(ctx, t, up)
+		wg.Go(func() {
+			req := simple(core.ClassWrite, "INSERT INTO bills (n) VALUES (1)")
+			req.RequestID = "r-1"
+			_, err := c.Run(ctx, req, &recorder{})
+			mu.Lock()
+			defer mu.Unlock()
+			var dup *core.DuplicateError
+			switch {
+			case err == nil:
+				ran++
+			case errors.As(err, &dup):
+				duplicates++
+			}
+		})
+	}
+	wg.Wait()
+	assert.Equal(t, ran, 1)
+	assert.Equal(t, duplicates, 7)
+	prepare := &core.Request{Class: core.ClassWrite, RequestID: "r-2", Messages: []pgproto3.FrontendMessage{
+		&pgproto3.Parse{Name: "ins", Query: "INSERT INTO bills (n) VALUES (2)"}, &pgproto3.Sync{},
+	}}
+	_, answer := run(ctx, t, c, prepare)
+	assert.Equal(t, answer, "ParseComplete")
+	for _, want := range []string{"22P02", "INSERT 0 1"} {
+		value := map[string]string{"22P02": "'x'", "INSERT 0 1": "2"}[want]
+		req := simple(core.ClassWrite, "INSERT INTO bills (n) VALUES ("+value+")")
+		req.RequestID = "r-2"
+		res, answer := run(ctx, t, c, req)
+		assert.Equal(t, answer, want)
+		assert.Equal(t, res.Err == nil, want != "22P02")
+		assert.Equal(t, res.Status, core.TxIdle)
+	}
+}
+
+// Guards against the record's statement being prepared twice after it was evicted.
+func TestRecordStatementEvicted(t *testing.T) {
+	ctx := testContext(t)
+	_, up := start(t, dbsim.Config{}, dbsim.NewPrimary(1))
+	up.cfg.MaxPrepared = 1
+	c := dial(ctx, t, up)
+	run(ctx, t, c, simple(core.ClassWrite, "CREATE TABLE bills (id bigserial PRIMARY KEY, n int8)"))
+	for i := range 3 {
+		req := simple(core.ClassWrite, "INSERT INTO bills (n) VALUES (1)")
+		req.RequestID = core.RequestID(fmt.Sprint("r-", i))
+		_, answer := run(ctx, t, c, req)
+		assert.Equal(t, answer, "INSERT 0 1")
+		run(ctx, t, c, extended(core.ClassRead, "get", "SELECT count(*) FROM bills"))
+	}
+}
