Log with one set of keys and a level on each line

Cause: log lines used Msg, msg, Message, Err, err and Error, and most had no level, so that Log.Level did not apply to them. Change: Pascal-case keys as in the project's other formats (Time, VM, Service, Msg, Err); go-kit's level key stays as the library writes it. Conclusion: one vocabulary for all lines.

--- a/cmds/serve.go
+++ b/cmds/serve.go
@@ -38,6 +38,6 @@
 // newLogger writes JSON lines to the standard error.
 func newLogger(s *conf.Settings) log.Logger {
 	logger := log.NewJSONLogger(log.NewSyncWriter(os.Stderr))
-	logger = log.With(logger, "time", log.DefaultTimestampUTC, "vm", s.VM.ID)
+	logger = log.With(logger, "Time", log.DefaultTimestampUTC, "VM", s.VM.ID)
 	return level.NewFilter(logger, level.Allow(level.ParseDefault(s.Log.Level, level.InfoValue())))
 }
--- a/core/assign/assign.go
+++ b/core/assign/assign.go
@@ -200,7 +200,7 @@
 	o.SetAssigned(assigned)
 	cell := &ownerCell{owner: o, task: startTask(m.ctx, o), assigned: assigned, lastUsed: time.Now()}
 	m.owners[info.ID] = cell
-	level.Info(m.cfg.Log).Log("msg", "upstream is served here", "upstream", info.ID, "assigned", assigned)
+	level.Info(m.cfg.Log).Log("Msg", "upstream is served here", "Upstream", info.ID, "Assigned", assigned)
 	return cell
 }
 
@@ -231,9 +231,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
 	defer cancel()
 	if err := cell.owner.Drain(ctx); err != nil {
-		level.Warn(m.cfg.Log).Log("msg", "requests were still in flight when the owner stopped", "owner", cell.owner.Name(), "err", err)
+		level.Warn(m.cfg.Log).Log("Msg", "requests were still in flight when the owner stopped", "Owner", cell.owner.Name(), "Err", err)
 	}
-	level.Info(m.cfg.Log).Log("msg", "upstream is no longer served here", "owner", cell.owner.Name())
+	level.Info(m.cfg.Log).Log("Msg", "upstream is no longer served here", "Owner", cell.owner.Name())
 	return cell.task.stop()
 }
 
--- a/core/elect/event.go
+++ b/core/elect/event.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 
 	"snipewall/core"
 )
@@ -66,10 +67,13 @@
 		l = log.With(l, "Reason", e.Reason)
 	}
 	if e.Error != "" {
-		l = log.With(l, "Error", e.Error)
+		l = log.With(l, "Err", e.Error)
 	}
-	// A logger that fails must not stop a failover.
-	_ = l.Log("TookMs", e.Took.Milliseconds())
+	if e.Error != "" {
+		level.Warn(l).Log("Msg", "failover step failed", "TookMs", e.Took.Milliseconds())
+		return
+	}
+	level.Info(l).Log("Msg", "failover step", "TookMs", e.Took.Milliseconds())
 }
 
 // errorText returns the text of the error, or empty.
--- a/core/owner/owner.go
+++ b/core/owner/owner.go
@@ -198,7 +198,7 @@
 	if errors.Is(err, context.Canceled) {
 		return
 	}
-	_ = level.Warn(o.cfg.Log).Log("Message", "dial failed", "Upstream", o.id, "Error", err)
+	level.Warn(o.cfg.Log).Log("Msg", "dial failed", "Upstream", o.id, "Err", err)
 	if !isRefused(err) {
 		o.cfg.View.Suspect(o.id)
 	}
--- a/core/owner/tx.go
+++ b/core/owner/tx.go
@@ -202,7 +202,7 @@
 		idle := t.cancel == nil && now.Sub(t.used) >= o.cfg.TxIdle
 		t.mu.Unlock()
 		if idle {
-			_ = level.Info(o.cfg.Log).Log("Message", "idle transaction rolled back", "Upstream", o.id)
+			level.Info(o.cfg.Log).Log("Msg", "idle transaction rolled back", "Upstream", o.id)
 			_ = t.Close()
 		}
 	}
--- a/core/peers/fetch.go
+++ b/core/peers/fetch.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/go-kit/log/level"
+
 	"snipewall/core"
 )
 
@@ -48,7 +50,7 @@
 	if err == nil {
 		return
 	}
-	_ = p.cfg.Logger.Log("Msg", "table of a peer is not accepted", "VM", vm.ID, "Version", version, "Err", err)
+	level.Warn(p.cfg.Logger).Log("Msg", "table of a peer is not accepted", "VM", vm.ID, "Version", version, "Err", err)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.rejected, p.rejectedAt = version, time.Now()
--- a/core/peers/list.go
+++ b/core/peers/list.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/go-kit/log/level"
+
 	"snipewall/core"
 	"snipewall/core/place"
 )
@@ -28,7 +30,7 @@
 	for ctx.Err() == nil {
 		vms, err := p.cfg.Platform.VMs(ctx)
 		if err != nil {
-			_ = p.cfg.Logger.Log("Msg", "list of VMs not loaded", "Err", err)
+			level.Warn(p.cfg.Logger).Log("Msg", "list of VMs not loaded", "Err", err)
 		}
 		p.takeList(vms)
 		p.waitList(ctx, time.Now())
--- a/core/peers/peers.go
+++ b/core/peers/peers.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 
 	"snipewall/core"
 )
@@ -284,7 +285,7 @@
 	dead := p.state.expireSuspects(now, p.suspicionTime())
 	p.state.forget(now.Add(-p.cfg.ForgetTime))
 	for _, id := range dead {
-		_ = p.cfg.Logger.Log("Msg", "member is dead", "VM", id)
+		level.Info(p.cfg.Logger).Log("Msg", "member is dead", "VM", id)
 	}
 	if len(dead) > 0 {
 		p.refresh()
--- a/core/peers/probe.go
+++ b/core/peers/probe.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/go-kit/log/level"
+
 	"snipewall/core"
 )
 
@@ -140,7 +142,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.state.suspect(vm.ID, time.Now()) {
-		_ = p.cfg.Logger.Log("Msg", "member is suspect", "VM", vm.ID)
+		level.Info(p.cfg.Logger).Log("Msg", "member is suspect", "VM", vm.ID)
 	}
 }
 
--- a/core/table/keeper.go
+++ b/core/table/keeper.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 
 	"snipewall/core"
 )
@@ -176,7 +177,7 @@
 
 // report tells everybody about a version that was just put into force.
 func (k *Keeper) report(r *record, source string) {
-	_ = k.cfg.Logger.Log("Msg", "table in force", "Version", r.Version, "Edit", r.Edit, "Rows", len(r.table.Kinds()), "Source", source)
+	level.Info(k.cfg.Logger).Log("Msg", "table in force", "Version", r.Version, "Edit", r.Edit, "Rows", len(r.table.Kinds()), "Source", source)
 	k.mu.Lock()
 	callbacks, peers := k.callbacks, k.peers
 	k.mu.Unlock()
--- a/core/table/watch.go
+++ b/core/table/watch.go
@@ -6,6 +6,8 @@
 	mathrand "math/rand/v2"
 	"time"
 
+	"github.com/go-kit/log/level"
+
 	"snipewall/core"
 	"snipewall/core/place"
 )
@@ -94,7 +96,7 @@
 }
 
 func (k *Keeper) setError(err error) {
-	_ = k.cfg.Logger.Log("Msg", "table not loaded", "Err", err)
+	level.Warn(k.cfg.Logger).Log("Msg", "table not loaded", "Err", err)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.lastError = err.Error()
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 	"github.com/uber-go/tally/v4"
 
 	"snipewall/core"
@@ -174,7 +175,7 @@
 				continue
 			}
 			if retryAccept(ctx, err) {
-				_ = s.cfg.Log.Log("Level", "warn", "Msg", "accept failed, retrying", "Err", err)
+				level.Warn(s.cfg.Log).Log("Msg", "accept failed, retrying", "Err", err)
 				continue
 			}
 			return core.ErrCaller.Wrap(fmt.Errorf("accept: %w", err))
--- a/io/front/session.go
+++ b/io/front/session.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"github.com/go-kit/log/level"
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"snipewall/core"
@@ -121,7 +122,7 @@
 		return
 	}
 	if err := s.tx.Close(); err != nil {
-		_ = s.srv.cfg.Log.Log("Level", "warn", "Msg", "closing a transaction failed", "Err", err)
+		level.Warn(s.srv.cfg.Log).Log("Msg", "closing a transaction failed", "Err", err)
 	}
 	s.tx = nil
 	s.txStatus = core.TxIdle
--- a/io/relay/server.go
+++ b/io/relay/server.go
@@ -111,7 +111,7 @@
 	p.enc = gob.NewEncoder(p.out)
 	for r := range requests {
 		if err := p.handle(ctx, r); err != nil {
-			level.Debug(s.cfg.Log).Log("msg", "relayed request ended with its connection", "err", err)
+			level.Debug(s.cfg.Log).Log("Msg", "relayed request ended with its connection", "Err", err)
 			break
 		}
 	}
@@ -120,7 +120,7 @@
 	stop()
 	_ = conn.Close()
 	if err := <-readEnd; err != nil {
-		level.Debug(s.cfg.Log).Log("msg", "connection of an entry VM ended", "err", err)
+		level.Debug(s.cfg.Log).Log("Msg", "connection of an entry VM ended", "Err", err)
 	}
 }
 
@@ -199,7 +199,7 @@
 	res, err := p.run(ctx, r, req, w)
 	stopBeat()
 	if beatErr := <-beatEnd; beatErr != nil && !errors.Is(beatErr, context.Canceled) {
-		level.Debug(p.server.cfg.Log).Log("msg", "heartbeat failed", "err", beatErr)
+		level.Debug(p.server.cfg.Log).Log("Msg", "heartbeat failed", "Err", beatErr)
 	}
 	end := &End{Status: res.Status, Position: res.Position, Upstream: res.Upstream, SQL: res.Err}
 	if err != nil {
--- a/server/groups.go
+++ b/server/groups.go
@@ -39,7 +39,7 @@
 	monitor := quorum.New(quorum.Config{Group: id, Upstreams: upstreams, PollInterval: s.Failover.PollInterval})
 	driver := elect.New(elect.Config{
 		Group: id, Self: s.VM.ID, Upstreams: upstreams, View: monitor, Store: p.store, Members: p.members,
-		Logger:   log.With(p.cfg.Log, "service", "elect"),
+		Logger:   log.With(p.cfg.Log, "Service", "elect"),
 		Timing:   elect.Timing{SilentAfter: s.Failover.SuspectAfter, RefusedAfter: s.Failover.RefusedAfter},
 		OnChange: func(c elect.Change) { p.countChange(id, c) },
 	})
@@ -57,7 +57,7 @@
 	return owner.New(owner.Config{
 		Upstream: p.upstreams[info.ID], View: view, Policies: p.table, Group: group,
 		Leaving: func() bool { return p.members.Leaving(info.ID) },
-		Log:     log.With(p.cfg.Log, "service", "owner"),
+		Log:     log.With(p.cfg.Log, "Service", "owner"),
 		Metrics: p.scope.SubScope("Owner").Tagged(map[string]string{"Upstream": string(info.ID)}),
 	})
 }
--- a/server/server.go
+++ b/server/server.go
@@ -91,7 +91,7 @@
 	if err != nil {
 		return err
 	}
-	p.table = table.NewKeeper(table.KeeperConfig{Store: p.store, Logger: log.With(p.cfg.Log, "service", "table")})
+	p.table = table.NewKeeper(table.KeeperConfig{Store: p.store, Logger: log.With(p.cfg.Log, "Service", "table")})
 	return p.kernel.Register(p.table)
 }
 
@@ -100,13 +100,13 @@
 	p.owners = place.NewCache(place.CacheConfig{Members: p.members})
 	p.assign = assign.New(assign.Config{
 		Upstreams: s.Upstreams, Members: p.members, Owners: p.owners.Owners,
-		NewGroup: p.newGroup, NewOwner: p.newOwner, Log: log.With(p.cfg.Log, "service", "assign"),
+		NewGroup: p.newGroup, NewOwner: p.newOwner, Log: log.With(p.cfg.Log, "Service", "assign"),
 	})
 	ln, err := listen("Relay", s.Listen.Relay)
 	if err != nil {
 		return err
 	}
-	p.relay = relay.NewServer(relay.ServerConfig{Listener: ln, Find: p.assign.Executor, Log: log.With(p.cfg.Log, "service", "relay")})
+	p.relay = relay.NewServer(relay.ServerConfig{Listener: ln, Find: p.assign.Executor, Log: log.With(p.cfg.Log, "Service", "relay")})
 	p.client = relay.NewClient(relay.ClientConfig{})
 	return errors.Join(p.kernel.Register(p.assign), p.kernel.Register(p.relay), p.kernel.Register(p.client))
 }
@@ -131,7 +131,7 @@
 	}
 	p.front = front.New(front.Config{
 		Listener: ln, Router: p.router, Policies: p.table, Groups: p.router, TLS: tlsConfig,
-		Log: log.With(p.cfg.Log, "service", "front"), Metrics: p.scope.SubScope("Front"),
+		Log: log.With(p.cfg.Log, "Service", "front"), Metrics: p.scope.SubScope("Front"),
 		DefaultKind: s.Callers.DefaultKind, MaxMessage: s.Callers.MaxMessage,
 		MaxConnections: s.Callers.MaxConnections, TLSRequired: s.CallerTLS.Required,
 	})
@@ -155,7 +155,7 @@
 	go func() { end <- p.kernel.Run(runCtx) }()
 	readyEnd := make(chan error, 1)
 	go func() { readyEnd <- p.awaitReady(ctx) }()
-	level.Info(p.cfg.Log).Log("msg", "entry VM started", "vm", p.cfg.Settings.VM.ID, "callers", p.cfg.Settings.Listen.Callers)
+	level.Info(p.cfg.Log).Log("Msg", "entry VM started", "VM", p.cfg.Settings.VM.ID, "Callers", p.cfg.Settings.Listen.Callers)
 	select {
 	case err := <-end:
 		return err
@@ -190,7 +190,7 @@
 		}
 	}
 	if p.table.Version() == 0 {
-		level.Warn(p.cfg.Log).Log("msg", "serving without an operators' table: neither the platform nor a peer has one")
+		level.Warn(p.cfg.Log).Log("Msg", "serving without an operators' table: neither the platform nor a peer has one")
 	}
 	p.admin.SetReady(true)
 	<-ctx.Done()
@@ -200,7 +200,7 @@
 // stop lets the balancer and the other entry VMs turn away, then finishes what is in flight.
 func (p *Process) stop(ctx context.Context) {
 	s := p.cfg.Settings.Stop
-	level.Info(p.cfg.Log).Log("msg", "stopping", "grace", s.Grace.String())
+	level.Info(p.cfg.Log).Log("Msg", "stopping", "Grace", s.Grace.String())
 	p.admin.SetReady(false)
 	ctx, cancel := context.WithTimeout(ctx, s.Grace+s.Timeout)
 	defer cancel()
@@ -208,10 +208,10 @@
 	sleep(ctx, s.Grace)
 	for _, d := range []drainer{p.front, p.relay, p.assign} {
 		if err := d.Drain(ctx); err != nil {
-			level.Warn(p.cfg.Log).Log("msg", "stopped with work in flight", "service", d.Name(), "err", err)
+			level.Warn(p.cfg.Log).Log("Msg", "stopped with work in flight", "Service", d.Name(), "Err", err)
 		}
 	}
-	level.Info(p.cfg.Log).Log("msg", "stopped")
+	level.Info(p.cfg.Log).Log("Msg", "stopped")
 }
 
 // drainer is a service that finishes its work before it ends.
--- a/stand/dbsim/replica.go
+++ b/stand/dbsim/replica.go
@@ -10,6 +10,8 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"github.com/go-kit/log/level"
+
 	"snipewall/core"
 )
 
@@ -130,7 +132,7 @@
 			continue
 		}
 		err := s.followStream(ctx, st)
-		_ = s.cfg.Logger.Log("Msg", "replication ended", "Primary", st.primary, "Term", st.term, "Err", err)
+		level.Info(s.cfg.Logger).Log("Msg", "replication ended", "Primary", st.primary, "Term", st.term, "Err", err)
 		if s.db.current(st) {
 			_ = sleep(ctx, redialTime)
 		}
--- a/stand/dbsim/server.go
+++ b/stand/dbsim/server.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 
 	"snipewall/core"
 )
@@ -157,7 +158,7 @@
 	stop := l.closeAfter(ctx)
 	defer stop()
 	if err := s.accept(l); err != nil {
-		_ = s.cfg.Logger.Log("Msg", "connection ended", "Remote", c.RemoteAddr(), "Err", err)
+		level.Debug(s.cfg.Logger).Log("Msg", "connection ended", "Remote", c.RemoteAddr(), "Err", err)
 	}
 }
 
