End the list of changes with a line feed

Cause: `table apply` printed "Weight 4 -> 50in force on all 3 entry VMs", and `table diff` left the prompt on the line of its last change.

Ruled out: a line feed in Changes.String, which other messages embed.

Change: both commands print changes through one function that ends with a line feed; a test of whole deployments checks the lines of the report.

--- a/cmds/table.go
+++ b/cmds/table.go
@@ -124,7 +124,15 @@
 	if err != nil {
 		return err
 	}
-	_, err = fmt.Fprint(d.out, table.Diff(current.Table, checkout.Table))
+	return printChanges(d, table.Diff(current.Table, checkout.Table))
+}
+
+// printChanges prints one change a line.
+func printChanges(d *deps, changes table.Changes) error {
+	if len(changes) == 0 {
+		return nil
+	}
+	_, err := fmt.Fprintln(d.out, changes)
 	return err
 }
 
@@ -148,7 +156,9 @@
 	if err != nil {
 		return withCode(editExitCode(err), err)
 	}
-	fmt.Fprintf(d.out, "accepted as version %d\n%s", applied.Version, applied.Changes)
+	fmt.Fprintf(d.out, "accepted as version %d\n", applied.Version)
+	// The edit is in force whether or not the report can be written.
+	_ = printChanges(d, applied.Changes)
 	return awaitInForce(ctx, d, st, applied.Version, cmd.Duration("wait"))
 }
 
--- a/e2e/edit_test.go
+++ b/e2e/edit_test.go
@@ -68,6 +68,9 @@
 	c.platformFault("slow", "500ms")
 	out, code := c.edit(50, "7s")
 	assert.Equal(t, code, 0, out)
+	// The report has a line of its own for each change and for the entry VMs.
+	assert.Equal(t, strings.Count(out, "\n"), 3, out)
+	assert.Assert(t, strings.Contains(out, "\nin force on all 3 entry VMs"), out)
 	c.awaitVersion(5, c.vms...)
 }
 
