--- a/scripts/up.sh
+++ b/scripts/up.sh
@@ -40,10 +40,11 @@
 
 first=$(ls "$examples"/*.ini | head -1)
 platform=$(value "$first" Platform Address)
+flags=$(cat "$examples/simulators.flags")
 start platform bin/standin platform --listen "$platform"
 scripts/upstreams.sh "$first" | while read -r id _ address slots connections connect _ primary; do
 	start "$id" bin/standin upstream --listen "$address" --slots "$slots" --connections "$connections" \
-		--connect-time "$connect" ${primary:+--follow "$primary"} ${UPSTREAM_FLAGS:-}
+		--connect-time "$connect" ${primary:+--follow "$primary"} $flags ${UPSTREAM_FLAGS:-}
 done
 wait_http "http://$platform/v1/vms"
 for file in "$examples"/*.ini; do
