Use the field's words in the driver and the listener

Cause: names such as headless, trouble and blind say less than the field's own. Change: noPrimary, failure, asksSameChange, earlierPortal; no behavior.

--- a/core/elect/assess.go
+++ b/core/elect/assess.go
@@ -18,16 +18,16 @@
 	term core.Term
 	// highest is the highest term that any upstream has promised or logged.
 	highest core.Term
-	// since is when the trouble began, ready whether it has lasted long enough to act on.
+	// since is when the failure began, ready whether it has lasted long enough to act on.
 	since time.Time
 	ready bool
 	// repairs are the upstreams that need follow(term, primary).
 	repairs []int
 }
 
-// sameTrouble reports whether b still asks for the change that a asked for. A higher term anywhere
+// asksSameChange reports whether b still asks for the change that a asked for. A higher term anywhere
 // means that another driver is at work.
-func (a assessment) sameTrouble(b assessment) bool {
+func (a assessment) asksSameChange(b assessment) bool {
 	return b.ready && a.reason.class() == b.reason.class() &&
 		a.primary == b.primary && a.term == b.term && a.highest == b.highest
 }
@@ -63,9 +63,9 @@
 	case d.fresh(now, reports) < d.majority:
 		// A driver that reaches no majority can't complete a change and would only raise terms.
 	case a.primary < 0:
-		d.assessHeadless(now, reports, &a)
+		d.assessNoPrimary(now, reports, &a)
 	default:
-		d.headless.reset()
+		d.noPrimary.reset()
 		d.assessPrimary(now, reports, &a)
 	}
 	return a
@@ -125,19 +125,19 @@
 	})
 }
 
-// assessHeadless handles a group in which a majority has promised a term that has no primary: a
+// assessNoPrimary handles a group in which a majority has promised a term that has no primary: a
 // driver died between its steps, or the primary of that term can't be reached from here.
-func (d *Driver) assessHeadless(now time.Time, reports []quorum.Report, a *assessment) {
+func (d *Driver) assessNoPrimary(now time.Time, reports []quorum.Report, a *assessment) {
 	a.reason = ReasonNone
-	a.since = d.headless.hold(now, a.highest)
-	limit := d.cfg.Timing.HeadlessAfter
+	a.since = d.noPrimary.hold(now, a.highest)
+	limit := d.cfg.Timing.NoPrimaryAfter
 	if d.abandoned > 0 && a.highest == d.abandoned {
 		limit = 0
 	}
 	a.ready = d.lasted(now, a.since, limit, reports)
 }
 
-// lasted reports whether trouble is old enough, and no replica vetoes or the veto has run out.
+// lasted reports whether the failure is old enough, and no replica vetoes or the veto has run out.
 func (d *Driver) lasted(now, since time.Time, limit time.Duration, reports []quorum.Report) bool {
 	since = later(since, d.watching)
 	age := now.Sub(since)
@@ -179,7 +179,7 @@
 		d.contest.reset()
 		return false
 	}
-	return now.Sub(d.contest.hold(now, a.highest)) < d.cfg.Timing.HeadlessAfter
+	return now.Sub(d.contest.hold(now, a.highest)) < d.cfg.Timing.NoPrimaryAfter
 }
 
 // assessHealthy handles a group whose primary works.
--- a/core/elect/change.go
+++ b/core/elect/change.go
@@ -13,8 +13,8 @@
 
 // Ends of a change that didn't happen.
 var (
-	errNoMajority  = errors.New("no majority answered")
-	errTroubleOver = errors.New("the trouble is over or another driver is at work")
+	errNoMajority = errors.New("no majority answered")
+	errNotNeeded  = errors.New("the change is no longer needed or another driver is at work")
 )
 
 // recheckTick is the time between looks at the answers of a recheck.
@@ -94,7 +94,7 @@
 }
 
 // yield lets another driver go first, if the lease says so or the store is silent, and checks that
-// the trouble persists.
+// the failure persists.
 func (d *Driver) yield(ctx context.Context, a assessment) error {
 	answer, err := d.askLease(ctx, a.term)
 	if err != nil {
@@ -111,8 +111,8 @@
 	for end := time.Now().Add(wait); ; {
 		now := time.Now()
 		d.progress = now
-		if !a.sameTrouble(d.assess(now)) {
-			return errTroubleOver
+		if !a.asksSameChange(d.assess(now)) {
+			return errNotNeeded
 		}
 		if !now.Before(end) {
 			return d.recheck(ctx, a)
@@ -137,8 +137,8 @@
 		}
 	}
 	d.progress = time.Now()
-	if !a.sameTrouble(d.assess(d.progress)) {
-		return errTroubleOver
+	if !a.asksSameChange(d.assess(d.progress)) {
+		return errNotNeeded
 	}
 	return nil
 }
--- a/core/elect/config.go
+++ b/core/elect/config.go
@@ -56,9 +56,9 @@
 	HeardWithin time.Duration
 	// OverruleAfter is when the veto of replicas ends.
 	OverruleAfter time.Duration
-	// HeadlessAfter is how long terms must stand still without a primary. It leaves another driver
+	// NoPrimaryAfter is how long terms must stand still without a primary. It leaves another driver
 	// the time to complete its change.
-	HeadlessAfter time.Duration
+	NoPrimaryAfter time.Duration
 	// RaiseAfter is how long an upstream must have promised a term above the primary's.
 	RaiseAfter time.Duration
 	// FreshWithin is the age up to which a status counts as a sign that the upstream can be reached. It
@@ -94,27 +94,27 @@
 // DefaultTiming returns the durations that snipewall uses.
 func DefaultTiming() Timing {
 	return Timing{
-		SilentAfter:   1200 * time.Millisecond,
-		RefusedAfter:  300 * time.Millisecond,
-		HeardWithin:   500 * time.Millisecond,
-		OverruleAfter: 5 * time.Second,
-		HeadlessAfter: 600 * time.Millisecond,
-		RaiseAfter:    time.Second,
-		FreshWithin:   1500 * time.Millisecond,
-		Tick:          20 * time.Millisecond,
-		IdleTick:      250 * time.Millisecond,
-		CallTimeout:   500 * time.Millisecond,
-		StoreTimeout:  200 * time.Millisecond,
-		LeaseTTL:      10 * time.Second,
-		LeaseDelay:    time.Second,
-		Stagger:       200 * time.Millisecond,
-		CatchUp:       500 * time.Millisecond,
-		CaughtUpAge:   500 * time.Millisecond,
-		PauseLimit:    time.Second,
-		RetryMin:      100 * time.Millisecond,
-		RetryMax:      2 * time.Second,
-		RepairEvery:   time.Second,
-		RepairHeard:   2 * time.Second,
+		SilentAfter:    1200 * time.Millisecond,
+		RefusedAfter:   300 * time.Millisecond,
+		HeardWithin:    500 * time.Millisecond,
+		OverruleAfter:  5 * time.Second,
+		NoPrimaryAfter: 600 * time.Millisecond,
+		RaiseAfter:     time.Second,
+		FreshWithin:    1500 * time.Millisecond,
+		Tick:           20 * time.Millisecond,
+		IdleTick:       250 * time.Millisecond,
+		CallTimeout:    500 * time.Millisecond,
+		StoreTimeout:   200 * time.Millisecond,
+		LeaseTTL:       10 * time.Second,
+		LeaseDelay:     time.Second,
+		Stagger:        200 * time.Millisecond,
+		CatchUp:        500 * time.Millisecond,
+		CaughtUpAge:    500 * time.Millisecond,
+		PauseLimit:     time.Second,
+		RetryMin:       100 * time.Millisecond,
+		RetryMax:       2 * time.Second,
+		RepairEvery:    time.Second,
+		RepairHeard:    2 * time.Second,
 	}
 }
 
@@ -124,7 +124,7 @@
 	pairs := []struct{ v, d *time.Duration }{
 		{&t.SilentAfter, &d.SilentAfter}, {&t.RefusedAfter, &d.RefusedAfter},
 		{&t.HeardWithin, &d.HeardWithin}, {&t.OverruleAfter, &d.OverruleAfter},
-		{&t.HeadlessAfter, &d.HeadlessAfter}, {&t.RaiseAfter, &d.RaiseAfter},
+		{&t.NoPrimaryAfter, &d.NoPrimaryAfter}, {&t.RaiseAfter, &d.RaiseAfter},
 		{&t.FreshWithin, &d.FreshWithin}, {&t.Tick, &d.Tick}, {&t.IdleTick, &d.IdleTick},
 		{&t.CallTimeout, &d.CallTimeout}, {&t.StoreTimeout, &d.StoreTimeout},
 		{&t.LeaseTTL, &d.LeaseTTL}, {&t.LeaseDelay, &d.LeaseDelay}, {&t.Stagger, &d.Stagger},
--- a/core/elect/driver.go
+++ b/core/elect/driver.go
@@ -20,8 +20,8 @@
 
 	// The fields below belong to the goroutine of Run.
 	lease lease
-	// headless, passed, leave and contest time the troubles that a status doesn't time.
-	headless, passed, leave, contest standstill
+	// noPrimary, passed, leave and contest time the conditions that a status doesn't time.
+	noPrimary, passed, leave, contest standstill
 	// lastLook is the time of the last look; watching is since when looks have come without a pause.
 	lastLook, watching time.Time
 	// notBefore is the end of the backoff after attempts failed changes in a row.
--- a/core/elect/step.go
+++ b/core/elect/step.go
@@ -55,7 +55,7 @@
 	ReasonLeaving Reason = "primary leaving"
 )
 
-// class merges the reasons that turn into each other while the same trouble lasts.
+// class merges the reasons that turn into each other while the same failure lasts.
 func (r Reason) class() Reason {
 	if r == ReasonRefused {
 		return ReasonSilent
--- a/core/owner/owner_test.go
+++ b/core/owner/owner_test.go
@@ -253,7 +253,7 @@
 	})
 }
 
-// Guards against retries that multiply the load on an upstream in trouble.
+// Guards against retries that multiply the load on a failing upstream.
 func TestRetryBudget(t *testing.T) {
 	run(t, nil, func(t *testing.T, f *fixture) {
 		sent := 0
--- a/io/front/batch.go
+++ b/io/front/batch.go
@@ -252,7 +252,7 @@
 			return errInFailedTx
 		}
 		b.executes++
-		b.unit.blind = true
+		b.unit.earlierPortal = true
 		b.push(op{typ: 'E'}, m)
 		return nil
 	}
--- a/io/front/errors.go
+++ b/io/front/errors.go
@@ -89,12 +89,12 @@
 
 // attempt describes the request whose executor returned an error.
 type attempt struct {
-	req      *core.Request
-	info     *stmt.Info
-	inTx     bool
-	blind    bool
-	canceled bool
-	expired  bool
+	req           *core.Request
+	info          *stmt.Info
+	inTx          bool
+	earlierPortal bool
+	canceled      bool
+	expired       bool
 }
 
 // failureOf maps an executor's error to what the caller is told.
@@ -146,7 +146,7 @@
 // transaction only its end does, since losing the connection rolls it back.
 func (at *attempt) mayHaveCommitted() bool {
 	if at.inTx || at.info.Begins {
-		return at.info.Commits || at.blind
+		return at.info.Commits || at.earlierPortal
 	}
 	return at.info.Writes
 }
--- a/io/front/unit.go
+++ b/io/front/unit.go
@@ -15,8 +15,9 @@
 type unit struct {
 	info stmt.Info
 	tags stmt.Tags
-	// blind tells that the unit executes a portal of an earlier batch, which may hold any statement.
-	blind bool
+	// earlierPortal tells that the unit executes a portal of an earlier batch, which may hold any
+	// statement.
+	earlierPortal bool
 	// preparesWrite tells that the unit prepares or describes a write. It runs nothing, but must see
 	// the tables that the write will see.
 	preparesWrite bool
@@ -60,7 +61,7 @@
 	w.stop()
 	s.srv.metrics.latency[req.Rank].RecordDuration(time.Since(begin))
 	if err != nil {
-		failure := failureOf(err, &attempt{req: req, info: &u.info, inTx: inTx, blind: u.blind,
+		failure := failureOf(err, &attempt{req: req, info: &u.info, inTx: inTx, earlierPortal: u.earlierPortal,
 			canceled: r.canceled.Load(), expired: errors.Is(ctx.Err(), context.DeadlineExceeded)})
 		s.lost(u, inTx)
 		a.fail(failure)
--- a/matrix/gap_test.go
+++ b/matrix/gap_test.go
@@ -68,8 +68,8 @@
 
 // Guards against a change of primary because of periods shorter than 1 s in which an upstream is 10
 // times slower, stands still or can't be reached.
-func TestShortTroubleKeepsPrimary(t *testing.T) {
-	troubles := map[string]func(w *World, id core.UpstreamID, on bool){
+func TestShortFaultsKeepPrimary(t *testing.T) {
+	shortFaults := map[string]func(w *World, id core.UpstreamID, on bool){
 		"Slow": func(w *World, id core.UpstreamID, on bool) {
 			factor := 1
 			if on {
@@ -80,11 +80,11 @@
 		"Freeze":  func(w *World, id core.UpstreamID, on bool) { w.Group.SetFrozen(id, on) },
 		"Isolate": func(w *World, id core.UpstreamID, on bool) { w.Group.Isolate(id, on, w.Sites()...) },
 	}
-	for name, trouble := range troubles {
+	for name, fault := range shortFaults {
 		for _, delay := range []time.Duration{500 * time.Microsecond, 12 * time.Millisecond} {
 			t.Run(fmt.Sprintf("%s/%s", name, delay), func(t *testing.T) {
 				t.Parallel()
-				changes, spells := troubledHour(t, delay, trouble)
+				changes, spells := hourOfFaults(t, delay, fault)
 				t.Logf("%d changes of primary in %d short spells within a simulated hour", changes, spells)
 				assert.Equal(t, changes, 0)
 			})
@@ -92,7 +92,7 @@
 	}
 }
 
-func troubledHour(t *testing.T, delay time.Duration, trouble func(*World, core.UpstreamID, bool)) (int, int) {
+func hourOfFaults(t *testing.T, delay time.Duration, fault func(*World, core.UpstreamID, bool)) (int, int) {
 	var h History
 	spells := 0
 	synctest.Test(t, func(*testing.T) {
@@ -102,9 +102,9 @@
 		for end := time.Now().Add(time.Hour); time.Now().Before(end); spells++ {
 			// Every other spell strikes the primary.
 			id := w.Group.IDs()[random.IntN(2)*random.IntN(3)]
-			trouble(w, id, true)
+			fault(w, id, true)
 			time.Sleep(time.Duration(random.Int64N(int64(999 * time.Millisecond))))
-			trouble(w, id, false)
+			fault(w, id, false)
 			// Spells that nearly touch would add up to more than 1 s.
 			time.Sleep(500*time.Millisecond + time.Duration(random.Int64N(int64(4*time.Second))))
 		}
