Read JSON over HTTP in one place of the bench tool

Cause: demo, reads and sample each built the request and decoded the answer by themselves. Conclusion: one piece serves all three.

--- a/bench/demo.go
+++ b/bench/demo.go
@@ -3,10 +3,8 @@
 import (
 	"bufio"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"net/http"
 	"os"
 	"strconv"
 	"strings"
@@ -207,17 +205,8 @@
 
 // primary asks the entry VM for the primary of the group.
 func (d *demo) primary(ctx context.Context) (string, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.admin+"/status", nil)
-	if err != nil {
-		return "", err
-	}
-	res, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return "", err
-	}
-	defer func() { _ = res.Body.Close() }()
 	var status struct{ Primaries map[string]string }
-	if err := json.NewDecoder(res.Body).Decode(&status); err != nil {
+	if err := getJSON(ctx, "http://"+d.admin+"/status", &status); err != nil {
 		return "", err
 	}
 	if status.Primaries[d.database] == "" {
--- a/bench/reads.go
+++ b/bench/reads.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
-	"net/http"
 	"sort"
 	"sync"
 	"sync/atomic"
@@ -315,15 +313,6 @@
 	var dump struct {
 		Route routeCounts `json:"route"`
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/dump", nil)
-	if err != nil {
-		return dump.Route, err
-	}
-	res, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return dump.Route, err
-	}
-	defer func() { _ = res.Body.Close() }()
-	err = json.NewDecoder(res.Body).Decode(&dump)
+	err := getJSON(ctx, "http://"+address+"/dump", &dump)
 	return dump.Route, err
 }
--- a/bench/sample.go
+++ b/bench/sample.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"net/http"
 	"os"
 	"strconv"
 	"strings"
@@ -72,16 +70,7 @@
 	if platform == "" {
 		return calls, nil
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+platform+"/v1/calls", nil)
-	if err != nil {
-		return calls, err
-	}
-	res, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return calls, err
-	}
-	defer func() { _ = res.Body.Close() }()
-	err = json.NewDecoder(res.Body).Decode(&calls)
+	err := getJSON(ctx, "http://"+platform+"/v1/calls", &calls)
 	return calls, err
 }
 
