Let router and owner share one retry budget

Cause: core/route and core/owner each had the same token bucket. Change: package core/retry; ratios and bursts (10% and 50 in the router, 10% and 10 in the owner) stay where they were. Conclusion: one budget, two configurations.

--- a/core/owner/config.go
+++ b/core/owner/config.go
@@ -21,6 +21,8 @@
 	defaultRequestTime = 30 * time.Second
 	defaultLeaveGrace  = 3 * time.Second
 	defaultRetryRatio  = 0.1
+	// budgetBurst is the number of retries that may follow each other without any other traffic.
+	budgetBurst        = 10
 	defaultMaxWithheld = 1 << 20
 )
 
--- a/core/owner/owner.go
+++ b/core/owner/owner.go
@@ -12,6 +12,7 @@
 	"snipewall/core"
 	"snipewall/core/pool"
 	"snipewall/core/queue"
+	"snipewall/core/retry"
 )
 
 // sweepTime is the time between two looks for idle transactions.
@@ -24,7 +25,7 @@
 	id      core.UpstreamID
 	queue   *queue.Queue
 	pool    *pool.Pool[core.Conn]
-	retries *budget
+	retries *retry.Budget
 	metrics metrics
 	// sessions knows the commits that this owner ran while its upstream was the primary.
 	sessions *sessionLog
@@ -59,7 +60,7 @@
 		id:       info.ID,
 		sessions: newSessionLog(),
 		warm:     warm,
-		retries:  newBudget(cfg.RetryRatio),
+		retries:  retry.NewBudget(retry.Config{Ratio: cfg.RetryRatio, Burst: budgetBurst}),
 		metrics:  newMetrics(cfg.Metrics),
 		open:     make(map[*tx]struct{}),
 		changed:  make(chan struct{}),
@@ -117,7 +118,7 @@
 	}
 	defer o.leave()
 	o.metrics.requests.Inc(1)
-	o.retries.earn()
+	o.retries.Earn()
 	ctx, cancel := o.limit(ctx, req)
 	defer cancel()
 	path := pathOf(req)
--- a/core/owner/serve.go
+++ b/core/owner/serve.go
@@ -46,7 +46,7 @@
 	if req.Class != core.ClassRead || a.passed || a.callerErr != nil || ctx.Err() != nil {
 		return false
 	}
-	return o.retries.spend()
+	return o.retries.Spend()
 }
 
 // lostError says that a request was sent, or may have been, and its answer was lost.
--- a/core/owner/state.go
+++ b/core/owner/state.go
@@ -23,7 +23,7 @@
 
 // State returns the owner's state.
 func (o *Owner) State() State {
-	st := State{Upstream: o.id, Queue: o.queue.Dump(), Pool: o.pool.Stats(), RetriesLeft: o.retries.left()}
+	st := State{Upstream: o.id, Queue: o.queue.Dump(), Pool: o.pool.Stats(), RetriesLeft: o.retries.Left()}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	st.InFlight, st.Open, st.Draining = o.inFlight, len(o.open), o.draining
--- a/core/route/budget.go
+++ b/core/retry/budget.go
@@ -1,40 +1,35 @@
-package route
+// Package retry limits repetitions of requests to a share of the traffic, so that retries never
+// multiply a surge.
+//
+// # Usage
+//
+//	b := retry.NewBudget(retry.Config{Ratio: 0.1, Burst: 50})
+//	b.Earn()        // for each request
+//	if b.Spend() {  // before each repetition
+//		...
+//	}
+package retry
 
 import "sync"
 
-const (
-	// defaultRetryRatio is the share of the requests that may be sent a second time.
-	defaultRetryRatio = 0.1
-	// defaultRetryBurst is how many repetitions can be saved up.
-	defaultRetryBurst = 50
-)
-
-// BudgetConfig configures a Budget. Zero values mean the defaults.
-type BudgetConfig struct {
+// Config configures a Budget.
+type Config struct {
 	// Ratio is the share of the requests that may be repeated.
 	Ratio float64
 	// Burst is the number of repetitions that can be saved up.
 	Burst float64
 }
 
-// Budget limits repetitions to a share of the requests, so that they can't multiply a surge.
+// Budget is safe for concurrent use.
 type Budget struct {
-	cfg BudgetConfig
+	cfg Config
 	mu  sync.Mutex
 	// tokens is the number of repetitions that are allowed now.
 	tokens float64
 }
 
 // NewBudget returns a full budget.
-func NewBudget(cfg BudgetConfig) *Budget {
-	if cfg.Ratio == 0 {
-		cfg.Ratio = defaultRetryRatio
-	}
-	if cfg.Burst == 0 {
-		cfg.Burst = defaultRetryBurst
-	}
-	return &Budget{cfg: cfg, tokens: cfg.Burst}
-}
+func NewBudget(cfg Config) *Budget { return &Budget{cfg: cfg, tokens: cfg.Burst} }
 
 // Earn adds the allowance of one request.
 func (b *Budget) Earn() {
@@ -53,3 +48,10 @@
 	b.tokens--
 	return true
 }
+
+// Left returns the number of repetitions that are allowed now.
+func (b *Budget) Left() float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.tokens
+}
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -11,6 +11,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"snipewall/core"
+	"snipewall/core/retry"
 )
 
 const (
@@ -22,6 +23,10 @@
 	maxBackoff   = 200 * time.Millisecond
 	// answerReserve is the part of the deadline that is kept to answer the caller.
 	answerReserve = 50 * time.Millisecond
+	// defaultRetryRatio is the share of the requests that may be sent a second time, and
+	// defaultRetryBurst how many repetitions can be saved up.
+	defaultRetryRatio = 0.1
+	defaultRetryBurst = 50
 	// peerPenalty is how long an entry VM that could not be reached is passed over.
 	peerPenalty = 500 * time.Millisecond
 )
@@ -39,8 +44,8 @@
 	Remote func(vm core.VM, id core.UpstreamID) core.Executor
 	// View returns the monitor of a group if one runs in this process.
 	View func(id core.GroupID) (core.GroupView, bool)
-	// Budget limits repetitions of requests that were sent; nil means NewBudget's defaults.
-	Budget *Budget
+	// Budget limits repetitions of requests that were sent; nil means 10% of the traffic.
+	Budget *retry.Budget
 }
 
 // Router implements core.Executor for all groups.
@@ -86,7 +91,7 @@
 // New returns a router for the groups of the upstreams.
 func New(cfg Config) *Router {
 	if cfg.Budget == nil {
-		cfg.Budget = NewBudget(BudgetConfig{})
+		cfg.Budget = retry.NewBudget(retry.Config{Ratio: defaultRetryRatio, Burst: defaultRetryBurst})
 	}
 	r := &Router{cfg: cfg, groups: make(map[core.GroupID]*group), penalties: make(map[core.VMID]time.Time)}
 	for _, info := range cfg.Upstreams {
