--- a/cmds/cmds.go
+++ b/cmds/cmds.go
@@ -77,6 +77,7 @@
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
 			serveCommand(d),
+			entryCommand(d),
 			settingsCommand(d),
 			tableCommand(d),
 			statusCommand(d),
--- /dev/null
+++ b/conf/entry.go
@@ -0,0 +1,114 @@
+package conf
+
+import (
+	"errors"
+	"os"
+	"slices"
+	"strconv"
+	"time"
+
+	"gopkg.in/ini.v1"
+
+	"snipewall/core"
+)
+
+// Entry is the settings of an entry VM on a hosting platform, where upstreams are discovered and the
+// operators' configuration comes from the platform's store.
+type Entry struct {
+	VM     VM
+	Listen EntryListen
+	// Store is the address of the platform's metadata store, Promotion that of its promotion call.
+	Store, Promotion string
+	// Regions holds the region of each failure domain.
+	Regions map[core.FailureDomain]core.Region
+	// Grace is the time between SIGTERM and SIGKILL.
+	Grace time.Duration
+	// Memory is the memory limit of the process in bytes.
+	Memory int64
+	Log    Log
+}
+
+// EntryListen holds the addresses, host:port.
+type EntryListen struct {
+	// Callers takes connections of callers.
+	Callers string
+	// Ready answers the load balancer's probe.
+	Ready string
+	// Metrics serves metrics and state dumps.
+	Metrics string
+}
+
+// entryKey describes one key of an Entry.
+type entryKey struct {
+	section, name, initial, accepts string
+	set                             func(e *Entry, value string) bool
+}
+
+const (
+	acceptsSeconds   = "a number of seconds above 0"
+	acceptsMegabytes = "a number of megabytes above 0"
+)
+
+var entryKeys = []entryKey{
+	{"VM", "ID", "", acceptsName, func(e *Entry, v string) bool { return setName((*string)(&e.VM.ID), v) }},
+	{"VM", "FailureDomain", "", acceptsName, func(e *Entry, v string) bool { return setName((*string)(&e.VM.FailureDomain), v) }},
+	{"VM", "Region", "", acceptsName, func(e *Entry, v string) bool { return setName((*string)(&e.VM.Region), v) }},
+	{"Listen", "Callers", "", acceptsAddress, func(e *Entry, v string) bool { return setAddress(&e.Listen.Callers, v) }},
+	{"Listen", "Ready", "", acceptsAddress, func(e *Entry, v string) bool { return setAddress(&e.Listen.Ready, v) }},
+	{"Listen", "Metrics", "", acceptsAddress, func(e *Entry, v string) bool { return setAddress(&e.Listen.Metrics, v) }},
+	{"Store", "Address", "", acceptsAddress, func(e *Entry, v string) bool { return setAddress(&e.Store, v) }},
+	{"Promotion", "Address", "", acceptsAddress, func(e *Entry, v string) bool { return setAddress(&e.Promotion, v) }},
+	{"Stop", "GraceSeconds", "6", acceptsSeconds, func(e *Entry, v string) bool {
+		n, err := strconv.ParseFloat(v, 64)
+		e.Grace = time.Duration(n * float64(time.Second))
+		return err == nil && n > 0
+	}},
+	{"Limits", "MemoryMegabytes", "256", acceptsMegabytes, func(e *Entry, v string) bool {
+		n, err := strconv.ParseFloat(v, 64)
+		e.Memory = int64(n * (1 << 20))
+		return err == nil && n > 0
+	}},
+	{"Log", "Level", "info", acceptsLevel, func(e *Entry, v string) bool {
+		e.Log.Level = v
+		return slices.Contains([]string{"debug", "info", "warn", "error"}, v)
+	}},
+}
+
+// regionsSection lists the failure domains with their regions.
+const regionsSection = "Regions"
+
+// LoadEntry reads and checks the file. The error joins all problems found.
+func LoadEntry(path string) (*Entry, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, core.ErrSettings.Wrap(err)
+	}
+	return ParseEntry(path, data)
+}
+
+// ParseEntry checks the content of a settings file. The file's name is used in messages only.
+// Sections and keys that aren't known are ignored: the platform may add some at any time.
+func ParseEntry(name string, data []byte) (*Entry, error) {
+	file, err := ini.Load(data)
+	if err != nil {
+		return nil, core.ErrSettings.New("%s: %v", name, err)
+	}
+	e := &Entry{Regions: make(map[core.FailureDomain]core.Region)}
+	var problems []error
+	for _, k := range entryKeys {
+		value := file.Section(k.section).Key(k.name).MustString(k.initial)
+		if !k.set(e, value) {
+			problems = append(problems, &Problem{File: name, Section: k.section, Key: k.name, Value: value, Accepts: k.accepts})
+		}
+	}
+	for _, k := range file.Section(regionsSection).Keys() {
+		e.Regions[core.FailureDomain(k.Name())] = core.Region(k.String())
+	}
+	if e.VM.FailureDomain != "" && e.Regions[e.VM.FailureDomain] == "" {
+		e.Regions[e.VM.FailureDomain] = e.VM.Region
+	}
+	if len(problems) > 0 {
+		return nil, core.ErrSettings.Wrap(errors.Join(problems...))
+	}
+	return e, nil
+}
--- /dev/null
+++ b/core/lead/detect.go
@@ -0,0 +1,112 @@
+package lead
+
+import (
+	"time"
+
+	"snipewall/core"
+)
+
+const (
+	// probeAfter is the time without a proof of leadership after which the primary is probed.
+	probeAfter = 300 * time.Millisecond
+	// failAfter is the number of failed probes in a row that make a primary failed, and failTime the
+	// least time that they must span. Spells in which a primary answers 10 times slower, shorter than
+	// 1 s, must not cause a change.
+	failAfter = 2
+	failTime  = 300 * time.Millisecond
+	// missingTime is how long a group may be without a known primary: one that was just promoted
+	// reports itself within this time.
+	missingTime = 900 * time.Millisecond
+)
+
+// Action is what a Detector asks for.
+type Action uint8
+
+// Actions.
+const (
+	// Wait asks for nothing.
+	Wait Action = iota
+	// Probe asks whether the primary still leads.
+	Probe
+	// Replace asks for another primary.
+	Replace
+)
+
+// Group is what an entry VM knows of a group when it decides.
+type Group struct {
+	ID core.GroupID
+	// Primary is the upstream that is believed to lead, or empty.
+	Primary core.UpstreamID
+	// Leaving tells that the primary is about to be taken away.
+	Leaving bool
+	// ProvedAt is when a primary last proved its leadership.
+	ProvedAt time.Time
+	// Replicas may take over, nearest first.
+	Replicas []core.UpstreamID
+}
+
+// Detector decides about one group. It is used by one goroutine at a time.
+type Detector struct {
+	primary   core.UpstreamID
+	failures  int
+	failedAt  time.Time
+	probing   bool
+	missingAt time.Time
+	// reason explains the last Replace.
+	reason string
+}
+
+// Decide returns what to do now. A Probe must be answered by Probed.
+func (d *Detector) Decide(now time.Time, g Group) Action {
+	if g.Primary != d.primary {
+		d.primary, d.failures = g.Primary, 0
+	}
+	if g.Primary == "" {
+		return d.missing(now)
+	}
+	d.missingAt = time.Time{}
+	if g.Leaving {
+		d.reason = "the primary is leaving"
+		return Replace
+	}
+	if d.failures >= failAfter && now.Sub(d.failedAt) >= failTime {
+		if g.ProvedAt.After(d.failedAt) {
+			d.failures = 0
+			return Wait
+		}
+		d.reason = "the primary doesn't answer"
+		return Replace
+	}
+	if d.probing || now.Sub(g.ProvedAt) < probeAfter {
+		return Wait
+	}
+	d.probing = true
+	return Probe
+}
+
+func (d *Detector) missing(now time.Time) Action {
+	if d.missingAt.IsZero() {
+		d.missingAt = now
+	}
+	if now.Sub(d.missingAt) < missingTime {
+		return Wait
+	}
+	d.reason = "the group has no primary"
+	return Replace
+}
+
+// Probed records the result of a probe of the upstream that began at the given time.
+func (d *Detector) Probed(began time.Time, id core.UpstreamID, failed bool) {
+	d.probing = false
+	if id != d.primary {
+		return
+	}
+	if !failed {
+		d.failures = 0
+		return
+	}
+	if d.failures == 0 {
+		d.failedAt = began
+	}
+	d.failures++
+}
--- /dev/null
+++ b/core/lead/driver.go
@@ -0,0 +1,299 @@
+package lead
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"snipewall/core"
+)
+
+const (
+	// interval is the time between two looks at the groups.
+	interval = 100 * time.Millisecond
+	// probeTime limits a probe. It is a multiple of the longest round trip between regions.
+	probeTime = 350 * time.Millisecond
+	// leaseTime is the life of a lease. It also keeps others from replacing a primary again before the
+	// effect of the last change shows.
+	leaseTime = 5 * time.Second
+	// leaseMargin is the part of a lease that is left unused, for the time that a call is on its way.
+	leaseMargin = time.Second
+	// callTries is how often a promotion without an answer is sent.
+	callTries = 3
+	// settleTime is how long the new primary may take to report itself.
+	settleTime = 2 * time.Second
+	// retryMin and retryMax limit the wait after a change that didn't happen. Jitter keeps entry VMs
+	// from taking turns.
+	retryMin = 300 * time.Millisecond
+	retryMax = 900 * time.Millisecond
+	// startJitter spreads the entry VMs that see the same primary leave.
+	startJitter = 150 * time.Millisecond
+	// keyPrefix starts the keys of the leases.
+	keyPrefix = "snipewall/lead/"
+)
+
+// Cluster is what the driver sees of the groups. Implementations are safe for concurrent use.
+type Cluster interface {
+	// State returns all groups.
+	State() []Group
+	// Probe asks the upstream for its log position, as a primary if lead is set: then it only answers
+	// while it leads. The error is nil if the upstream answered, *RefusedError if it couldn't be asked.
+	Probe(ctx context.Context, id core.UpstreamID, lead bool) (core.Position, error)
+}
+
+// ErrNotAsked says that a probe had no connection, which tells nothing about the upstream.
+var ErrNotAsked = errors.New("no connection for the probe")
+
+// Config configures a Driver.
+type Config struct {
+	Cluster  Cluster
+	Store    core.Store
+	Promoter core.Promoter
+	Self     core.VMID
+	Log      log.Logger
+	// Now reads a clock that counts suspension; nil stands for core.Now.
+	Now func() core.Instant
+}
+
+// Driver is the service "lead".
+type Driver struct {
+	cfg    Config
+	groups map[core.GroupID]*groupState
+	ends   chan func()
+	tasks  int
+}
+
+type groupState struct {
+	detector Detector
+	// busy tells that a change is under way.
+	busy      bool
+	notBefore time.Time
+	lease     lease
+}
+
+// lease is the right to promote in a group.
+type lease struct {
+	id    core.LeaseID
+	token core.Version
+	until core.Instant
+}
+
+// New returns a driver.
+func New(cfg Config) *Driver {
+	if cfg.Now == nil {
+		cfg.Now = core.Now
+	}
+	return &Driver{cfg: cfg, groups: make(map[core.GroupID]*groupState), ends: make(chan func(), 16)}
+}
+
+// Name implements core.Service.
+func (d *Driver) Name() string { return "lead" }
+
+// Run watches the groups until ctx ends.
+func (d *Driver) Run(ctx context.Context) error {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			for ; d.tasks > 0; d.tasks-- {
+				<-d.ends
+			}
+			return nil
+		case end := <-d.ends:
+			d.tasks--
+			end()
+		case <-ticker.C:
+			d.look(ctx)
+		}
+	}
+}
+
+// task runs fn in a goroutine; what it returns runs on the goroutine of Run.
+func (d *Driver) task(fn func() func()) {
+	d.tasks++
+	go func() { d.ends <- fn() }()
+}
+
+func (d *Driver) look(ctx context.Context) {
+	now := time.Now()
+	for _, g := range d.cfg.Cluster.State() {
+		st, ok := d.groups[g.ID]
+		if !ok {
+			st = &groupState{}
+			d.groups[g.ID] = st
+		}
+		switch st.detector.Decide(now, g) {
+		case Probe:
+			d.probe(ctx, st, g)
+		case Replace:
+			if !st.busy && !now.Before(st.notBefore) {
+				d.replace(ctx, st, g)
+			}
+		}
+	}
+}
+
+func (d *Driver) probe(ctx context.Context, st *groupState, g Group) {
+	began := time.Now()
+	d.task(func() func() {
+		ctx, cancel := context.WithTimeout(ctx, probeTime)
+		defer cancel()
+		_, err := d.cfg.Cluster.Probe(ctx, g.Primary, true)
+		failed := err != nil && !errors.Is(err, ErrNotAsked)
+		if failed {
+			level.Info(d.cfg.Log).Log("Msg", "probe of the primary failed", "Group", g.ID, "Upstream", g.Primary, "Err", err)
+		}
+		return func() { st.detector.Probed(began, g.Primary, failed) }
+	})
+}
+
+// replace starts a change of primary.
+func (d *Driver) replace(ctx context.Context, st *groupState, g Group) {
+	st.busy = true
+	reason, held := st.detector.reason, st.lease
+	d.task(func() func() {
+		kept, err := d.change(ctx, g, reason, held)
+		if err != nil {
+			level.Info(d.cfg.Log).Log("Msg", "primary not replaced", "Group", g.ID, "Reason", reason, "Err", err)
+		}
+		return func() {
+			st.busy = false
+			st.lease = kept
+			st.notBefore = time.Now().Add(retryMin + rand.N(retryMax-retryMin))
+			if err == nil {
+				st.detector.failures = 0
+			}
+		}
+	})
+}
+
+// change promotes the best replica and returns the lease that is still held.
+func (d *Driver) change(ctx context.Context, g Group, reason string, held lease) (lease, error) {
+	if g.Leaving {
+		sleep(ctx, rand.N(startJitter))
+	}
+	held, err := d.acquire(ctx, g.ID, held)
+	if err != nil {
+		return held, err
+	}
+	target, at, err := d.best(ctx, g)
+	if err != nil {
+		return held, err
+	}
+	level.Info(d.cfg.Log).Log("Msg", "promoting", "Group", g.ID, "Upstream", target, "Position", at, "Old", g.Primary, "Reason", reason, "Token", held.token)
+	if err := d.promote(ctx, g.ID, target, held); err != nil {
+		if errors.Is(err, core.ErrFenced) {
+			d.release(ctx, held)
+			held = lease{}
+		}
+		return held, err
+	}
+	if err := d.settle(ctx, g.ID, target); err != nil {
+		return held, err
+	}
+	level.Info(d.cfg.Log).Log("Msg", "primary replaced", "Group", g.ID, "Upstream", target, "Token", held.token)
+	return held, nil
+}
+
+// acquire takes the group's lease, or keeps the one held while it certainly lasts. Its life is
+// counted from before the call that granted it.
+func (d *Driver) acquire(ctx context.Context, id core.GroupID, held lease) (lease, error) {
+	asked := d.cfg.Now()
+	if held.until.Sub(asked) > leaseMargin {
+		return held, nil
+	}
+	granted, err := d.cfg.Store.Grant(ctx, leaseTime)
+	if err != nil {
+		return lease{}, err
+	}
+	token, err := d.cfg.Store.CompareAndSwap(ctx, keyPrefix+string(id), []byte(d.cfg.Self), 0, granted)
+	if err != nil {
+		d.release(ctx, lease{id: granted})
+		return lease{}, err
+	}
+	return lease{id: granted, token: token, until: asked.Add(leaseTime)}, nil
+}
+
+func (d *Driver) release(ctx context.Context, l lease) {
+	if err := d.cfg.Store.Revoke(ctx, l.id); err != nil {
+		level.Info(d.cfg.Log).Log("Msg", "lease not ended, it will expire", "Err", err)
+	}
+}
+
+// best returns the replica with the newest log among those that answer.
+func (d *Driver) best(ctx context.Context, g Group) (core.UpstreamID, core.Position, error) {
+	ctx, cancel := context.WithTimeout(ctx, probeTime)
+	defer cancel()
+	type result struct {
+		index int
+		at    core.Position
+		err   error
+	}
+	results := make(chan result, len(g.Replicas))
+	for i, id := range g.Replicas {
+		go func() {
+			at, err := d.cfg.Cluster.Probe(ctx, id, false)
+			results <- result{i, at, err}
+		}()
+	}
+	found := -1
+	var at core.Position
+	for range g.Replicas {
+		r := <-results
+		if r.err != nil {
+			continue
+		}
+		if found < 0 || at.Less(r.at) || (at == r.at && r.index < found) {
+			found, at = r.index, r.at
+		}
+	}
+	if found < 0 {
+		return "", at, errors.New("no replica answers")
+	}
+	return g.Replicas[found], at, nil
+}
+
+// promote makes the call. It is repeated with the same token and target while the answer is missing
+// and the lease certainly lasts.
+func (d *Driver) promote(ctx context.Context, id core.GroupID, target core.UpstreamID, held lease) error {
+	var err error
+	for range callTries {
+		if held.until.Sub(d.cfg.Now()) <= leaseMargin {
+			return errors.New("the lease may have ended")
+		}
+		err = d.cfg.Promoter.Promote(ctx, id, target, d.cfg.Self, held.token)
+		if err == nil || errors.Is(err, core.ErrFenced) {
+			return err
+		}
+		sleep(ctx, interval)
+	}
+	return err
+}
+
+// settle waits until the upstream is known as the primary.
+func (d *Driver) settle(ctx context.Context, id core.GroupID, target core.UpstreamID) error {
+	end := time.Now().Add(settleTime)
+	for time.Now().Before(end) && ctx.Err() == nil {
+		for _, g := range d.cfg.Cluster.State() {
+			if g.ID == id && g.Primary == target {
+				return nil
+			}
+		}
+		sleep(ctx, interval)
+	}
+	return errors.New("the new primary doesn't report itself")
+}
+
+func sleep(ctx context.Context, dur time.Duration) {
+	timer := time.NewTimer(dur)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/core/proxy/cluster.go
@@ -0,0 +1,103 @@
+package proxy
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"snipewall/core"
+	"snipewall/core/lead"
+)
+
+// State implements lead.Cluster.
+func (p *Proxy) State() []lead.Group {
+	now := time.Now()
+	p.mu.Lock()
+	groups := make([]*group, 0, len(p.groups))
+	for _, g := range p.groups {
+		groups = append(groups, g)
+	}
+	p.mu.Unlock()
+	out := make([]lead.Group, 0, len(groups))
+	for _, g := range groups {
+		if nodes := *g.nodes.Load(); len(nodes) > 0 {
+			out = append(out, p.state(now, g, nodes))
+		}
+	}
+	return out
+}
+
+func (p *Proxy) state(now time.Time, g *group, nodes []*node) lead.Group {
+	st := lead.Group{ID: g.id}
+	if n := g.primary(now); n != nil {
+		u := n.info.Load()
+		st.Primary, st.Leaving = u.ID, u.Leaving
+		g.mu.Lock()
+		if g.provedBy == u.ID {
+			st.ProvedAt = g.provedAt
+		}
+		g.mu.Unlock()
+	}
+	var able []*node
+	for _, n := range nodes {
+		if u := n.info.Load(); u.ID != st.Primary && !u.Leaving {
+			able = append(able, n)
+		}
+	}
+	slices.SortStableFunc(able, func(a, b *node) int { return cmp.Compare(p.distance(a.info.Load()), p.distance(b.info.Load())) })
+	for _, n := range able {
+		st.Replicas = append(st.Replicas, n.id())
+	}
+	return st
+}
+
+// Probe implements lead.Cluster. Opening and ending a transaction takes no slot of the upstream.
+func (p *Proxy) Probe(ctx context.Context, id core.UpstreamID, leads bool) (core.Position, error) {
+	p.mu.Lock()
+	n, ok := p.nodes[id]
+	p.mu.Unlock()
+	if !ok {
+		return core.Position{}, lead.ErrNotAsked
+	}
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = time.Now().Add(dialTime)
+	}
+	h, err := n.get(ctx, deadline)
+	if err != nil {
+		if atLimit(err) || (errors.Is(err, context.DeadlineExceeded) && n.pool.Stats().InUse > 0) {
+			return core.Position{}, lead.ErrNotAsked
+		}
+		return core.Position{}, err
+	}
+	asked := p.cfg.Now()
+	op := core.OpBeginRead
+	if leads {
+		op = core.OpBegin
+	}
+	hd := &held{node: n, handle: h}
+	if err := h.Value.Send([]core.Command{{Op: op}, {Op: core.OpRollback}}); err != nil {
+		h.Discard()
+		return core.Position{}, err
+	}
+	ans, err := hd.receive(2, deadline)
+	if err != nil {
+		n.noteFailure()
+		h.Discard()
+		return core.Position{}, err
+	}
+	put(h)
+	if ans.Fault != core.FaultNone {
+		if ans.Fault == core.FaultReadOnly {
+			n.noteDenied()
+		}
+		return core.Position{}, core.ErrUpstream.New("probe: %s", ans.Fault)
+	}
+	n.notePosition(ans.Position)
+	if leads {
+		n.group.prove(id, asked, ans.Position)
+	}
+	return ans.Position, nil
+}
--- /dev/null
+++ b/core/proxy/metrics.go
@@ -0,0 +1,32 @@
+package proxy
+
+import (
+	"time"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// metrics are the proxy's counters and histograms.
+type metrics struct {
+	statements, faults, retries, refusals, dials, overloads, aborts tally.Counter
+	latency                                                         tally.Histogram
+}
+
+// latencyBuckets covers 1 ms to 16 s.
+var latencyBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 15)
+
+func newMetrics(scope tally.Scope) metrics {
+	if scope == nil {
+		scope = tally.NoopScope
+	}
+	return metrics{
+		statements: scope.Counter("Statements"),
+		faults:     scope.Counter("Faults"),
+		retries:    scope.Counter("Retries"),
+		refusals:   scope.Counter("Refusals"),
+		dials:      scope.Counter("Dials"),
+		overloads:  scope.Counter("ConnectionLimit"),
+		aborts:     scope.Counter("AbortedTransactions"),
+		latency:    scope.Histogram("StatementTime", latencyBuckets),
+	}
+}
--- /dev/null
+++ b/core/proxy/node.go
@@ -0,0 +1,229 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"snipewall/core"
+	"snipewall/core/pool"
+	"snipewall/core/queue"
+	"snipewall/core/topo"
+)
+
+const (
+	// slotsAhead is how many statements an entry VM sends to an upstream beyond its slots, so that the
+	// upstream doesn't idle for the round trip between two statements.
+	slotsAhead = 1
+	// connShare divides an upstream's connections: no entry VM takes more than this part of them, so
+	// that a VM that is paused or cut off can't keep the others out.
+	connShare = 2
+	// sparedConns are the connections of an entry VM that open transactions leave to single statements.
+	sparedConns = 2
+	// connIdle is how long an unused connection is kept; the others may need it.
+	connIdle = 4 * time.Second
+	// dialTime limits one dial. It is a multiple of the longest handshake and round trip.
+	dialTime = time.Second
+	// checkAfter is the idle time after which a connection is checked before its next use.
+	checkAfter = 20 * time.Millisecond
+	// lagMemory is how long a replica that lacked a position is avoided.
+	lagMemory = 60 * time.Millisecond
+	// calmTime is the time in which the memory of slow answers halves while an upstream isn't used.
+	calmTime = 300 * time.Millisecond
+	// latencyWeight is the weight of a new answer time in the moving average.
+	latencyWeight = 0.15
+	// failAfter is the number of statements in a row without an answer that make an upstream failing.
+	failAfter = 2
+	// failMemory is how long a failing upstream is avoided.
+	failMemory = 700 * time.Millisecond
+)
+
+// node is one incarnation of an upstream with its queue and its connections.
+type node struct {
+	p     *Proxy
+	group *group
+	info  atomic.Pointer[topo.Upstream]
+	queue *queue.Queue
+	pool  *pool.Pool[*conn]
+	// limit is the number of statements that this VM keeps at the upstream.
+	limit  int
+	cancel context.CancelFunc
+
+	// pending counts statements that wait or run.
+	pending atomic.Int32
+	mu      sync.Mutex
+	// latency is the moving average of answer times, without the round trip.
+	latency    time.Duration
+	answeredAt time.Time
+	laggedAt   time.Time
+	// deniedAt is when the upstream last refused to act as primary.
+	deniedAt time.Time
+	failures int
+	failedAt time.Time
+	position core.Position
+	// leavingAt is when the upstream was first seen leaving.
+	leavingAt time.Time
+}
+
+func (p *Proxy) newNode(ctx context.Context, g *group, u topo.Upstream) *node {
+	connections := p.cfg.Directory.Snapshot().Config.Groups[u.Group].Connections
+	limit := max(2, connections/connShare)
+	n := &node{p: p, group: g, limit: max(1, u.Slots) + slotsAhead}
+	n.info.Store(&u)
+	n.queue = queue.New(queue.NewShares(queue.Config{
+		Slots: n.limit, MaxOpen: max(1, limit-sparedConns), Policies: p,
+	}))
+	n.pool = pool.New(pool.Config[*conn]{
+		Limit: limit, Dial: n.dial, Close: func(c *conn) error { return c.Close() },
+		AtLimit: atLimit, OnDialError: n.dialFailed, DialTime: dialTime, IdleTime: connIdle,
+		MinBackoff: 20 * time.Millisecond, MaxBackoff: 300 * time.Millisecond,
+	})
+	ctx, n.cancel = context.WithCancel(ctx)
+	p.spawn(func() { _ = n.pool.Run(ctx) })
+	p.spawn(func() { _ = n.queue.Run(ctx) })
+	return n
+}
+
+// id returns the upstream's id.
+func (n *node) id() core.UpstreamID { return n.info.Load().ID }
+
+func atLimit(err error) bool {
+	var refused *core.RefusedError
+	return errors.As(err, &refused)
+}
+
+func (n *node) dial(ctx context.Context) (*conn, error) {
+	u := n.info.Load()
+	lc, err := n.p.cfg.Dialer.Dial(ctx, u.UpstreamInfo)
+	if err != nil {
+		return nil, err
+	}
+	n.notePosition(lc.Hello())
+	n.p.metrics.dials.Inc(1)
+	return &conn{LineConn: lc, used: time.Now()}, nil
+}
+
+func (n *node) dialFailed(err error) {
+	if atLimit(err) {
+		n.p.metrics.overloads.Inc(1)
+		return
+	}
+	n.noteFailure()
+}
+
+// get takes a connection that is open, waiting at most until the deadline.
+func (n *node) get(ctx context.Context, deadline time.Time) (*pool.Handle[*conn], error) {
+	for {
+		h, ok := n.pool.TryGet()
+		if !ok {
+			ctx, cancel := context.WithDeadline(ctx, deadline)
+			var err error
+			h, err = n.pool.Get(ctx)
+			cancel()
+			if err != nil {
+				return nil, err
+			}
+		}
+		c := h.Value
+		if time.Since(c.used) < checkAfter || c.Idle() {
+			return h, nil
+		}
+		h.Discard()
+	}
+}
+
+// put returns a connection that has no statement in progress.
+func put(h *pool.Handle[*conn]) {
+	h.Value.used = time.Now()
+	h.Put()
+}
+
+func (n *node) notePosition(p core.Position) {
+	if p.IsZero() {
+		return
+	}
+	n.mu.Lock()
+	if n.position.Less(p) {
+		n.position = p
+	}
+	n.mu.Unlock()
+}
+
+// noteAnswer records an answer that took d without the round trip.
+func (n *node) noteAnswer(now time.Time, d time.Duration, p core.Position) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.failures = 0
+	n.latency += time.Duration(latencyWeight * float64(d-n.latency))
+	n.answeredAt = now
+	if n.position.Less(p) {
+		n.position = p
+	}
+}
+
+func (n *node) noteFailure() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.failures++
+	n.failedAt = time.Now()
+}
+
+func (n *node) noteLag() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.laggedAt = time.Now()
+}
+
+// noteDenied records that the upstream refused to act as primary.
+func (n *node) noteDenied() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.deniedAt = time.Now()
+}
+
+// update takes over a changed entry of the same incarnation.
+func (n *node) update(u topo.Upstream) {
+	old := n.info.Swap(&u)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if u.Role == core.RolePrimary && old.Role != core.RolePrimary {
+		n.deniedAt = time.Time{}
+	}
+	if u.Leaving && n.leavingAt.IsZero() {
+		n.leavingAt = time.Now()
+	}
+	if !u.Leaving {
+		n.leavingAt = time.Time{}
+	}
+}
+
+// view returns the node as a candidate for a read.
+func (n *node) view(now time.Time) candidate {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	u := n.info.Load()
+	latency := n.latency
+	for d := now.Sub(n.answeredAt); d > calmTime && latency > time.Millisecond; d -= calmTime {
+		latency /= 2
+	}
+	return candidate{
+		primary:  u.Role == core.RolePrimary,
+		distance: n.p.distance(u),
+		wait:     latency * time.Duration(1+n.pending.Load()) / time.Duration(n.limit),
+		lagging:  now.Sub(n.laggedAt) < lagMemory,
+		failing:  n.failures >= failAfter && now.Sub(n.failedAt) < failMemory,
+	}
+}
+
+// distance returns the round trip to the upstream.
+func (p *Proxy) distance(u *topo.Upstream) time.Duration {
+	switch {
+	case u.FailureDomain == p.cfg.Self.FailureDomain:
+		return 0
+	case p.cfg.Regions[u.FailureDomain] == p.cfg.Self.Region:
+		return nearTime
+	}
+	return regionTime
+}
--- /dev/null
+++ b/core/proxy/proxy.go
@@ -0,0 +1,218 @@
+package proxy
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/uber-go/tally/v4"
+
+	"snipewall/core"
+	"snipewall/core/retry"
+	"snipewall/core/topo"
+)
+
+// Retries inside the proxy are limited to a share of the traffic, since callers retry as well.
+const (
+	retryRatio = 0.2
+	retryBurst = 20
+)
+
+// Config configures a Proxy.
+type Config struct {
+	Directory *topo.Directory
+	Dialer    core.LineDialer
+	// Self is this entry VM.
+	Self core.VM
+	// Regions holds the region of each failure domain.
+	Regions map[core.FailureDomain]core.Region
+	Log     log.Logger
+	Metrics tally.Scope
+	// Now reads a clock that counts suspension; nil stands for core.Now.
+	Now func() core.Instant
+}
+
+// Proxy is the service "proxy".
+type Proxy struct {
+	cfg     Config
+	metrics metrics
+	budget  *retry.Budget
+
+	// ends receives one value for each goroutine that ends; tasks counts the ones that run.
+	ends chan struct{}
+
+	mu      sync.Mutex
+	tasks   int
+	groups  map[core.GroupID]*group
+	nodes   map[core.UpstreamID]*node
+	changed chan struct{}
+}
+
+// New returns a proxy that serves nothing before Run.
+func New(cfg Config) *Proxy {
+	if cfg.Now == nil {
+		cfg.Now = core.Now
+	}
+	return &Proxy{
+		cfg: cfg, metrics: newMetrics(cfg.Metrics),
+		budget: retry.NewBudget(retry.Config{Ratio: retryRatio, Burst: retryBurst}),
+		ends:   make(chan struct{}, 16),
+		groups: make(map[core.GroupID]*group), nodes: make(map[core.UpstreamID]*node),
+		changed: make(chan struct{}),
+	}
+}
+
+// Name implements core.Service.
+func (p *Proxy) Name() string { return "proxy" }
+
+// Run follows the directory until ctx ends and then waits for its goroutines.
+func (p *Proxy) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		snap := p.cfg.Directory.Snapshot()
+		p.reconcile(ctx, snap)
+		p.await(ctx, snap)
+	}
+	p.mu.Lock()
+	for _, n := range p.nodes {
+		n.cancel()
+	}
+	p.mu.Unlock()
+	for p.running() > 0 {
+		<-p.ends
+		p.ended()
+	}
+	return nil
+}
+
+// await waits for a newer snapshot and for ends of goroutines.
+func (p *Proxy) await(ctx context.Context, snap *topo.Snapshot) {
+	// Upstreams whose grace ended disappear without a change of the directory.
+	timer := time.NewTimer(time.Second)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-snap.Changed:
+			return
+		case <-timer.C:
+			return
+		case <-p.ends:
+			p.ended()
+		}
+	}
+}
+
+// spawn runs fn in a goroutine that reports its end to Run.
+func (p *Proxy) spawn(fn func()) {
+	p.mu.Lock()
+	p.tasks++
+	p.mu.Unlock()
+	go func() {
+		fn()
+		p.ends <- struct{}{}
+	}()
+}
+
+func (p *Proxy) ended() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.tasks--
+}
+
+func (p *Proxy) running() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.tasks
+}
+
+// reconcile makes groups and nodes match the snapshot.
+func (p *Proxy) reconcile(ctx context.Context, snap *topo.Snapshot) {
+	seen := make(map[core.UpstreamID]bool)
+	changed := false
+	for id := range snap.Config.Groups {
+		g := p.group(id)
+		var nodes []*node
+		for _, u := range snap.Group(id) {
+			seen[u.ID] = true
+			n, fresh := p.node(ctx, g, u)
+			changed = changed || fresh
+			nodes = append(nodes, n)
+		}
+		g.nodes.Store(&nodes)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, n := range p.nodes {
+		if !seen[id] {
+			n.cancel()
+			delete(p.nodes, id)
+			changed = true
+		}
+	}
+	if changed {
+		close(p.changed)
+		p.changed = make(chan struct{})
+	}
+}
+
+// group returns the group, which is created if it is new.
+func (p *Proxy) group(id core.GroupID) *group {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	g, ok := p.groups[id]
+	if !ok {
+		g = newGroup(id)
+		p.groups[id] = g
+	}
+	return g
+}
+
+// node returns the upstream's node and whether anything about it changed. Another incarnation or
+// address gets a new node, so that nothing known of the old one is used for it.
+func (p *Proxy) node(ctx context.Context, g *group, u topo.Upstream) (*node, bool) {
+	p.mu.Lock()
+	n, ok := p.nodes[u.ID]
+	p.mu.Unlock()
+	if ok {
+		old := n.info.Load()
+		if old.Born == u.Born && old.Address == u.Address {
+			n.update(u)
+			return n, *old != u
+		}
+		n.cancel()
+	}
+	n = p.newNode(ctx, g, u)
+	p.mu.Lock()
+	p.nodes[u.ID] = n
+	p.mu.Unlock()
+	return n, true
+}
+
+// Changed returns a channel that is closed at the next change of the nodes.
+func (p *Proxy) Changed() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.changed
+}
+
+// Policy implements core.Policies for the admission queues: each route is a kind of its own.
+func (p *Proxy) Policy(kind core.Kind) (core.KindPolicy, bool) {
+	r, ok := p.cfg.Directory.Snapshot().Route(string(kind))
+	if !ok {
+		return core.KindPolicy{}, false
+	}
+	return core.KindPolicy{Kind: kind, Rank: r.Rank, Weight: 1, QueueTime: r.StatementTimeout, Deadline: r.StatementTimeout}, true
+}
+
+// Kinds implements core.Policies.
+func (p *Proxy) Kinds() []core.KindPolicy {
+	var out []core.KindPolicy
+	for database := range p.cfg.Directory.Snapshot().Config.Routes {
+		if k, ok := p.Policy(core.Kind(database)); ok {
+			out = append(out, k)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/core/proxy/session.go
@@ -0,0 +1,236 @@
+package proxy
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"snipewall/core"
+)
+
+// Verb is what a caller's statement does.
+type Verb uint8
+
+// Verbs of statements.
+const (
+	VerbRead Verb = iota
+	VerbWrite
+	VerbBegin
+	VerbBeginRead
+	VerbCommit
+	VerbRollback
+	// VerbSet sets the session value Name to Arg.
+	VerbSet
+	// VerbPrepare prepares the statement Name with the shape Arg.
+	VerbPrepare
+	// VerbExecute runs the prepared statement Name with the arguments Arg.
+	VerbExecute
+	VerbDeallocate
+)
+
+// Statement is one statement of a caller.
+type Statement struct {
+	ID   core.RequestID
+	Verb Verb
+	// Text is the whole statement, which upstreams get unchanged.
+	Text string
+	// Name and Arg are the operands that the verb names.
+	Name, Arg string
+	// Write tells that the prepared shape writes.
+	Write bool
+}
+
+// Reply is the answer to a statement.
+type Reply struct {
+	// Fault is FaultNone if the statement succeeded.
+	Fault core.Fault
+	// Text explains the fault.
+	Text string
+	// Body is the upstream's encoded answer, or nil if snipewall answers itself. It is valid until
+	// the next statement of the session.
+	Body     []byte
+	Status   core.TxStatus
+	Position core.Position
+}
+
+// value is one session value.
+type value struct{ name, value string }
+
+// Session is one caller's connection. It is used by one goroutine at a time.
+type Session struct {
+	p        *Proxy
+	database string
+	values   []value
+	// valueKey identifies the values.
+	valueKey string
+	prepared map[string]shape
+	// own is the position of the session's last commit; strictOwn tells that it isn't known.
+	own       core.Position
+	strictOwn bool
+	tx        *tx
+	body      []byte
+}
+
+// Open starts a session on the database.
+func (p *Proxy) Open(database string) *Session { return &Session{p: p, database: database} }
+
+// Has reports whether the database is configured.
+func (p *Proxy) Has(database string) bool {
+	_, ok := p.cfg.Directory.Snapshot().Route(database)
+	return ok
+}
+
+// Status returns the session's transaction status.
+func (s *Session) Status() core.TxStatus {
+	switch {
+	case s.tx == nil:
+		return core.TxIdle
+	case s.tx.failed:
+		return core.TxFailed
+	}
+	return core.TxOpen
+}
+
+// Busy reports whether an open transaction holds an upstream connection.
+func (s *Session) Busy() bool { return s.tx != nil && s.tx.held != nil }
+
+// TxIdle returns how long the session's transaction may stay idle, or 0 if there is no limit now.
+func (s *Session) TxIdle() time.Duration {
+	if !s.Busy() {
+		return 0
+	}
+	return s.p.cfg.Directory.Snapshot().Config.TxIdle
+}
+
+// Abort rolls an open transaction back. Its next statement learns that it was aborted.
+func (s *Session) Abort(ctx context.Context, reason string) {
+	if s.tx == nil || s.tx.failed {
+		return
+	}
+	s.p.metrics.aborts.Inc(1)
+	s.p.logDecision("transaction aborted", "Database", s.database, "Reason", reason)
+	s.rollback(ctx)
+	s.tx.failed, s.tx.aborted = true, reason
+}
+
+// Close ends the session and rolls an open transaction back.
+func (s *Session) Close(ctx context.Context) {
+	s.rollback(ctx)
+	s.tx = nil
+}
+
+// Execute runs one statement. The session's goroutine blocks until the answer is known.
+func (s *Session) Execute(ctx context.Context, st *Statement) Reply {
+	began := time.Now()
+	r := s.dispatch(ctx, st, began)
+	r.Status = s.Status()
+	m := &s.p.metrics
+	m.statements.Inc(1)
+	if r.Fault != core.FaultNone {
+		m.faults.Inc(1)
+		s.p.logFault(s, st, r, time.Since(began))
+	} else if r.Body != nil {
+		m.latency.RecordDuration(time.Since(began))
+	}
+	return r
+}
+
+func (s *Session) dispatch(ctx context.Context, st *Statement, began time.Time) Reply {
+	if st.Verb == VerbRollback {
+		s.rollback(ctx)
+		s.tx = nil
+		return Reply{}
+	}
+	if s.tx != nil && s.tx.failed {
+		return s.inFailed(st)
+	}
+	switch st.Verb {
+	case VerbBegin, VerbBeginRead:
+		return s.begin(st, began)
+	case VerbSet:
+		s.set(st.Name, st.Arg)
+		return Reply{}
+	case VerbPrepare:
+		if s.prepared == nil {
+			s.prepared = make(map[string]shape)
+		}
+		s.prepared[st.Name] = shape{write: st.Write, text: st.Arg}
+		return Reply{}
+	case VerbDeallocate:
+		delete(s.prepared, st.Name)
+		return Reply{}
+	case VerbCommit:
+		if s.tx == nil {
+			return Reply{Fault: core.FaultMalformed, Text: "no transaction is open"}
+		}
+	}
+	w, fault := s.newWork(st, began)
+	if fault != nil {
+		return s.fail(*fault)
+	}
+	if s.tx != nil {
+		return s.runTx(ctx, w)
+	}
+	return s.runSingle(ctx, w)
+}
+
+// inFailed answers a statement in a failed transaction, which only its end may follow.
+func (s *Session) inFailed(st *Statement) Reply {
+	reason := s.tx.aborted
+	s.tx.aborted = ""
+	if st.Verb == VerbCommit {
+		s.tx = nil
+		return Reply{Fault: core.FaultAborted, Text: "the transaction had failed and is rolled back"}
+	}
+	if reason != "" {
+		return Reply{Fault: core.FaultAborted, Text: reason}
+	}
+	return Reply{Fault: core.FaultMalformed, Text: "the transaction has failed"}
+}
+
+func (s *Session) begin(st *Statement, began time.Time) Reply {
+	if s.tx != nil {
+		return Reply{Fault: core.FaultMalformed, Text: "a transaction is open"}
+	}
+	s.tx = &tx{readOnly: st.Verb == VerbBeginRead, began: began}
+	return Reply{}
+}
+
+// fail marks an open transaction as failed.
+func (s *Session) fail(r Reply) Reply {
+	if s.tx != nil {
+		s.tx.failed = true
+	}
+	return r
+}
+
+func (s *Session) set(name, v string) {
+	i := slices.IndexFunc(s.values, func(v value) bool { return v.name == name })
+	if i >= 0 {
+		s.values[i].value = v
+	} else {
+		s.values = append(s.values, value{name, v})
+		slices.SortFunc(s.values, func(a, b value) int { return strings.Compare(a.name, b.name) })
+	}
+	var b strings.Builder
+	for _, v := range s.values {
+		b.WriteString(v.name)
+		b.WriteByte(0)
+		b.WriteString(v.value)
+		b.WriteByte(0)
+	}
+	s.valueKey = b.String()
+}
+
+// noteCommit records the position of the session's own commit.
+func (s *Session) noteCommit(p core.Position) {
+	if p.IsZero() {
+		s.strictOwn = true
+		return
+	}
+	s.strictOwn = false
+	if s.own.Less(p) {
+		s.own = p
+	}
+}
--- /dev/null
+++ b/core/proxy/tx.go
@@ -0,0 +1,238 @@
+package proxy
+
+import (
+	"context"
+	"time"
+
+	"snipewall/core"
+	"snipewall/core/queue"
+)
+
+// tx is a caller's transaction. It holds an upstream connection from its first statement on.
+type tx struct {
+	readOnly bool
+	began    time.Time
+	failed   bool
+	// aborted is the reason to report to the next statement.
+	aborted string
+	held    *held
+	wrote   bool
+}
+
+// rollback ends the transaction's part on the upstream.
+func (s *Session) rollback(_ context.Context) {
+	if s.tx == nil || s.tx.held == nil {
+		return
+	}
+	h := s.tx.held
+	s.tx.held = nil
+	if _, err := h.setUp([]core.Command{{Op: core.OpRollback}}, time.Now().Add(endTime)); err != nil {
+		h.drop()
+		return
+	}
+	h.free(false)
+}
+
+// runTx runs a statement of the open transaction.
+func (s *Session) runTx(ctx context.Context, w *work) Reply {
+	if w.write && s.tx.readOnly {
+		return s.failTx(ctx, Reply{Fault: core.FaultReadOnly, Text: "the transaction is read-only"})
+	}
+	if s.tx.held == nil {
+		if r := s.bind(ctx, w); r != nil {
+			return s.failTx(ctx, *r)
+		}
+	} else if r := s.readmit(ctx, w); r != nil {
+		return s.failTx(ctx, *r)
+	}
+	for {
+		reply, retry := s.statement(w)
+		if !retry || !s.retryIn(ctx, w, retryPause) {
+			if s.tx != nil && s.tx.held != nil {
+				s.tx.held.releaseSlot(reply.Fault == core.FaultNone)
+			}
+			if reply.Fault != core.FaultNone {
+				return s.failTx(ctx, reply)
+			}
+			return reply
+		}
+	}
+}
+
+// failTx rolls the transaction back and marks it as failed. A failed COMMIT ends it.
+func (s *Session) failTx(ctx context.Context, r Reply) Reply {
+	if s.tx == nil {
+		return r
+	}
+	s.rollback(ctx)
+	s.tx.failed = true
+	return r
+}
+
+// readmit takes a slot for a further statement of the transaction.
+func (s *Session) readmit(ctx context.Context, w *work) *Reply {
+	h := s.tx.held
+	h.node.pending.Add(1)
+	slot, err := h.node.queue.Acquire(ctx, &queue.Item{
+		Kind: core.Kind(s.database), Rank: w.route.Rank, InTx: true, Deadline: w.deadline.Add(-w.reserve()),
+	})
+	if err != nil {
+		h.node.pending.Add(-1)
+		s.p.metrics.refusals.Inc(1)
+		return &Reply{Fault: core.FaultBusy, Text: refusalText(err)}
+	}
+	h.slot = slot
+	return nil
+}
+
+// bind opens the transaction on an upstream before its first statement.
+func (s *Session) bind(ctx context.Context, w *work) *Reply {
+	for {
+		t, ok := s.placeTx(w)
+		if !ok {
+			w.last = Reply{Fault: core.FaultBusy, Text: "the group has no primary now"}
+			if !s.awaitPrimary(ctx, w) {
+				return &w.last
+			}
+			continue
+		}
+		refused := s.open(ctx, w, t)
+		if refused == nil {
+			return nil
+		}
+		w.last = *refused
+		w.tried = append(w.tried, t.node)
+		pause := time.Duration(0)
+		if !s.tx.readOnly || t.strict {
+			pause = 5 * retryPause
+		}
+		if !s.retryIn(ctx, w, pause) {
+			return &w.last
+		}
+	}
+}
+
+// placeTx chooses the upstream of a transaction.
+func (s *Session) placeTx(w *work) (target, bool) {
+	if !s.tx.readOnly {
+		n := w.group.primary(time.Now())
+		return target{node: n, strict: true}, n != nil
+	}
+	if w.seen == 0 {
+		w.seen = s.p.cfg.Now()
+	}
+	return s.place(w, false)
+}
+
+// open takes a connection and opens the transaction on it. A transaction on a replica awaits its
+// position; one that must be strict is opened as a plain one, which only a leading primary does.
+func (s *Session) open(ctx context.Context, w *work, t target) *Reply {
+	h, refused := s.acquire(ctx, w, t.node, true)
+	if refused != nil {
+		return refused
+	}
+	asked := s.p.cfg.Now()
+	cmds := h.handle.Value.align(s, nil)
+	if t.strict {
+		cmds = append(cmds, core.Command{Op: core.OpBegin})
+	} else {
+		cmds = append(cmds, core.Command{Op: core.OpBeginRead, Await: t.await})
+	}
+	ans, err := h.setUp(cmds, w.deadline)
+	if err != nil {
+		t.node.noteFailure()
+		h.drop()
+		return &Reply{Fault: core.FaultBusy, Text: "the upstream doesn't answer"}
+	}
+	if ans.Fault != core.FaultNone {
+		h.recycle(ans.Status)
+		switch ans.Fault {
+		case core.FaultReadOnly:
+			t.node.noteDenied()
+		case core.FaultLagging:
+			t.node.noteLag()
+		}
+		return &Reply{Fault: core.FaultBusy, Text: "the upstream refused the transaction: " + ans.Fault.String()}
+	}
+	if t.strict {
+		w.group.prove(t.node.id(), asked, ans.Position)
+	}
+	s.tx.held = h
+	return nil
+}
+
+// statement sends the work on the transaction's connection. It reports whether the upstream was busy
+// and the statement may be sent again.
+func (s *Session) statement(w *work) (Reply, bool) {
+	h := s.tx.held
+	c := h.handle.Value
+	cmds := c.align(s, w.shape)
+	before := len(cmds)
+	cmds = append(cmds, w.command(core.Position{}))
+	sent := time.Now()
+	ans, err := s.exchange(h, cmds, before, w.deadline)
+	if err != nil {
+		h.node.noteFailure()
+		h.drop()
+		s.tx.held = nil
+		if w.st.Verb == VerbCommit {
+			s.tx = nil
+			return Reply{Fault: core.FaultInDoubt, Text: "no answer to COMMIT"}, false
+		}
+		return Reply{Fault: core.FaultAborted, Text: "the transaction's connection was lost"}, false
+	}
+	now := time.Now()
+	h.node.noteAnswer(now, max(0, now.Sub(sent)-s.p.distance(h.node.info.Load())), ans.Position)
+	if ans.Fault == core.FaultBusy && ans.Status == core.TxOpen {
+		return Reply{Fault: ans.Fault, Text: ans.Text}, true
+	}
+	if ans.Fault != core.FaultNone {
+		return s.txFault(w, ans), false
+	}
+	s.body = append(s.body[:0], ans.Body...)
+	reply := Reply{Body: s.body, Position: ans.Position}
+	if w.write {
+		s.tx.wrote = true
+	}
+	if w.st.Verb == VerbCommit {
+		if s.tx.wrote {
+			s.noteCommit(ans.Position)
+		}
+		s.tx = nil
+		h.free(true)
+	}
+	return reply, false
+}
+
+// txFault handles an upstream's error inside the transaction.
+func (s *Session) txFault(w *work, ans core.Answer) Reply {
+	h := s.tx.held
+	if ans.Fault == core.FaultReadOnly && !s.tx.readOnly {
+		h.node.noteDenied()
+	}
+	reply := Reply{Fault: ans.Fault, Text: ans.Text}
+	if w.st.Verb != VerbCommit {
+		return reply
+	}
+	s.rollback(context.Background())
+	s.tx = nil
+	return reply
+}
+
+// exchange sends the commands and returns the answer to the last one. An error of one before it is
+// reported as a lost connection, since the last one may have run in the wrong state.
+func (s *Session) exchange(h *held, cmds []core.Command, before int, deadline time.Time) (core.Answer, error) {
+	if err := h.handle.Value.Send(cmds); err != nil {
+		return core.Answer{}, err
+	}
+	if before > 0 {
+		ans, err := h.receive(before, deadline)
+		if err != nil {
+			return core.Answer{}, err
+		}
+		if ans.Fault != core.FaultNone {
+			return core.Answer{}, core.ErrUpstream.New("set-up failed: %s", ans.Fault)
+		}
+	}
+	return h.handle.Value.Receive(deadline)
+}
--- /dev/null
+++ b/core/proxy/work.go
@@ -0,0 +1,292 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"net"
+	"slices"
+	"time"
+
+	"snipewall/core"
+	"snipewall/core/pool"
+	"snipewall/core/queue"
+	"snipewall/core/topo"
+)
+
+const (
+	// outageHold is how long a group may have been without a primary while statements still wait for
+	// the next one. A promotion usually takes less than this; after it they are refused at once.
+	outageHold = 3 * time.Second
+	// retryPause is the wait before another try when the first one failed at once.
+	retryPause = 10 * time.Millisecond
+	// hedgeFactor and hedgeLeast say when the answer to a read counts as lost, as a multiple of the
+	// usual answer time and at least.
+	hedgeFactor = 5
+	hedgeLeast  = 150 * time.Millisecond
+	// maxTries limits the upstreams that are tried for one statement.
+	maxTries = 6
+	// endTime limits the answer to ROLLBACK and similar statements that take no slot.
+	endTime = time.Second
+)
+
+// work is one statement on its way to an upstream.
+type work struct {
+	st    *Statement
+	route topo.Route
+	group *group
+	// shape is the prepared statement of an EXECUTE.
+	shape *shape
+	write bool
+	// seen is the instant after the request was read; reads only.
+	seen     core.Instant
+	began    time.Time
+	deadline time.Time
+	// tried are upstreams that failed the statement.
+	tried []*node
+	tries int
+	// last is why the last try failed.
+	last Reply
+}
+
+// newWork looks up what the statement needs, or returns the fault that ends it.
+func (s *Session) newWork(st *Statement, began time.Time) (*work, *Reply) {
+	route, ok := s.p.cfg.Directory.Snapshot().Route(s.database)
+	if !ok {
+		return nil, &Reply{Fault: core.FaultNoDatabase, Text: "no such database"}
+	}
+	w := &work{st: st, route: route, group: s.p.group(route.Group), began: began, deadline: began.Add(route.StatementTimeout)}
+	w.write = st.Verb == VerbWrite
+	if st.Verb == VerbExecute {
+		sh, ok := s.prepared[st.Name]
+		if !ok {
+			return nil, &Reply{Fault: core.FaultUnprepared, Text: "no such prepared statement"}
+		}
+		w.shape, w.write = &sh, sh.write
+	}
+	if !w.write {
+		w.seen = s.p.cfg.Now()
+	}
+	s.p.budget.Earn()
+	return w, nil
+}
+
+// command returns the statement for an upstream.
+func (w *work) command(await core.Position) core.Command {
+	if w.shape != nil {
+		return core.Command{Op: core.OpExecute, ID: w.st.ID, Name: w.shape.name(), Text: w.st.Arg, Await: await}
+	}
+	return core.Command{Op: core.OpCaller, ID: w.st.ID, Text: w.st.Text, Await: await}
+}
+
+// target is where a statement is sent and what it has to prove there.
+type target struct {
+	node *node
+	// strict asks for a proof of leadership before the statement runs.
+	strict bool
+	await  core.Position
+}
+
+// place chooses the upstream. It returns false if none can serve the statement now.
+func (s *Session) place(w *work, strict bool) (target, bool) {
+	now := time.Now()
+	primary := w.group.primary(now)
+	if w.write || strict || w.route.Reads == topo.Strict {
+		return target{node: primary, strict: !w.write}, primary != nil
+	}
+	await, ok := w.group.fresh.Floor(w.seen.Add(-w.route.MaxAge))
+	if !ok || (s.strictOwn && w.route.Reads == topo.OwnWrites) {
+		return target{node: primary, strict: true}, primary != nil
+	}
+	if w.route.Reads == topo.OwnWrites && await.Less(s.own) {
+		await = s.own
+	}
+	n := w.replica(now)
+	return target{node: n, await: await}, n != nil
+}
+
+// replica returns the upstream with the earliest expected answer of those that weren't tried, or of
+// all if each one was.
+func (w *work) replica(now time.Time) *node {
+	nodes := *w.group.nodes.Load()
+	var cands []candidate
+	var from []*node
+	for _, n := range nodes {
+		if slices.Contains(w.tried, n) || n.info.Load().Leaving {
+			continue
+		}
+		cands, from = append(cands, n.view(now)), append(from, n)
+	}
+	if i := cheapest(cands); i >= 0 {
+		return from[i]
+	}
+	if len(w.tried) > 0 {
+		w.tried = nil
+		return w.replica(now)
+	}
+	return nil
+}
+
+// retryIn waits for another try and reports whether there is time for one.
+func (s *Session) retryIn(ctx context.Context, w *work, pause time.Duration) bool {
+	w.tries++
+	if w.tries > maxTries && pause == 0 {
+		return false
+	}
+	now := time.Now()
+	if now.Add(pause).After(w.deadline.Add(-w.reserve())) {
+		return false
+	}
+	s.p.metrics.retries.Inc(1)
+	if pause == 0 {
+		return true
+	}
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+	case <-s.p.Changed():
+	}
+	return true
+}
+
+// reserve is the part of the statement's time that is kept for running it.
+func (w *work) reserve() time.Duration { return w.route.StatementTimeout / 8 }
+
+// awaitPrimary waits for a primary, unless the group has been without one for so long that the wait
+// is likely to be in vain.
+func (s *Session) awaitPrimary(ctx context.Context, w *work) bool {
+	if w.group.outage(time.Now()) > outageHold {
+		return false
+	}
+	changed := s.p.Changed()
+	left := time.Until(w.deadline) - w.reserve()
+	if left <= 0 {
+		return false
+	}
+	timer := time.NewTimer(left)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return false
+	case <-changed:
+		return true
+	}
+}
+
+// held is a connection with a slot of its upstream's queue.
+type held struct {
+	node   *node
+	handle *pool.Handle[*conn]
+	slot   *queue.Slot
+	// opens tells that the queue counts an open transaction.
+	opens bool
+}
+
+// acquire takes a slot and then a connection.
+func (s *Session) acquire(ctx context.Context, w *work, n *node, opens bool) (*held, *Reply) {
+	n.pending.Add(1)
+	slot, err := n.queue.Acquire(ctx, &queue.Item{
+		Kind: core.Kind(s.database), Rank: w.route.Rank, Opens: opens, Deadline: w.deadline.Add(-w.reserve()),
+	})
+	if err != nil {
+		n.pending.Add(-1)
+		s.p.metrics.refusals.Inc(1)
+		return nil, &Reply{Fault: core.FaultBusy, Text: refusalText(err)}
+	}
+	h := &held{node: n, slot: slot, opens: opens}
+	h.handle, err = n.get(ctx, w.deadline.Add(-w.reserve()))
+	if err != nil {
+		h.releaseSlot(false)
+		h.endTx()
+		if atLimit(err) {
+			return nil, &Reply{Fault: core.FaultOverload, Text: "the upstream is at its connection limit"}
+		}
+		return nil, &Reply{Fault: core.FaultBusy, Text: "no connection to the upstream in time"}
+	}
+	return h, nil
+}
+
+// refusalText tells a caller when to come back.
+func refusalText(err error) string {
+	var refusal *queue.Refusal
+	if !errors.As(err, &refusal) {
+		return err.Error()
+	}
+	if refusal.RetryAfter <= 0 {
+		return refusal.Reason
+	}
+	return refusal.Reason + "; retry after " + refusal.RetryAfter.Round(time.Millisecond).String()
+}
+
+func (h *held) releaseSlot(ran bool) {
+	if h.slot == nil {
+		return
+	}
+	h.slot.Release(ran)
+	h.slot = nil
+	h.node.pending.Add(-1)
+}
+
+func (h *held) endTx() {
+	if h.opens {
+		h.node.queue.EndTx()
+		h.opens = false
+	}
+}
+
+// free returns the connection and the slot.
+func (h *held) free(ran bool) {
+	h.releaseSlot(ran)
+	h.endTx()
+	put(h.handle)
+}
+
+// recycle returns a connection whose BEGIN was refused. It ends a transaction that failed that way.
+func (h *held) recycle(status core.TxStatus) {
+	if status != core.TxIdle {
+		if _, err := h.setUp([]core.Command{{Op: core.OpRollback}}, time.Now().Add(endTime)); err != nil {
+			h.drop()
+			return
+		}
+	}
+	h.free(false)
+}
+
+// drop closes the connection, which rolls back what is open on it.
+func (h *held) drop() {
+	h.releaseSlot(false)
+	h.endTx()
+	h.handle.Discard()
+}
+
+// setUp sends the commands and reads their answers. It returns the first fault.
+func (h *held) setUp(cmds []core.Command, deadline time.Time) (core.Answer, error) {
+	if err := h.handle.Value.Send(cmds); err != nil {
+		return core.Answer{}, err
+	}
+	return h.receive(len(cmds), deadline)
+}
+
+// receive reads n answers and returns the first with a fault, otherwise the last.
+func (h *held) receive(n int, deadline time.Time) (core.Answer, error) {
+	var first core.Answer
+	for range n {
+		ans, err := h.handle.Value.Receive(deadline)
+		if err != nil {
+			return core.Answer{}, err
+		}
+		if first.Fault == core.FaultNone {
+			first = ans
+		}
+	}
+	return first, nil
+}
+
+func isTimeout(err error) bool {
+	var netErr net.Error
+	return errors.As(err, &netErr) && netErr.Timeout()
+}
--- a/server/server.go
+++ b/server/server.go
@@ -22,6 +22,7 @@
 	"snipewall/io/admin"
 	"snipewall/io/front"
 	"snipewall/io/relay"
+	"snipewall/io/stats"
 	"snipewall/io/store"
 )
 
@@ -54,7 +55,7 @@
 // New opens the listeners and builds the services. Nothing runs yet.
 func New(cfg Config) (*Process, error) {
 	p := &Process{cfg: cfg, kernel: core.NewKernel()}
-	p.scope, p.metrics = newMetrics(cfg.Settings.VM)
+	p.scope, p.metrics = stats.New(cfg.Settings.VM.ID)
 	steps := []func() error{
 		p.openUpstreams, p.openPlatform, p.openMembers, p.openOwners, p.openRouter, p.openFront, p.openAdmin,
 	}
