--- a/core/proxy/node.go
+++ b/core/proxy/node.go
@@ -130,6 +130,7 @@
 		if time.Since(c.used) < checkAfter || c.Idle() {
 			return h, nil
 		}
+		n.p.logDecision("idle connection discarded", "Upstream", n.id(), "IdleMs", time.Since(c.used).Milliseconds())
 		h.Discard()
 	}
 }
