Follow the store with one short watch, and wait for a first configuration

Ruled out: a lost 410, which was handled once the watch ended. Conclusion: the watch is bounded by the 3 s of the rule, not by keep-alive.

--- a/core/proxy/session.go
+++ b/core/proxy/session.go
@@ -9,6 +9,10 @@
 	"snipewall/core"
 )
 
+// firstConfigTime is how long a new connection waits for the first configuration. Callers give up
+// after 2 s.
+const firstConfigTime = 1700 * time.Millisecond
+
 // Verb is what a caller's statement does.
 type Verb uint8
 
@@ -75,10 +79,27 @@
 // Open starts a session on the database.
 func (p *Proxy) Open(database string) *Session { return &Session{p: p, database: database} }
 
-// Has reports whether the database is configured.
-func (p *Proxy) Has(database string) bool {
-	_, ok := p.cfg.Directory.Snapshot().Route(database)
-	return ok
+// Admit reports whether the database can be opened: FaultNone, FaultNoDatabase, or FaultBusy if no
+// configuration is known. An entry VM that has just started waits a short time for its first one.
+func (p *Proxy) Admit(ctx context.Context, database string) core.Fault {
+	timer := time.NewTimer(firstConfigTime)
+	defer timer.Stop()
+	for {
+		snap := p.cfg.Directory.Snapshot()
+		if snap.Config.Version > 0 {
+			if _, ok := snap.Route(database); !ok {
+				return core.FaultNoDatabase
+			}
+			return core.FaultNone
+		}
+		select {
+		case <-ctx.Done():
+			return core.FaultBusy
+		case <-timer.C:
+			return core.FaultBusy
+		case <-snap.Changed:
+		}
+	}
 }
 
 // Status returns the session's transaction status.
--- a/core/topo/feed.go
+++ b/core/topo/feed.go
@@ -13,13 +13,14 @@
 )
 
 const (
-	// watchTime is how long one watch waits. A connection that went silent without a reset is found
-	// by TCP keep-alive, so that the wait can be long: each call is charged.
-	watchTime = 20 * time.Second
+	// watchTime is how long one watch waits. A store that drops its history can leave a watch waiting
+	// although there were changes, and configurations have to be in force within 3 s.
+	watchTime = 1500 * time.Millisecond
 	// listTimeout limits one listing.
 	listTimeout = 3 * time.Second
-	// watchSlack is what a watch may take beyond its waiting time.
-	watchSlack = 2 * time.Second
+	// watchSlack is what a watch may take beyond its waiting time, about three round trips to a slow
+	// store. A connection that went silent without a reset is given up then.
+	watchSlack = 700 * time.Millisecond
 	// minBackoff and maxBackoff limit the time between calls after failures. The longest one stays
 	// well below the 3 s in which a configuration has to be in force.
 	minBackoff = 50 * time.Millisecond
