Ask the upstreams who leads when the primary doesn't answer

A read that every replica refused as lagging was given up although the primary has the position. Change: probes ask each upstream to open a transaction as primary, which only a leader does; an upstream that proved it counts as primary whatever its entry says. Reads that no replica can serve go to the primary.

--- a/core/lead/driver.go
+++ b/core/lead/driver.go
@@ -40,9 +40,15 @@
 type Cluster interface {
 	// State returns all groups.
 	State() []Group
-	// Probe asks the upstream for its log position, as a primary if lead is set: then it only answers
-	// while it leads. The error is nil if the upstream answered, *RefusedError if it couldn't be asked.
-	Probe(ctx context.Context, id core.UpstreamID, lead bool) (core.Position, error)
+	// Probe asks the upstream whether it leads and for the end of its log. An error means that it
+	// didn't answer, ErrNotAsked that it couldn't be asked.
+	Probe(ctx context.Context, id core.UpstreamID) (Standing, error)
+}
+
+// Standing is an upstream's place in its group.
+type Standing struct {
+	Leads bool
+	Log   core.Position
 }
 
 // ErrNotAsked says that a probe had no connection, which tells nothing about the upstream.
@@ -143,10 +149,10 @@
 	d.task(func() func() {
 		ctx, cancel := context.WithTimeout(ctx, probeTime)
 		defer cancel()
-		_, err := d.cfg.Cluster.Probe(ctx, g.Primary, true)
-		failed := err != nil && !errors.Is(err, ErrNotAsked)
+		at, err := d.cfg.Cluster.Probe(ctx, g.Primary)
+		failed := (err == nil && !at.Leads) || (err != nil && !errors.Is(err, ErrNotAsked))
 		if failed {
-			level.Info(d.cfg.Log).Log("Msg", "probe of the primary failed", "Group", g.ID, "Upstream", g.Primary, "Err", err)
+			level.Info(d.cfg.Log).Log("Msg", "probe of the primary failed", "Group", g.ID, "Upstream", g.Primary, "Leads", at.Leads, "Err", err)
 		}
 		return func() { st.detector.Probed(began, g.Primary, failed) }
 	})
@@ -177,15 +183,20 @@
 	if g.Leaving {
 		sleep(ctx, rand.N(startJitter))
 	}
-	held, err := d.acquire(ctx, g.ID, held)
+	target, at, err := d.best(ctx, g)
 	if err != nil {
 		return held, err
 	}
-	target, at, err := d.best(ctx, g)
+	if at.Leads {
+		// Somebody else has replaced the primary, and the store's news of it hasn't arrived here.
+		level.Info(d.cfg.Log).Log("Msg", "another upstream leads", "Group", g.ID, "Upstream", target, "Position", at.Log, "Old", g.Primary)
+		return held, nil
+	}
+	held, err = d.acquire(ctx, g.ID, held)
 	if err != nil {
 		return held, err
 	}
-	level.Info(d.cfg.Log).Log("Msg", "promoting", "Group", g.ID, "Upstream", target, "Position", at, "Old", g.Primary, "Reason", reason, "Token", held.token)
+	level.Info(d.cfg.Log).Log("Msg", "promoting", "Group", g.ID, "Upstream", target, "Position", at.Log, "Old", g.Primary, "Reason", reason, "Token", held.token)
 	if err := d.promote(ctx, g.ID, target, held); err != nil {
 		if errors.Is(err, core.ErrFenced) {
 			d.release(ctx, held)
@@ -225,37 +236,37 @@
 	}
 }
 
-// best returns the replica with the newest log among those that answer.
-func (d *Driver) best(ctx context.Context, g Group) (core.UpstreamID, core.Position, error) {
+// best returns the replica with the newest log among those that answer, or the one that leads.
+func (d *Driver) best(ctx context.Context, g Group) (core.UpstreamID, Standing, error) {
 	ctx, cancel := context.WithTimeout(ctx, probeTime)
 	defer cancel()
 	type result struct {
 		index int
-		at    core.Position
+		at    Standing
 		err   error
 	}
 	results := make(chan result, len(g.Replicas))
 	for i, id := range g.Replicas {
 		go func() {
-			at, err := d.cfg.Cluster.Probe(ctx, id, false)
+			at, err := d.cfg.Cluster.Probe(ctx, id)
 			results <- result{i, at, err}
 		}()
 	}
 	found := -1
-	var at core.Position
+	var best Standing
 	for range g.Replicas {
 		r := <-results
-		if r.err != nil {
+		if r.err != nil || best.Leads {
 			continue
 		}
-		if found < 0 || at.Less(r.at) || (at == r.at && r.index < found) {
-			found, at = r.index, r.at
+		if found < 0 || r.at.Leads || best.Log.Less(r.at.Log) || (best.Log == r.at.Log && r.index < found) {
+			found, best = r.index, r.at
 		}
 	}
 	if found < 0 {
-		return "", at, errors.New("no replica answers")
+		return "", best, errors.New("no replica answers")
 	}
-	return g.Replicas[found], at, nil
+	return g.Replicas[found], best, nil
 }
 
 // promote makes the call. It is repeated with the same token and target while the answer is missing
--- a/core/proxy/cluster.go
+++ b/core/proxy/cluster.go
@@ -54,50 +54,41 @@
 }
 
 // Probe implements lead.Cluster. Opening and ending a transaction takes no slot of the upstream.
-func (p *Proxy) Probe(ctx context.Context, id core.UpstreamID, leads bool) (core.Position, error) {
+func (p *Proxy) Probe(ctx context.Context, id core.UpstreamID) (lead.Standing, error) {
 	p.mu.Lock()
 	n, ok := p.nodes[id]
 	p.mu.Unlock()
 	if !ok {
-		return core.Position{}, lead.ErrNotAsked
+		return lead.Standing{}, lead.ErrNotAsked
 	}
 	deadline, ok := ctx.Deadline()
 	if !ok {
 		deadline = time.Now().Add(dialTime)
 	}
-	h, err := n.get(ctx, deadline)
+	handle, err := n.get(ctx, deadline)
 	if err != nil {
 		if atLimit(err) || (errors.Is(err, context.DeadlineExceeded) && n.pool.Stats().InUse > 0) {
-			return core.Position{}, lead.ErrNotAsked
+			return lead.Standing{}, lead.ErrNotAsked
 		}
-		return core.Position{}, err
+		return lead.Standing{}, err
 	}
 	asked := p.cfg.Now()
-	op := core.OpBeginRead
-	if leads {
-		op = core.OpBegin
-	}
-	hd := &held{node: n, handle: h}
-	if err := h.Value.Send([]core.Command{{Op: op}, {Op: core.OpRollback}}); err != nil {
-		h.Discard()
-		return core.Position{}, err
-	}
-	ans, err := hd.receive(2, deadline)
+	h := &held{node: n, handle: handle}
+	ans, err := h.setUp([]core.Command{{Op: core.OpBegin}, {Op: core.OpRollback}}, deadline)
 	if err != nil {
 		n.noteFailure()
-		h.Discard()
-		return core.Position{}, err
-	}
-	put(h)
-	if ans.Fault != core.FaultNone {
-		if ans.Fault == core.FaultReadOnly {
-			n.noteDenied()
-		}
-		return core.Position{}, core.ErrUpstream.New("probe: %s", ans.Fault)
+		h.drop()
+		return lead.Standing{}, err
 	}
+	h.free(false)
 	n.notePosition(ans.Position)
-	if leads {
-		n.group.prove(id, asked, ans.Position)
+	switch ans.Fault {
+	case core.FaultNone:
+		n.lead(asked, ans.Position)
+		return lead.Standing{Leads: true, Log: ans.Position}, nil
+	case core.FaultReadOnly:
+		n.noteDenied()
+		return lead.Standing{Log: ans.Position}, nil
 	}
-	return ans.Position, nil
+	return lead.Standing{}, core.ErrUpstream.New("probe: %s", ans.Fault)
 }
--- a/core/proxy/group.go
+++ b/core/proxy/group.go
@@ -38,19 +38,16 @@
 	return g
 }
 
-// primary returns the node that is believed to lead, or nil: of the nodes that claim to be primary
-// and have not denied it since, the one with the newest log.
+// primary returns the node that is believed to lead, or nil: of the nodes that claim to be primary or
+// proved it, and have not denied it since, the one with the newest log.
 func (g *group) primary(now time.Time) *node {
 	var best *node
 	var bestAt core.Position
 	for _, n := range *g.nodes.Load() {
-		if n.info.Load().Role != core.RolePrimary {
-			continue
-		}
 		n.mu.Lock()
-		denied, at, leavingAt := !n.deniedAt.IsZero(), n.position, n.leavingAt
+		claims, at, leavingAt := n.claims(), n.position, n.leavingAt
 		n.mu.Unlock()
-		if denied || (!leavingAt.IsZero() && now.Sub(leavingAt) > leavingTime) {
+		if !claims || (!leavingAt.IsZero() && now.Sub(leavingAt) > leavingTime) {
 			continue
 		}
 		if best == nil || bestAt.Less(at) {
--- a/core/proxy/node.go
+++ b/core/proxy/node.go
@@ -58,11 +58,12 @@
 	latency    time.Duration
 	answeredAt time.Time
 	laggedAt   time.Time
-	// deniedAt is when the upstream last refused to act as primary.
-	deniedAt time.Time
-	failures int
-	failedAt time.Time
-	position core.Position
+	// denied tells that the upstream refused to act as primary, proved that it acted as one, whatever
+	// its entry in the store says. The later of the two counts.
+	denied, proved bool
+	failures       int
+	failedAt       time.Time
+	position       core.Position
 	// leavingAt is when the upstream was first seen leaving.
 	leavingAt time.Time
 }
@@ -181,7 +182,25 @@
 func (n *node) noteDenied() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.deniedAt = time.Now()
+	n.denied, n.proved = true, false
+}
+
+// lead records that the upstream proved its leadership after asked and held p then.
+func (n *node) lead(asked core.Instant, p core.Position) {
+	n.mu.Lock()
+	changed := !n.proved
+	n.denied, n.proved = false, true
+	n.mu.Unlock()
+	n.notePosition(p)
+	n.group.prove(n.id(), asked, p)
+	if changed {
+		n.p.announce()
+	}
+}
+
+// claims reports whether the upstream may lead. The caller holds mu.
+func (n *node) claims() bool {
+	return n.proved || (!n.denied && n.info.Load().Role == core.RolePrimary)
 }
 
 // update takes over a changed entry of the same incarnation.
@@ -189,8 +208,8 @@
 	old := n.info.Swap(&u)
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if u.Role == core.RolePrimary && old.Role != core.RolePrimary {
-		n.deniedAt = time.Time{}
+	if u.Role != old.Role {
+		n.denied, n.proved = false, false
 	}
 	if u.Leaving && n.leavingAt.IsZero() {
 		n.leavingAt = time.Now()
@@ -210,7 +229,7 @@
 		latency /= 2
 	}
 	return candidate{
-		primary:  u.Role == core.RolePrimary,
+		primary:  n.claims(),
 		distance: n.p.distance(u),
 		wait:     latency * time.Duration(1+n.pending.Load()) / time.Duration(n.limit),
 		lagging:  now.Sub(n.laggedAt) < lagMemory,
--- a/core/proxy/proxy.go
+++ b/core/proxy/proxy.go
@@ -143,7 +143,6 @@
 		g.nodes.Store(&nodes)
 	}
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	for id, n := range p.nodes {
 		if !seen[id] {
 			n.cancel()
@@ -151,12 +150,20 @@
 			changed = true
 		}
 	}
+	p.mu.Unlock()
 	if changed {
-		close(p.changed)
-		p.changed = make(chan struct{})
+		p.announce()
 	}
 }
 
+// announce wakes the statements that wait for a change.
+func (p *Proxy) announce() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
 // group returns the group, which is created if it is new.
 func (p *Proxy) group(id core.GroupID) *group {
 	p.mu.Lock()
--- a/core/proxy/single.go
+++ b/core/proxy/single.go
@@ -77,7 +77,7 @@
 		if err != nil || ans.Fault != core.FaultNone {
 			return s.setUpFailed(w, h, ans, err)
 		}
-		w.group.prove(t.node.id(), asked, ans.Position)
+		t.node.lead(asked, ans.Position)
 		cmds = nil
 	}
 	cmds = append(cmds, w.command(t.await))
@@ -201,7 +201,7 @@
 		if w.write {
 			s.noteCommit(ans.Position)
 			if asked != 0 {
-				w.group.prove(n.id(), asked, ans.Position)
+				n.lead(asked, ans.Position)
 			}
 		}
 		return reply, done
--- a/core/proxy/tx.go
+++ b/core/proxy/tx.go
@@ -155,7 +155,7 @@
 		return &Reply{Fault: core.FaultBusy, Text: "the upstream refused the transaction: " + ans.Fault.String()}
 	}
 	if t.strict {
-		w.group.prove(t.node.id(), asked, ans.Position)
+		t.node.lead(asked, ans.Position)
 	}
 	s.tx.held = h
 	return nil
--- a/core/proxy/work.go
+++ b/core/proxy/work.go
@@ -100,12 +100,15 @@
 	if w.route.Reads == topo.OwnWrites && await.Less(s.own) {
 		await = s.own
 	}
-	n := w.replica(now)
-	return target{node: n, await: await}, n != nil
+	if n := w.replica(now); n != nil {
+		return target{node: n, await: await}, true
+	}
+	// No upstream has the position, or none that has it answers: the primary always has it.
+	w.tried = nil
+	return target{node: primary, strict: true}, primary != nil
 }
 
-// replica returns the upstream with the earliest expected answer of those that weren't tried, or of
-// all if each one was.
+// replica returns the upstream with the earliest expected answer of those that weren't tried, or nil.
 func (w *work) replica(now time.Time) *node {
 	nodes := *w.group.nodes.Load()
 	var cands []candidate
@@ -119,10 +122,6 @@
 	if i := cheapest(cands); i >= 0 {
 		return from[i]
 	}
-	if len(w.tried) > 0 {
-		w.tried = nil
-		return w.replica(now)
-	}
 	return nil
 }
 
