Promote only on a view of the group that is newer than the lease

A VM that returned from a partition took the free lease and promoted the old primary at 12.4 s, in the same moment in which the store told it that another upstream led; 111 commits were rolled back. Ruled out: an old primary that goes on leading (its last commit was before the promotion, log of each commit's upstream and position). Change: after taking the lease the VM reads the entries from the store and probes again; most of the group must answer, for 4 s at most; probes dial afresh while the pool waits to dial; a token whose call got no answer isn't used for another target.

--- a/core/lead/detect.go
+++ b/core/lead/detect.go
@@ -43,6 +43,8 @@
 	ProvedAt time.Time
 	// Replicas may take over, nearest first.
 	Replicas []core.UpstreamID
+	// Members is the number of the group's upstreams, leaving ones included.
+	Members int
 }
 
 // Detector decides about one group. It is used by one goroutine at a time.
--- a/core/lead/driver.go
+++ b/core/lead/driver.go
@@ -30,6 +30,10 @@
 	// from taking turns.
 	retryMin = 300 * time.Millisecond
 	retryMax = 900 * time.Millisecond
+	// minorityTime is how long a change waits for answers of most of the group. With fewer, an upstream
+	// that missed the last changes could be promoted; after this time a group without a primary is
+	// the greater harm.
+	minorityTime = 4 * time.Second
 	// startJitter spreads the entry VMs that see the same primary leave.
 	startJitter = 150 * time.Millisecond
 	// keyPrefix starts the keys of the leases.
@@ -40,6 +44,8 @@
 type Cluster interface {
 	// State returns all groups.
 	State() []Group
+	// Refresh reads the groups from the store, so that State shows nothing older than the call.
+	Refresh(ctx context.Context) error
 	// Probe asks the upstream whether it leads and for the end of its log. An error means that it
 	// didn't answer, ErrNotAsked that it couldn't be asked.
 	Probe(ctx context.Context, id core.UpstreamID) (Standing, error)
@@ -79,13 +85,22 @@
 	busy      bool
 	notBefore time.Time
 	lease     lease
+	// minorityAt is when a change first lacked the answers of most of the group, or zero.
+	minorityAt time.Time
 }
 
+var (
+	errMinority = errors.New("most of the group doesn't answer")
+	errNoNeed   = errors.New("the store names another primary")
+)
+
 // lease is the right to promote in a group.
 type lease struct {
 	id    core.LeaseID
 	token core.Version
 	until core.Instant
+	// unanswered is the target of a call without an answer, which may still be executed.
+	unanswered core.UpstreamID
 }
 
 // New returns a driver.
@@ -161,9 +176,11 @@
 // replace starts a change of primary.
 func (d *Driver) replace(ctx context.Context, st *groupState, g Group) {
 	st.busy = true
-	reason, held := st.detector.reason, st.lease
+	c := change{reason: st.detector.reason, held: st.lease}
+	c.minority = !st.minorityAt.IsZero() && time.Since(st.minorityAt) > minorityTime
+	reason := c.reason
 	d.task(func() func() {
-		kept, err := d.change(ctx, g, reason, held)
+		kept, err := d.change(ctx, g, c)
 		if err != nil {
 			level.Info(d.cfg.Log).Log("Msg", "primary not replaced", "Group", g.ID, "Reason", reason, "Err", err)
 		}
@@ -171,33 +188,62 @@
 			st.busy = false
 			st.lease = kept
 			st.notBefore = time.Now().Add(retryMin + rand.N(retryMax-retryMin))
-			if err == nil {
+			switch {
+			case err == nil:
 				st.detector.failures = 0
+				st.minorityAt = time.Time{}
+			case errors.Is(err, errMinority) && st.minorityAt.IsZero():
+				st.minorityAt = time.Now()
 			}
 		}
 	})
 }
 
+// change is one change of primary.
+type change struct {
+	reason string
+	held   lease
+	// minority allows a change without the answers of most of the group.
+	minority bool
+}
+
 // change promotes the best replica and returns the lease that is still held.
-func (d *Driver) change(ctx context.Context, g Group, reason string, held lease) (lease, error) {
+func (d *Driver) change(ctx context.Context, g Group, c change) (lease, error) {
 	if g.Leaving {
 		sleep(ctx, rand.N(startJitter))
 	}
-	target, at, err := d.best(ctx, g)
+	target, at, err := d.best(ctx, g, true)
 	if err != nil {
-		return held, err
+		return c.held, err
 	}
 	if at.Leads {
 		// Somebody else has replaced the primary, and the store's news of it hasn't arrived here.
 		level.Info(d.cfg.Log).Log("Msg", "another upstream leads", "Group", g.ID, "Upstream", target, "Position", at.Log, "Old", g.Primary)
-		return held, nil
+		return c.held, nil
 	}
-	held, err = d.acquire(ctx, g.ID, held)
+	held, err := d.acquire(ctx, g.ID, c.held)
 	if err != nil {
 		return held, err
 	}
-	level.Info(d.cfg.Log).Log("Msg", "promoting", "Group", g.ID, "Upstream", target, "Position", at.Log, "Old", g.Primary, "Reason", reason, "Token", held.token)
-	if err := d.promote(ctx, g.ID, target, held); err != nil {
+	// This VM's view may be from before another holder's change: what was read before the lease was
+	// taken doesn't count.
+	g, err = d.current(ctx, g)
+	if err != nil {
+		return held, err
+	}
+	target, at, err = d.best(ctx, g, c.minority)
+	if err != nil || at.Leads {
+		return held, err
+	}
+	if held.unanswered != "" && held.unanswered != target {
+		// The old call would pass the fence after the new one if both had the same token.
+		d.release(ctx, held)
+		if held, err = d.acquire(ctx, g.ID, lease{}); err != nil {
+			return held, err
+		}
+	}
+	level.Info(d.cfg.Log).Log("Msg", "promoting", "Group", g.ID, "Upstream", target, "Position", at.Log, "Old", g.Primary, "Reason", c.reason, "Token", held.token)
+	if err := d.promote(ctx, g.ID, target, &held); err != nil {
 		if errors.Is(err, core.ErrFenced) {
 			d.release(ctx, held)
 			held = lease{}
@@ -211,6 +257,24 @@
 	return held, nil
 }
 
+// current returns the group as the store shows it now. The error is errNoNeed if another primary
+// than the failed one is known.
+func (d *Driver) current(ctx context.Context, old Group) (Group, error) {
+	if err := d.cfg.Cluster.Refresh(ctx); err != nil {
+		return old, err
+	}
+	for _, g := range d.cfg.Cluster.State() {
+		if g.ID != old.ID {
+			continue
+		}
+		if g.Primary != "" && g.Primary != old.Primary {
+			return g, errNoNeed
+		}
+		return g, nil
+	}
+	return old, errors.New("the group is gone")
+}
+
 // acquire takes the group's lease, or keeps the one held while it certainly lasts. Its life is
 // counted from before the call that granted it.
 func (d *Driver) acquire(ctx context.Context, id core.GroupID, held lease) (lease, error) {
@@ -236,8 +300,9 @@
 	}
 }
 
-// best returns the replica with the newest log among those that answer, or the one that leads.
-func (d *Driver) best(ctx context.Context, g Group) (core.UpstreamID, Standing, error) {
+// best returns the replica with the newest log among those that answer, or the one that leads. Unless
+// minority is set, most of the group must answer; a primary that is leaving counts as one that does.
+func (d *Driver) best(ctx context.Context, g Group, minority bool) (core.UpstreamID, Standing, error) {
 	ctx, cancel := context.WithTimeout(ctx, probeTime)
 	defer cancel()
 	type result struct {
@@ -252,13 +317,17 @@
 			results <- result{i, at, err}
 		}()
 	}
-	found := -1
+	found, answers := -1, 0
+	if g.Leaving {
+		answers++
+	}
 	var best Standing
 	for range g.Replicas {
 		r := <-results
 		if r.err != nil || best.Leads {
 			continue
 		}
+		answers++
 		if found < 0 || r.at.Leads || best.Log.Less(r.at.Log) || (best.Log == r.at.Log && r.index < found) {
 			found, best = r.index, r.at
 		}
@@ -266,12 +335,15 @@
 	if found < 0 {
 		return "", best, errors.New("no replica answers")
 	}
+	if !minority && !best.Leads && 2*answers <= g.Members {
+		return "", best, errMinority
+	}
 	return g.Replicas[found], best, nil
 }
 
 // promote makes the call. It is repeated with the same token and target while the answer is missing
 // and the lease certainly lasts.
-func (d *Driver) promote(ctx context.Context, id core.GroupID, target core.UpstreamID, held lease) error {
+func (d *Driver) promote(ctx context.Context, id core.GroupID, target core.UpstreamID, held *lease) error {
 	var err error
 	for range callTries {
 		if held.until.Sub(d.cfg.Now()) <= leaseMargin {
@@ -281,6 +353,7 @@
 		if err == nil || errors.Is(err, core.ErrFenced) {
 			return err
 		}
+		held.unanswered = target
 		sleep(ctx, interval)
 	}
 	return err
--- a/core/proxy/cluster.go
+++ b/core/proxy/cluster.go
@@ -30,7 +30,7 @@
 }
 
 func (p *Proxy) state(now time.Time, g *group, nodes []*node) lead.Group {
-	st := lead.Group{ID: g.id}
+	st := lead.Group{ID: g.id, Members: len(nodes)}
 	if n := g.primary(now); n != nil {
 		u := n.info.Load()
 		st.Primary, st.Leaving = u.ID, u.Leaving
@@ -53,6 +53,15 @@
 	return st
 }
 
+// Refresh implements lead.Cluster.
+func (p *Proxy) Refresh(ctx context.Context) error {
+	if err := p.cfg.Refresh(ctx); err != nil {
+		return err
+	}
+	p.reconcile(p.cfg.Directory.Snapshot())
+	return nil
+}
+
 // Probe implements lead.Cluster. Opening and ending a transaction takes no slot of the upstream.
 func (p *Proxy) Probe(ctx context.Context, id core.UpstreamID) (lead.Standing, error) {
 	p.mu.Lock()
@@ -70,17 +79,37 @@
 		if atLimit(err) || (errors.Is(err, context.DeadlineExceeded) && n.pool.Stats().InUse > 0) {
 			return lead.Standing{}, lead.ErrNotAsked
 		}
-		return lead.Standing{}, err
+		return p.probeFresh(ctx, n, deadline)
 	}
-	asked := p.cfg.Now()
 	h := &held{node: n, handle: handle}
-	ans, err := h.setUp([]core.Command{{Op: core.OpBegin}, {Op: core.OpRollback}}, deadline)
+	at, err := n.standing(h.handle.Value, deadline)
 	if err != nil {
 		n.noteFailure()
 		h.drop()
-		return lead.Standing{}, err
+		return at, err
 	}
 	h.free(false)
+	return at, nil
+}
+
+// probeFresh probes on a connection of its own, since the pool doesn't dial for a while after a
+// failure although the upstream may be back.
+func (p *Proxy) probeFresh(ctx context.Context, n *node, deadline time.Time) (lead.Standing, error) {
+	c, err := n.dial(ctx)
+	if err != nil {
+		return lead.Standing{}, err
+	}
+	defer func() { _ = c.Close() }()
+	return n.standing(c, deadline)
+}
+
+// standing asks on the connection whether the upstream leads.
+func (n *node) standing(c *conn, deadline time.Time) (lead.Standing, error) {
+	asked := n.p.cfg.Now()
+	ans, err := setUp(c, []core.Command{{Op: core.OpBegin}, {Op: core.OpRollback}}, deadline)
+	if err != nil {
+		return lead.Standing{}, err
+	}
 	n.notePosition(ans.Position)
 	switch ans.Fault {
 	case core.FaultNone:
--- a/core/proxy/node.go
+++ b/core/proxy/node.go
@@ -19,11 +19,11 @@
 	slotsAhead = 1
 	// connShare divides an upstream's connections: no entry VM takes more than this part of them, so
 	// that a VM that is paused or cut off can't keep the others out.
-	connShare = 2
+	connShare = 3
 	// sparedConns are the connections of an entry VM that open transactions leave to single statements.
 	sparedConns = 2
 	// connIdle is how long an unused connection is kept; the others may need it.
-	connIdle = 4 * time.Second
+	connIdle = 1500 * time.Millisecond
 	// dialTime limits one dial. It is a multiple of the longest handshake and round trip.
 	dialTime = time.Second
 	// checkAfter is the idle time after which a connection is checked before its next use.
--- a/core/proxy/proxy.go
+++ b/core/proxy/proxy.go
@@ -27,6 +27,8 @@
 	Self core.VM
 	// Regions holds the region of each failure domain.
 	Regions map[core.FailureDomain]core.Region
+	// Refresh brings the directory up to date with the store.
+	Refresh func(ctx context.Context) error
 	Log     log.Logger
 	Metrics tally.Scope
 	// Now reads a clock that counts suspension; nil stands for core.Now.
@@ -42,6 +44,11 @@
 	// ends receives one value for each goroutine that ends; tasks counts the ones that run.
 	ends chan struct{}
 
+	// reconciling is held while nodes are made to match the directory. ctx is the context of Run,
+	// which nodes end with; nil before Run.
+	reconciling sync.Mutex
+	ctx         context.Context
+
 	mu      sync.Mutex
 	tasks   int
 	groups  map[core.GroupID]*group
@@ -68,9 +75,12 @@
 
 // Run follows the directory until ctx ends and then waits for its goroutines.
 func (p *Proxy) Run(ctx context.Context) error {
+	p.reconciling.Lock()
+	p.ctx = ctx
+	p.reconciling.Unlock()
 	for ctx.Err() == nil {
 		snap := p.cfg.Directory.Snapshot()
-		p.reconcile(ctx, snap)
+		p.reconcile(snap)
 		p.await(ctx, snap)
 	}
 	p.mu.Lock()
@@ -128,7 +138,13 @@
 }
 
 // reconcile makes groups and nodes match the snapshot.
-func (p *Proxy) reconcile(ctx context.Context, snap *topo.Snapshot) {
+func (p *Proxy) reconcile(snap *topo.Snapshot) {
+	p.reconciling.Lock()
+	defer p.reconciling.Unlock()
+	ctx := p.ctx
+	if ctx == nil || ctx.Err() != nil {
+		return
+	}
 	seen := make(map[core.UpstreamID]bool)
 	changed := false
 	for id := range snap.Config.Groups {
--- a/core/proxy/single.go
+++ b/core/proxy/single.go
@@ -90,7 +90,7 @@
 		return s.lost(w, h, "sending failed")
 	}
 	if before > 0 {
-		ans, err := h.receive(before, w.deadline)
+		ans, err := receive(h.handle.Value, before, w.deadline)
 		if err != nil || ans.Fault != core.FaultNone {
 			return s.lost(w, h, "the connection's set-up failed")
 		}
@@ -164,7 +164,7 @@
 	}
 	deadline := w.deadline
 	s.p.spawn(func() {
-		if _, err := h.receive(left, deadline); err != nil {
+		if _, err := receive(h.handle.Value, left, deadline); err != nil {
 			h.drop()
 			return
 		}
@@ -188,7 +188,7 @@
 		reply.Body = s.body
 	}
 	if t.strict {
-		if _, err := h.receive(1, now.Add(endTime)); err != nil {
+		if _, err := receive(h.handle.Value, 1, now.Add(endTime)); err != nil {
 			h.drop()
 			h = nil
 		}
--- a/core/proxy/tx.go
+++ b/core/proxy/tx.go
@@ -226,7 +226,7 @@
 		return core.Answer{}, err
 	}
 	if before > 0 {
-		ans, err := h.receive(before, deadline)
+		ans, err := receive(h.handle.Value, before, deadline)
 		if err != nil {
 			return core.Answer{}, err
 		}
--- a/core/proxy/work.go
+++ b/core/proxy/work.go
@@ -264,21 +264,25 @@
 
 // setUp sends the commands and reads their answers. It returns the first fault.
 func (h *held) setUp(cmds []core.Command, deadline time.Time) (core.Answer, error) {
-	if err := h.handle.Value.Send(cmds); err != nil {
+	return setUp(h.handle.Value, cmds, deadline)
+}
+
+func setUp(c *conn, cmds []core.Command, deadline time.Time) (core.Answer, error) {
+	if err := c.Send(cmds); err != nil {
 		return core.Answer{}, err
 	}
-	return h.receive(len(cmds), deadline)
+	return receive(c, len(cmds), deadline)
 }
 
-// receive reads n answers and returns the first with a fault, otherwise the last.
-func (h *held) receive(n int, deadline time.Time) (core.Answer, error) {
+// receive reads n answers and returns the first with a fault, otherwise the first.
+func receive(c *conn, n int, deadline time.Time) (core.Answer, error) {
 	var first core.Answer
-	for range n {
-		ans, err := h.handle.Value.Receive(deadline)
+	for i := range n {
+		ans, err := c.Receive(deadline)
 		if err != nil {
 			return core.Answer{}, err
 		}
-		if first.Fault == core.FaultNone {
+		if i == 0 || (first.Fault == core.FaultNone && ans.Fault != core.FaultNone) {
 			first = ans
 		}
 	}
