--- a/core/proxy/node.go
+++ b/core/proxy/node.go
@@ -17,13 +17,14 @@
 	// slotsAhead is how many statements an entry VM sends to an upstream beyond its slots, so that the
 	// upstream doesn't idle for the round trip between two statements.
 	slotsAhead = 1
-	// connShare divides an upstream's connections: no entry VM takes more than this part of them, so
-	// that a VM that is paused or cut off can't keep the others out.
-	connShare = 3
+	// connLimit is how many connections an entry VM opens to an upstream: enough for its slots and a few
+	// open transactions, and few enough that a VM that is paused or cut off can't keep the others out.
+	connLimit = 4
 	// sparedConns are the connections of an entry VM that open transactions leave to single statements.
 	sparedConns = 2
-	// connIdle is how long an unused connection is kept; the others may need it.
-	connIdle = 1500 * time.Millisecond
+	// connIdle is how long an unused connection is kept. Connections of VMs that lost power count
+	// against an upstream's limit for 3 s more, so that unused ones would keep the VMs out that return.
+	connIdle = 500 * time.Millisecond
 	// dialTime limits one dial. It is a multiple of the longest handshake and round trip.
 	dialTime = time.Second
 	// checkAfter is the idle time after which a connection is checked before its next use.
@@ -70,7 +71,7 @@
 
 func (p *Proxy) newNode(ctx context.Context, g *group, u topo.Upstream) *node {
 	connections := p.cfg.Directory.Snapshot().Config.Groups[u.Group].Connections
-	limit := max(2, connections/connShare)
+	limit := max(1, min(connLimit, connections))
 	n := &node{p: p, group: g, limit: max(1, u.Slots) + slotsAhead}
 	n.info.Store(&u)
 	n.queue = queue.New(queue.NewShares(queue.Config{
