Let VMs own upstreams and pass statements on where connections are scarce

Sessions, pools and queues are the same on both sides. One VM in each failure domain probes a group's primary all the time, and a bounded read without a recent sample asks the primary for its position.

--- a/conf/entry.go
+++ b/conf/entry.go
@@ -36,6 +36,8 @@
 	Ready string
 	// Metrics serves metrics and state dumps.
 	Metrics string
+	// Relay takes statements that other entry VMs pass on.
+	Relay string
 }
 
 // entryKey describes one key of an Entry.
@@ -56,6 +58,7 @@
 	{"Listen", "Callers", "", acceptsAddress, func(e *Entry, v string) bool { return setAddress(&e.Listen.Callers, v) }},
 	{"Listen", "Ready", "", acceptsAddress, func(e *Entry, v string) bool { return setAddress(&e.Listen.Ready, v) }},
 	{"Listen", "Metrics", "", acceptsAddress, func(e *Entry, v string) bool { return setAddress(&e.Listen.Metrics, v) }},
+	{"Listen", "Relay", "", acceptsAddress, func(e *Entry, v string) bool { return setAddress(&e.Listen.Relay, v) }},
 	{"Store", "Address", "", acceptsAddress, func(e *Entry, v string) bool { return setAddress(&e.Store, v) }},
 	{"Promotion", "Address", "", acceptsAddress, func(e *Entry, v string) bool { return setAddress(&e.Promotion, v) }},
 	{"Stop", "GraceSeconds", "6", acceptsSeconds, func(e *Entry, v string) bool {
--- a/core/lead/detect.go
+++ b/core/lead/detect.go
@@ -39,6 +39,9 @@
 	Primary core.UpstreamID
 	// Leaving tells that the primary is about to be taken away.
 	Leaving bool
+	// Duty tells that this VM watches the primary all the time. Others do only once it is Suspect:
+	// statements got no answer from it, or it denied to lead.
+	Duty, Suspect bool
 	// ProvedAt is when a primary last proved its leadership.
 	ProvedAt time.Time
 	// Replicas may take over, nearest first.
@@ -79,7 +82,7 @@
 		d.reason = "the primary doesn't answer"
 		return Replace
 	}
-	if d.probing || now.Sub(g.ProvedAt) < probeAfter {
+	if d.probing || now.Sub(g.ProvedAt) < probeAfter || !(g.Duty || g.Suspect) {
 		return Wait
 	}
 	d.probing = true
--- a/core/lead/driver_test.go
+++ b/core/lead/driver_test.go
@@ -78,7 +78,7 @@
 
 // lead makes the upstream the primary. The caller holds mu.
 func (w *world) lead(id core.UpstreamID) {
-	g := Group{ID: "g", Primary: id, Members: 3}
+	g := Group{ID: "g", Primary: id, Members: 3, Duty: true}
 	for other, at := range w.standing {
 		w.standing[other] = Standing{Leads: other == id, Log: at.Log}
 		if other != id {
@@ -123,7 +123,7 @@
 func (w *world) VMs(context.Context) ([]core.VM, error)        { return nil, nil }
 
 func newWorld() *world {
-	g := Group{ID: "g", Primary: "a", Replicas: []core.UpstreamID{"b", "c"}, Members: 3}
+	g := Group{ID: "g", Primary: "a", Replicas: []core.UpstreamID{"b", "c"}, Members: 3, Duty: true}
 	return &world{
 		view: g, truth: g, version: 10, silent: map[core.UpstreamID]bool{},
 		standing: map[core.UpstreamID]Standing{
@@ -175,8 +175,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld()
 		w.storeDown = true
-		w.view = Group{ID: "g", Replicas: []core.UpstreamID{"a", "b", "c"}, Members: 3}
-		w.truth = Group{ID: "g", Primary: "c", Replicas: []core.UpstreamID{"a", "b"}, Members: 3}
+		w.view = Group{ID: "g", Replicas: []core.UpstreamID{"a", "b", "c"}, Members: 3, Duty: true}
+		w.truth = Group{ID: "g", Primary: "c", Replicas: []core.UpstreamID{"a", "b"}, Members: 3, Duty: true}
 		w.standing["a"] = Standing{Log: core.Position{Term: 1, Offset: 9}}
 		w.silent["c"], w.silent["b"] = true, true
 		go func() {
--- a/core/line.go
+++ b/core/line.go
@@ -84,11 +84,17 @@
 	ID RequestID
 	// Name and Text are the operands that the operation names.
 	Name, Text string
-	// Write tells that the prepared shape writes.
-	Write bool
+	// Write tells that the prepared shape writes, Commit that the caller's statement ends its
+	// transaction.
+	Write, Commit bool
 	// Await is the position that the upstream must have, for OpCaller and OpExecute of reads and for
 	// OpBeginRead. The zero value asks for none.
 	Await Position
+	// Kind and Rank are what the statement queues as, and Deadline is until when it is useful. Only
+	// owners of upstreams use them.
+	Kind     Kind
+	Rank     Rank
+	Deadline time.Time
 }
 
 // Answer is the upstream's answer to a Command.
@@ -117,6 +123,9 @@
 	// Receive reads the answer to the oldest command that has none. An error means that the
 	// connection must be closed; it is a net.Error with Timeout() true at the deadline.
 	Receive(deadline time.Time) (Answer, error)
+	// Guards reports whether the other side runs nothing after a refused BEGIN until ROLLBACK, so that
+	// statements may be sent along with BEGIN.
+	Guards() bool
 	// Idle reports whether the connection is open and nothing unasked has arrived on it.
 	Idle() bool
 	Close() error
--- a/core/proxy/cluster.go
+++ b/core/proxy/cluster.go
@@ -9,6 +9,7 @@
 
 	"snipewall/core"
 	"snipewall/core/lead"
+	"snipewall/core/place"
 )
 
 // State implements lead.Cluster.
@@ -30,7 +31,7 @@
 }
 
 func (p *Proxy) state(now time.Time, g *group, nodes []*node) lead.Group {
-	st := lead.Group{ID: g.id, Members: len(nodes)}
+	st := lead.Group{ID: g.id, Members: len(nodes), Duty: p.isWatcher(g.id)}
 	if n := g.primary(now); n != nil {
 		u := n.info.Load()
 		st.Primary, st.Leaving = u.ID, u.Leaving
@@ -39,6 +40,9 @@
 			st.ProvedAt = g.provedAt
 		}
 		g.mu.Unlock()
+		n.mu.Lock()
+		st.Suspect = n.failures > 0 || n.denied
+		n.mu.Unlock()
 	}
 	var able []*node
 	for _, n := range nodes {
@@ -53,6 +57,12 @@
 	return st
 }
 
+// isWatcher reports whether this VM probes the group's primary all the time. One VM in each failure
+// domain does, so that a domain that is cut off is noticed, and the load doesn't grow with the VMs.
+func (p *Proxy) isWatcher(id core.GroupID) bool {
+	return place.IsElected("watch/"+string(id), p.cfg.Self, p.cfg.Members.Alive(), 1)
+}
+
 // Refresh implements lead.Cluster.
 func (p *Proxy) Refresh(ctx context.Context) error {
 	if err := p.cfg.Refresh(ctx); err != nil {
@@ -74,17 +84,32 @@
 	if !ok {
 		deadline = time.Now().Add(dialTime)
 	}
+	at, err := n.probe(ctx, deadline)
+	if err == nil || errors.Is(err, lead.ErrNotAsked) {
+		return at, err
+	}
+	// The pool doesn't dial for a while after a failure although the upstream may be back, and an
+	// owner that doesn't answer says nothing of the upstream.
+	return n.probeDirectly(ctx, deadline)
+}
+
+// probe asks over a pooled connection.
+func (n *node) probe(ctx context.Context, deadline time.Time) (lead.Standing, error) {
+	if len(n.path.owners) > 0 {
+		// Half of the time is left to ask the upstream itself.
+		deadline = time.Now().Add(time.Until(deadline) / 2)
+	}
 	handle, err := n.get(ctx, deadline)
 	if err != nil {
 		if atLimit(err) || (errors.Is(err, context.DeadlineExceeded) && n.pool.Stats().InUse > 0) {
 			return lead.Standing{}, lead.ErrNotAsked
 		}
-		return p.probeFresh(ctx, n, deadline)
+		return lead.Standing{}, err
 	}
 	h := &held{node: n, handle: handle}
 	at, err := n.standing(h.handle.Value, deadline)
 	if err != nil {
-		n.noteFailure()
+		n.noteFailure(h.handle.Value)
 		h.drop()
 		return at, err
 	}
@@ -92,24 +117,31 @@
 	return at, nil
 }
 
-// probeFresh probes on a connection of its own, since the pool doesn't dial for a while after a
-// failure although the upstream may be back.
-func (p *Proxy) probeFresh(ctx context.Context, n *node, deadline time.Time) (lead.Standing, error) {
-	c, err := n.dial(ctx)
+func (n *node) probeDirectly(ctx context.Context, deadline time.Time) (lead.Standing, error) {
+	lc, err := n.p.cfg.Dialer.Dial(ctx, n.info.Load().UpstreamInfo)
 	if err != nil {
+		if atLimit(err) {
+			return lead.Standing{}, lead.ErrNotAsked
+		}
 		return lead.Standing{}, err
 	}
-	defer func() { _ = c.Close() }()
-	return n.standing(c, deadline)
+	defer func() { _ = lc.Close() }()
+	return n.standing(&conn{LineConn: lc}, deadline)
 }
 
 // standing asks on the connection whether the upstream leads.
 func (n *node) standing(c *conn, deadline time.Time) (lead.Standing, error) {
 	asked := n.p.cfg.Now()
-	ans, err := setUp(c, []core.Command{{Op: core.OpBegin}, {Op: core.OpRollback}}, deadline)
+	if err := c.Send([]core.Command{{Op: core.OpBegin}, {Op: core.OpRollback}}); err != nil {
+		return lead.Standing{}, err
+	}
+	ans, err := c.Receive(deadline)
 	if err != nil {
 		return lead.Standing{}, err
 	}
+	if _, err := c.Receive(deadline); err != nil {
+		return lead.Standing{}, err
+	}
 	n.notePosition(ans.Position)
 	switch ans.Fault {
 	case core.FaultNone:
@@ -117,7 +149,10 @@
 		return lead.Standing{Leads: true, Log: ans.Position}, nil
 	case core.FaultReadOnly:
 		n.noteDenied()
+		n.p.logDecision("upstream doesn't lead", "Upstream", n.id(), "Position", ans.Position, "Status", string(ans.Status))
 		return lead.Standing{Log: ans.Position}, nil
+	case core.FaultOverload, core.FaultBusy:
+		return lead.Standing{}, lead.ErrNotAsked
 	}
 	return lead.Standing{}, core.ErrUpstream.New("probe: %s", ans.Fault)
 }
--- a/core/proxy/conn.go
+++ b/core/proxy/conn.go
@@ -9,6 +9,8 @@
 // conn is a pooled connection and what it remembers of earlier callers.
 type conn struct {
 	core.LineConn
+	// owner is the VM at the other end, or empty if it is the upstream itself.
+	owner core.VMID
 	// values are the session values that are set on the connection, in a comparable form.
 	values string
 	// unsure tells that values or prepared statements may differ from what is recorded here.
--- a/core/proxy/metrics.go
+++ b/core/proxy/metrics.go
@@ -8,8 +8,8 @@
 
 // metrics are the proxy's counters and histograms.
 type metrics struct {
-	statements, faults, retries, refusals, dials, overloads, aborts tally.Counter
-	latency                                                         tally.Histogram
+	statements, faults, retries, refusals, dials, overloads, aborts, hopDials tally.Counter
+	latency                                                                   tally.Histogram
 }
 
 // latencyBuckets covers 1 ms to 16 s.
@@ -26,6 +26,7 @@
 		refusals:   scope.Counter("Refusals"),
 		dials:      scope.Counter("Dials"),
 		overloads:  scope.Counter("ConnectionLimit"),
+		hopDials:   scope.Counter("OwnerDials"),
 		aborts:     scope.Counter("AbortedTransactions"),
 		latency:    scope.Histogram("StatementTime", latencyBuckets),
 	}
--- a/core/proxy/node.go
+++ b/core/proxy/node.go
@@ -20,6 +20,12 @@
 	// connLimit is how many connections an entry VM opens to an upstream: enough for its slots and a few
 	// open transactions, and few enough that a VM that is paused or cut off can't keep the others out.
 	connLimit = 4
+	// hopConns limits the connections to the owner of an upstream. They cost the upstream nothing.
+	hopConns = 32
+	// hopIdle is how long an unused connection to an owner is kept.
+	hopIdle = 20 * time.Second
+	// hopDialTime limits one dial of an owner: a multiple of the longest round trip.
+	hopDialTime = 250 * time.Millisecond
 	// sparedConns are the connections of an entry VM that open transactions leave to single statements.
 	sparedConns = 2
 	// connIdle is how long an unused connection is kept. Connections of VMs that lost power count
@@ -48,7 +54,8 @@
 	info  atomic.Pointer[topo.Upstream]
 	queue *queue.Queue
 	pool  *pool.Pool[*conn]
-	// limit is the number of statements that this VM keeps at the upstream.
+	path  path
+	// limit is the number of statements that the upstream gets at once.
 	limit  int
 	cancel context.CancelFunc
 
@@ -69,17 +76,19 @@
 	leavingAt time.Time
 }
 
-func (p *Proxy) newNode(ctx context.Context, g *group, u topo.Upstream) *node {
-	connections := p.cfg.Directory.Snapshot().Config.Groups[u.Group].Connections
-	limit := max(1, min(connLimit, connections))
-	n := &node{p: p, group: g, limit: max(1, u.Slots) + slotsAhead}
+func (p *Proxy) newNode(ctx context.Context, g *group, u topo.Upstream, at path) *node {
+	n := &node{p: p, group: g, path: at, limit: max(1, u.Slots) + slotsAhead}
 	n.info.Store(&u)
+	slots, conns, idle := n.limit, at.conns, connIdle
+	if len(at.owners) > 0 {
+		slots, idle = conns, hopIdle
+	}
 	n.queue = queue.New(queue.NewShares(queue.Config{
-		Slots: n.limit, MaxOpen: max(1, limit-sparedConns), Policies: p,
+		Slots: slots, MaxOpen: max(1, conns-sparedConns), Policies: p,
 	}))
 	n.pool = pool.New(pool.Config[*conn]{
-		Limit: limit, Dial: n.dial, Close: func(c *conn) error { return c.Close() },
-		AtLimit: atLimit, OnDialError: n.dialFailed, DialTime: dialTime, IdleTime: connIdle,
+		Limit: conns, Dial: n.dial, Close: func(c *conn) error { return c.Close() },
+		AtLimit: atLimit, OnDialError: n.dialFailed, DialTime: dialTime, IdleTime: idle,
 		MinBackoff: 20 * time.Millisecond, MaxBackoff: 300 * time.Millisecond,
 	})
 	ctx, n.cancel = context.WithCancel(ctx)
@@ -88,6 +97,11 @@
 	return n
 }
 
+func (n *node) sameIncarnation(u *topo.Upstream) bool {
+	old := n.info.Load()
+	return old.Born == u.Born && old.Address == u.Address
+}
+
 // id returns the upstream's id.
 func (n *node) id() core.UpstreamID { return n.info.Load().ID }
 
@@ -97,14 +111,38 @@
 }
 
 func (n *node) dial(ctx context.Context) (*conn, error) {
+	c, err := n.connect(ctx)
+	if err != nil {
+		return nil, err
+	}
+	n.notePosition(c.Hello())
+	c.used = time.Now()
+	return c, nil
+}
+
+// connect dials the upstream's owner, or the upstream itself if this VM owns it or no owner answers.
+func (n *node) connect(ctx context.Context) (*conn, error) {
 	u := n.info.Load()
+	for _, owner := range n.path.owners {
+		if n.p.suspects.has(owner.ID) {
+			continue
+		}
+		dialCtx, cancel := context.WithTimeout(ctx, hopDialTime)
+		lc, err := n.p.cfg.DialOwner(dialCtx, owner, u.ID)
+		cancel()
+		if err == nil {
+			n.p.metrics.hopDials.Inc(1)
+			return &conn{LineConn: lc, owner: owner.ID}, nil
+		}
+		n.p.logDecision("owner not reached", "Upstream", u.ID, "Owner", owner.ID, "Err", err)
+		n.p.suspects.add(owner.ID)
+	}
+	n.p.metrics.dials.Inc(1)
 	lc, err := n.p.cfg.Dialer.Dial(ctx, u.UpstreamInfo)
 	if err != nil {
 		return nil, err
 	}
-	n.notePosition(lc.Hello())
-	n.p.metrics.dials.Inc(1)
-	return &conn{LineConn: lc, used: time.Now()}, nil
+	return &conn{LineConn: lc}, nil
 }
 
 func (n *node) dialFailed(err error) {
@@ -112,7 +150,7 @@
 		n.p.metrics.overloads.Inc(1)
 		return
 	}
-	n.noteFailure()
+	n.noteFailure(nil)
 }
 
 // get takes a connection that is open, waiting at most until the deadline.
@@ -129,10 +167,9 @@
 			}
 		}
 		c := h.Value
-		if time.Since(c.used) < checkAfter || c.Idle() {
+		if !n.p.suspects.has(c.owner) && (time.Since(c.used) < checkAfter || c.Idle()) {
 			return h, nil
 		}
-		n.p.logDecision("idle connection discarded", "Upstream", n.id(), "IdleMs", time.Since(c.used).Milliseconds())
 		h.Discard()
 	}
 }
@@ -166,11 +203,15 @@
 	}
 }
 
-func (n *node) noteFailure() {
+// noteFailure records that the connection's other end, or a dial if c is nil, gave no answer.
+func (n *node) noteFailure(c *conn) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.failures++
 	n.failedAt = time.Now()
+	if c != nil && c.owner != "" && n.failures >= failAfter {
+		n.p.suspects.add(c.owner)
+	}
 }
 
 func (n *node) noteLag() {
--- /dev/null
+++ b/core/proxy/path.go
@@ -0,0 +1,75 @@
+package proxy
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"snipewall/core"
+	"snipewall/core/place"
+	"snipewall/core/topo"
+)
+
+const (
+	// ownerShare is the part of an upstream's connections that its owner takes. Two owners fit, so
+	// that one that is paused or cut off doesn't keep its successor out.
+	ownerShare = 0.45
+	// ownerCount is how many entry VMs are tried as owners of an upstream before it is dialed directly.
+	ownerCount = 2
+	// suspectTime is how long an owner that didn't answer is passed over.
+	suspectTime = 2 * time.Second
+)
+
+// path is how a VM reaches an upstream: directly, or through the VM that owns it.
+type path struct {
+	// owners are tried in order; empty means directly.
+	owners []core.VM
+	// conns is the number of connections.
+	conns int
+}
+
+func (a path) equal(b path) bool {
+	return a.conns == b.conns && slices.EqualFunc(a.owners, b.owners, func(x, y core.VM) bool { return x.ID == y.ID && x.Relay == y.Relay })
+}
+
+// planPath decides how the VM reaches the upstream. While the connections suffice for all VMs, each
+// one dials directly, which is the shortest path and has no point of failure. Otherwise the upstream
+// has an owner in its failure domain, and the others go through it.
+func planPath(self core.VMID, alive []core.VM, u topo.Upstream, connections int) path {
+	if len(alive)*connLimit <= connections+connLimit {
+		return path{conns: max(1, min(connLimit, connections))}
+	}
+	owners := place.Owners(u.UpstreamInfo, alive, ownerCount)
+	if len(owners) == 0 || owners[0].ID == self {
+		return ownerPath(connections)
+	}
+	owners = slices.DeleteFunc(owners, func(vm core.VM) bool { return vm.ID == self || vm.Relay == "" })
+	return path{owners: owners, conns: hopConns}
+}
+
+// ownerPath is the path of an upstream's owner.
+func ownerPath(connections int) path {
+	return path{conns: max(connLimit, int(ownerShare*float64(connections)))}
+}
+
+// suspects are entry VMs that didn't answer lately. It is safe for concurrent use.
+type suspects struct {
+	mu sync.Mutex
+	at map[core.VMID]time.Time
+}
+
+func (s *suspects) add(id core.VMID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.at == nil {
+		s.at = make(map[core.VMID]time.Time)
+	}
+	s.at[id] = time.Now()
+}
+
+func (s *suspects) has(id core.VMID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at, ok := s.at[id]
+	return ok && time.Since(at) < suspectTime
+}
--- a/core/proxy/proxy.go
+++ b/core/proxy/proxy.go
@@ -27,6 +27,9 @@
 	Self core.VM
 	// Regions holds the region of each failure domain.
 	Regions map[core.FailureDomain]core.Region
+	// Members are the entry VMs, and DialOwner reaches one that owns an upstream.
+	Members   Members
+	DialOwner func(ctx context.Context, owner core.VM, id core.UpstreamID) (core.LineConn, error)
 	// Refresh brings the directory up to date with the store.
 	Refresh func(ctx context.Context) error
 	Log     log.Logger
@@ -35,11 +38,20 @@
 	Now func() core.Instant
 }
 
+// Members are the live entry VMs. Implementations are safe for concurrent use.
+type Members interface {
+	Alive() []core.VM
+	// Changed returns a channel that is closed at the next change.
+	Changed() <-chan struct{}
+}
+
 // Proxy is the service "proxy".
 type Proxy struct {
 	cfg     Config
 	metrics metrics
 	budget  *retry.Budget
+	// suspects are owners that didn't answer.
+	suspects suspects
 
 	// ends receives one value for each goroutine that ends; tasks counts the ones that run.
 	ends chan struct{}
@@ -49,10 +61,12 @@
 	reconciling sync.Mutex
 	ctx         context.Context
 
-	mu      sync.Mutex
-	tasks   int
-	groups  map[core.GroupID]*group
-	nodes   map[core.UpstreamID]*node
+	mu     sync.Mutex
+	tasks  int
+	groups map[core.GroupID]*group
+	nodes  map[core.UpstreamID]*node
+	// spare are direct nodes for other VMs that take this one for an owner when it isn't.
+	spare   map[core.UpstreamID]*node
 	changed chan struct{}
 }
 
@@ -66,6 +80,7 @@
 		budget: retry.NewBudget(retry.Config{Ratio: retryRatio, Burst: retryBurst}),
 		ends:   make(chan struct{}, 16),
 		groups: make(map[core.GroupID]*group), nodes: make(map[core.UpstreamID]*node),
+		spare:   make(map[core.UpstreamID]*node),
 		changed: make(chan struct{}),
 	}
 }
@@ -79,14 +94,17 @@
 	p.ctx = ctx
 	p.reconciling.Unlock()
 	for ctx.Err() == nil {
-		snap := p.cfg.Directory.Snapshot()
+		snap, members := p.cfg.Directory.Snapshot(), p.cfg.Members.Changed()
 		p.reconcile(snap)
-		p.await(ctx, snap)
+		p.await(ctx, snap, members)
 	}
 	p.mu.Lock()
 	for _, n := range p.nodes {
 		n.cancel()
 	}
+	for _, n := range p.spare {
+		n.cancel()
+	}
 	p.mu.Unlock()
 	for p.running() > 0 {
 		<-p.ends
@@ -96,7 +114,7 @@
 }
 
 // await waits for a newer snapshot and for ends of goroutines.
-func (p *Proxy) await(ctx context.Context, snap *topo.Snapshot) {
+func (p *Proxy) await(ctx context.Context, snap *topo.Snapshot, members <-chan struct{}) {
 	// Upstreams whose grace ended disappear without a change of the directory.
 	timer := time.NewTimer(time.Second)
 	defer timer.Stop()
@@ -106,6 +124,8 @@
 			return
 		case <-snap.Changed:
 			return
+		case <-members:
+			return
 		case <-timer.C:
 			return
 		case <-p.ends:
@@ -147,12 +167,13 @@
 	}
 	seen := make(map[core.UpstreamID]bool)
 	changed := false
-	for id := range snap.Config.Groups {
+	alive := p.cfg.Members.Alive()
+	for id, cfg := range snap.Config.Groups {
 		g := p.group(id)
 		var nodes []*node
 		for _, u := range snap.Group(id) {
 			seen[u.ID] = true
-			n, fresh := p.node(ctx, g, u)
+			n, fresh := p.node(ctx, g, u, planPath(p.cfg.Self.ID, alive, u, cfg.Connections))
 			changed = changed || fresh
 			nodes = append(nodes, n)
 		}
@@ -166,6 +187,12 @@
 			changed = true
 		}
 	}
+	for id, n := range p.spare {
+		if main := p.nodes[id]; main == nil || !main.sameIncarnation(n.info.Load()) {
+			n.cancel()
+			delete(p.spare, id)
+		}
+	}
 	p.mu.Unlock()
 	if changed {
 		p.announce()
@@ -192,21 +219,21 @@
 	return g
 }
 
-// node returns the upstream's node and whether anything about it changed. Another incarnation or
-// address gets a new node, so that nothing known of the old one is used for it.
-func (p *Proxy) node(ctx context.Context, g *group, u topo.Upstream) (*node, bool) {
+// node returns the upstream's node and whether anything about it changed. Another incarnation,
+// address or path gets a new node, so that nothing known of the old one is used for it.
+func (p *Proxy) node(ctx context.Context, g *group, u topo.Upstream, at path) (*node, bool) {
 	p.mu.Lock()
 	n, ok := p.nodes[u.ID]
 	p.mu.Unlock()
 	if ok {
 		old := n.info.Load()
-		if old.Born == u.Born && old.Address == u.Address {
+		if n.sameIncarnation(&u) && n.path.equal(at) {
 			n.update(u)
 			return n, *old != u
 		}
 		n.cancel()
 	}
-	n = p.newNode(ctx, g, u)
+	n = p.newNode(ctx, g, u, at)
 	p.mu.Lock()
 	p.nodes[u.ID] = n
 	p.mu.Unlock()
--- a/core/proxy/single.go
+++ b/core/proxy/single.go
@@ -25,7 +25,7 @@
 func (s *Session) runSingle(ctx context.Context, w *work) Reply {
 	strict := false
 	for {
-		t, ok := s.place(w, strict)
+		t, ok := s.place(ctx, w, strict)
 		if !ok {
 			w.last = Reply{Fault: core.FaultBusy, Text: "the group has no primary now"}
 			if !s.awaitPrimary(ctx, w) {
@@ -70,18 +70,18 @@
 	c := h.handle.Value
 	cmds := c.align(s, w.shape)
 	if t.strict {
-		cmds = append(cmds, core.Command{Op: core.OpBegin})
-	}
-	if t.strict {
-		ans, err := h.setUp(cmds, w.deadline)
-		if err != nil || ans.Fault != core.FaultNone {
-			return s.setUpFailed(w, h, ans, err)
+		cmds = append(cmds, w.stamp(core.Command{Op: core.OpBegin}))
+		if !c.Guards() {
+			ans, err := h.setUp(cmds, w.deadline)
+			if err != nil || ans.Fault != core.FaultNone {
+				return s.setUpFailed(w, h, ans, err)
+			}
+			t.node.lead(asked, ans.Position)
+			cmds = nil
 		}
-		t.node.lead(asked, ans.Position)
-		cmds = nil
 	}
+	before := len(cmds)
 	cmds = append(cmds, w.command(t.await))
-	before := len(cmds) - 1
 	if t.strict {
 		cmds = append(cmds, core.Command{Op: core.OpRollback})
 	}
@@ -90,9 +90,20 @@
 		return s.lost(w, h, "sending failed")
 	}
 	if before > 0 {
-		ans, err := receive(h.handle.Value, before, w.deadline)
-		if err != nil || ans.Fault != core.FaultNone {
+		ans, err := receive(c, before, w.deadline)
+		switch {
+		case err != nil:
 			return s.lost(w, h, "the connection's set-up failed")
+		case ans.Fault != core.FaultNone && !t.strict:
+			return s.lost(w, h, "the connection's set-up failed")
+		case ans.Fault != core.FaultNone:
+			// The statement was refused with its transaction.
+			if _, err := receive(c, len(cmds)-before, w.deadline); err != nil {
+				return s.lost(w, h, "the connection broke off")
+			}
+			return s.setUpFailed(w, h, core.Answer{Fault: ans.Fault, Status: core.TxIdle}, nil)
+		case t.strict:
+			t.node.lead(asked, ans.Position)
 		}
 	}
 	ans, err := c.Receive(s.patience(w, t.node))
@@ -106,7 +117,7 @@
 func (s *Session) setUpFailed(w *work, h *held, ans core.Answer, err error) (Reply, outcome) {
 	n := h.node
 	if err != nil {
-		n.noteFailure()
+		n.noteFailure(h.handle.Value)
 		h.drop()
 		return Reply{Fault: core.FaultBusy, Text: "the primary doesn't answer"}, noPrimary
 	}
@@ -134,7 +145,7 @@
 
 // lost ends a try whose connection broke after the statement may have been sent.
 func (s *Session) lost(w *work, h *held, why string) (Reply, outcome) {
-	h.node.noteFailure()
+	h.node.noteFailure(h.handle.Value)
 	h.drop()
 	if w.write {
 		return Reply{Fault: core.FaultInDoubt, Text: why}, done
@@ -153,7 +164,7 @@
 	if !isTimeout(err) {
 		return s.lost(w, h, "the upstream broke off")
 	}
-	h.node.noteFailure()
+	h.node.noteFailure(h.handle.Value)
 	if w.write || !time.Now().Before(w.deadline) {
 		h.drop()
 		return Reply{Fault: core.FaultTimeout, Text: "no answer within the statement's time"}, done
@@ -223,6 +234,13 @@
 			return reply, later
 		}
 		return reply, again
+	case core.FaultInDoubt, core.FaultTimeout:
+		// The owner lost the upstream. A read may run again.
+		if !w.write && s.p.budget.Spend() {
+			w.tried = append(w.tried, n)
+			return reply, again
+		}
+		return reply, done
 	case core.FaultFailed:
 		if !w.write && s.p.budget.Spend() {
 			w.tried = append(w.tried, n)
--- a/core/proxy/tx.go
+++ b/core/proxy/tx.go
@@ -71,24 +71,15 @@
 
 // readmit takes a slot for a further statement of the transaction.
 func (s *Session) readmit(ctx context.Context, w *work) *Reply {
-	h := s.tx.held
-	h.node.pending.Add(1)
-	slot, err := h.node.queue.Acquire(ctx, &queue.Item{
+	return s.tx.held.admit(ctx, &queue.Item{
 		Kind: core.Kind(s.database), Rank: w.route.Rank, InTx: true, Deadline: w.deadline.Add(-w.reserve()),
 	})
-	if err != nil {
-		h.node.pending.Add(-1)
-		s.p.metrics.refusals.Inc(1)
-		return &Reply{Fault: core.FaultBusy, Text: refusalText(err)}
-	}
-	h.slot = slot
-	return nil
 }
 
 // bind opens the transaction on an upstream before its first statement.
 func (s *Session) bind(ctx context.Context, w *work) *Reply {
 	for {
-		t, ok := s.placeTx(w)
+		t, ok := s.placeTx(ctx, w)
 		if !ok {
 			w.last = Reply{Fault: core.FaultBusy, Text: "the group has no primary now"}
 			if !s.awaitPrimary(ctx, w) {
@@ -113,7 +104,7 @@
 }
 
 // placeTx chooses the upstream of a transaction.
-func (s *Session) placeTx(w *work) (target, bool) {
+func (s *Session) placeTx(ctx context.Context, w *work) (target, bool) {
 	if !s.tx.readOnly {
 		n := w.group.primary(time.Now())
 		return target{node: n, strict: true}, n != nil
@@ -121,7 +112,7 @@
 	if w.seen == 0 {
 		w.seen = s.p.cfg.Now()
 	}
-	return s.place(w, false)
+	return s.place(ctx, w, false)
 }
 
 // open takes a connection and opens the transaction on it. A transaction on a replica awaits its
@@ -134,13 +125,13 @@
 	asked := s.p.cfg.Now()
 	cmds := h.handle.Value.align(s, nil)
 	if t.strict {
-		cmds = append(cmds, core.Command{Op: core.OpBegin})
+		cmds = append(cmds, w.stamp(core.Command{Op: core.OpBegin}))
 	} else {
-		cmds = append(cmds, core.Command{Op: core.OpBeginRead, Await: t.await})
+		cmds = append(cmds, w.stamp(core.Command{Op: core.OpBeginRead, Await: t.await}))
 	}
 	ans, err := h.setUp(cmds, w.deadline)
 	if err != nil {
-		t.node.noteFailure()
+		t.node.noteFailure(h.handle.Value)
 		h.drop()
 		return &Reply{Fault: core.FaultBusy, Text: "the upstream doesn't answer"}
 	}
@@ -166,13 +157,11 @@
 func (s *Session) statement(w *work) (Reply, bool) {
 	h := s.tx.held
 	c := h.handle.Value
-	cmds := c.align(s, w.shape)
-	before := len(cmds)
-	cmds = append(cmds, w.command(core.Position{}))
+	cmds := append(c.align(s, w.shape), w.command(core.Position{}))
 	sent := time.Now()
-	ans, err := s.exchange(h, cmds, before, w.deadline)
+	ans, err := h.exchange(cmds, w.deadline)
 	if err != nil {
-		h.node.noteFailure()
+		h.node.noteFailure(h.handle.Value)
 		h.drop()
 		s.tx.held = nil
 		if w.st.Verb == VerbCommit {
@@ -221,12 +210,13 @@
 
 // exchange sends the commands and returns the answer to the last one. An error of one before it is
 // reported as a lost connection, since the last one may have run in the wrong state.
-func (s *Session) exchange(h *held, cmds []core.Command, before int, deadline time.Time) (core.Answer, error) {
-	if err := h.handle.Value.Send(cmds); err != nil {
+func (h *held) exchange(cmds []core.Command, deadline time.Time) (core.Answer, error) {
+	c := h.handle.Value
+	if err := c.Send(cmds); err != nil {
 		return core.Answer{}, err
 	}
-	if before > 0 {
-		ans, err := receive(h.handle.Value, before, deadline)
+	if before := len(cmds) - 1; before > 0 {
+		ans, err := receive(c, before, deadline)
 		if err != nil {
 			return core.Answer{}, err
 		}
@@ -234,5 +224,5 @@
 			return core.Answer{}, core.ErrUpstream.New("set-up failed: %s", ans.Fault)
 		}
 	}
-	return h.handle.Value.Receive(deadline)
+	return c.Receive(deadline)
 }
--- a/core/proxy/work.go
+++ b/core/proxy/work.go
@@ -23,6 +23,8 @@
 	// usual answer time and at least.
 	hedgeFactor = 5
 	hedgeLeast  = 150 * time.Millisecond
+	// indexTime limits a read index: a few round trips between regions.
+	indexTime = 150 * time.Millisecond
 	// maxTries limits the upstreams that are tried for one statement.
 	maxTries = 6
 	// endTime limits the answer to ROLLBACK and similar statements that take no slot.
@@ -44,6 +46,8 @@
 	// tried are upstreams that failed the statement.
 	tried []*node
 	tries int
+	// indexed tells that the primary was asked for its position.
+	indexed bool
 	// last is why the last try failed.
 	last Reply
 }
@@ -72,10 +76,17 @@
 
 // command returns the statement for an upstream.
 func (w *work) command(await core.Position) core.Command {
+	c := w.stamp(core.Command{Op: core.OpCaller, ID: w.st.ID, Text: w.st.Text, Await: await, Commit: w.st.Verb == VerbCommit})
 	if w.shape != nil {
-		return core.Command{Op: core.OpExecute, ID: w.st.ID, Name: w.shape.name(), Text: w.st.Arg, Await: await}
+		c.Op, c.Name, c.Text = core.OpExecute, w.shape.name(), w.st.Arg
 	}
-	return core.Command{Op: core.OpCaller, ID: w.st.ID, Text: w.st.Text, Await: await}
+	return c
+}
+
+// stamp adds what an owner needs to queue the command.
+func (w *work) stamp(c core.Command) core.Command {
+	c.Kind, c.Rank, c.Deadline = core.Kind(w.route.Database), w.route.Rank, w.deadline
+	return c
 }
 
 // target is where a statement is sent and what it has to prove there.
@@ -87,13 +98,17 @@
 }
 
 // place chooses the upstream. It returns false if none can serve the statement now.
-func (s *Session) place(w *work, strict bool) (target, bool) {
+func (s *Session) place(ctx context.Context, w *work, strict bool) (target, bool) {
 	now := time.Now()
 	primary := w.group.primary(now)
 	if w.write || strict || w.route.Reads == topo.Strict {
 		return target{node: primary, strict: !w.write}, primary != nil
 	}
 	await, ok := w.group.fresh.Floor(w.seen.Add(-w.route.MaxAge))
+	if !ok && !w.indexed && primary != nil {
+		w.indexed = true
+		await, ok = s.readIndex(ctx, w, primary)
+	}
 	if !ok || (s.strictOwn && w.route.Reads == topo.OwnWrites) {
 		return target{node: primary, strict: true}, primary != nil
 	}
@@ -108,6 +123,13 @@
 	return target{node: primary, strict: true}, primary != nil
 }
 
+// readIndex asks the primary for its position, which takes no slot, so that the read can run on a
+// replica.
+func (s *Session) readIndex(ctx context.Context, w *work, primary *node) (core.Position, bool) {
+	at, err := primary.probe(ctx, time.Now().Add(indexTime))
+	return at.Log, err == nil && at.Leads
+}
+
 // replica returns the upstream with the earliest expected answer of those that weren't tried, or nil.
 func (w *work) replica(now time.Time) *node {
 	nodes := *w.group.nodes.Load()
@@ -187,26 +209,40 @@
 
 // acquire takes a slot and then a connection.
 func (s *Session) acquire(ctx context.Context, w *work, n *node, opens bool) (*held, *Reply) {
+	return n.acquire(ctx, core.Kind(s.database), w.route.Rank, opens, w.deadline.Add(-w.reserve()))
+}
+
+// acquire takes a slot and then a connection, both until the deadline.
+func (n *node) acquire(ctx context.Context, kind core.Kind, rank core.Rank, opens bool, deadline time.Time) (*held, *Reply) {
+	h := &held{node: n}
+	if refused := h.admit(ctx, &queue.Item{Kind: kind, Rank: rank, Opens: opens, Deadline: deadline}); refused != nil {
+		return nil, refused
+	}
+	h.opens = opens
+	var err error
+	if h.handle, err = n.get(ctx, deadline); err == nil {
+		return h, nil
+	}
+	h.releaseSlot(false)
+	h.endTx()
+	if atLimit(err) {
+		return nil, &Reply{Fault: core.FaultOverload, Text: "the upstream is at its connection limit"}
+	}
+	return nil, &Reply{Fault: core.FaultBusy, Text: "no connection to the upstream in time"}
+}
+
+// admit takes a slot of the upstream's queue.
+func (h *held) admit(ctx context.Context, it *queue.Item) *Reply {
+	n := h.node
 	n.pending.Add(1)
-	slot, err := n.queue.Acquire(ctx, &queue.Item{
-		Kind: core.Kind(s.database), Rank: w.route.Rank, Opens: opens, Deadline: w.deadline.Add(-w.reserve()),
-	})
+	slot, err := n.queue.Acquire(ctx, it)
 	if err != nil {
 		n.pending.Add(-1)
-		s.p.metrics.refusals.Inc(1)
-		return nil, &Reply{Fault: core.FaultBusy, Text: refusalText(err)}
+		n.p.metrics.refusals.Inc(1)
+		return &Reply{Fault: core.FaultBusy, Text: refusalText(err)}
 	}
-	h := &held{node: n, slot: slot, opens: opens}
-	h.handle, err = n.get(ctx, w.deadline.Add(-w.reserve()))
-	if err != nil {
-		h.releaseSlot(false)
-		h.endTx()
-		if atLimit(err) {
-			return nil, &Reply{Fault: core.FaultOverload, Text: "the upstream is at its connection limit"}
-		}
-		return nil, &Reply{Fault: core.FaultBusy, Text: "no connection to the upstream in time"}
-	}
-	return h, nil
+	h.slot = slot
+	return nil
 }
 
 // refusalText tells a caller when to come back.
@@ -274,19 +310,20 @@
 	return receive(c, len(cmds), deadline)
 }
 
-// receive reads n answers and returns the first with a fault, otherwise the first.
+// receive reads n answers and returns the first with a fault, otherwise the last that tells a
+// position.
 func receive(c *conn, n int, deadline time.Time) (core.Answer, error) {
-	var first core.Answer
-	for i := range n {
+	var out core.Answer
+	for range n {
 		ans, err := c.Receive(deadline)
 		if err != nil {
 			return core.Answer{}, err
 		}
-		if i == 0 || (first.Fault == core.FaultNone && ans.Fault != core.FaultNone) {
-			first = ans
+		if out.Fault == core.FaultNone && (ans.Fault != core.FaultNone || !ans.Position.IsZero() || out.Position.IsZero()) {
+			out = ans
 		}
 	}
-	return first, nil
+	return out, nil
 }
 
 func isTimeout(err error) bool {
--- /dev/null
+++ b/io/hop/client.go
@@ -0,0 +1,126 @@
+package hop
+
+import (
+	"bufio"
+	"context"
+	"encoding/gob"
+	"net"
+	"time"
+
+	"snipewall/core"
+	"snipewall/io/sock"
+)
+
+// bufferSize holds the usual batch and answer in one system call.
+const bufferSize = 1 << 10
+
+// Conn is a connection to the owner of an upstream. It implements core.LineConn.
+type Conn struct {
+	conn  net.Conn
+	in    *bufio.Reader
+	out   *bufio.Writer
+	dec   *gob.Decoder
+	enc   *gob.Encoder
+	hello core.Position
+	// leaving tells that the owner stops.
+	leaving  bool
+	deadline time.Time
+	// broken is the error that ended the connection. A frame that was read in part can't be continued.
+	broken error
+}
+
+// Dial connects to the owner at address. The error is *core.RefusedError if the owner has no
+// connection to the upstream to give.
+func Dial(ctx context.Context, address string, upstream core.UpstreamID) (*Conn, error) {
+	nc, err := sock.Dial(ctx, address)
+	if err != nil {
+		return nil, core.ErrPeer.Wrap(err)
+	}
+	c := &Conn{conn: nc, in: bufio.NewReaderSize(nc, bufferSize), out: bufio.NewWriterSize(nc, bufferSize)}
+	c.dec, c.enc = gob.NewDecoder(c.in), gob.NewEncoder(c.out)
+	if err := c.open(ctx, upstream); err != nil {
+		_ = nc.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
+func (c *Conn) open(ctx context.Context, upstream core.UpstreamID) error {
+	if deadline, ok := ctx.Deadline(); ok {
+		if err := c.conn.SetDeadline(deadline); err != nil {
+			return core.ErrPeer.Wrap(err)
+		}
+	}
+	if err := c.enc.Encode(hello{Upstream: upstream}); err != nil {
+		return core.ErrPeer.Wrap(err)
+	}
+	if err := c.out.Flush(); err != nil {
+		return core.ErrPeer.Wrap(err)
+	}
+	var w welcome
+	if err := c.dec.Decode(&w); err != nil {
+		return core.ErrPeer.Wrap(err)
+	}
+	if w.Fault != core.FaultNone {
+		return &core.RefusedError{Upstream: upstream, Message: "owner refused: " + w.Fault.String()}
+	}
+	c.hello = w.Position
+	return core.ErrPeer.Wrap(c.conn.SetDeadline(time.Time{}))
+}
+
+// Hello implements core.LineConn.
+func (c *Conn) Hello() core.Position { return c.hello }
+
+// Send implements core.LineConn.
+func (c *Conn) Send(cmds []core.Command) error {
+	b := batch{Commands: cmds}
+	for i := range cmds {
+		if d := cmds[i].Deadline; !d.IsZero() {
+			b.Left = time.Until(d)
+			cmds[i].Deadline = time.Time{}
+		}
+	}
+	if err := c.enc.Encode(b); err != nil {
+		return core.ErrPeer.Wrap(err)
+	}
+	return core.ErrPeer.Wrap(c.out.Flush())
+}
+
+// Receive implements core.LineConn.
+func (c *Conn) Receive(deadline time.Time) (core.Answer, error) {
+	if c.broken != nil {
+		return core.Answer{}, c.broken
+	}
+	if !deadline.Equal(c.deadline) {
+		if err := c.conn.SetReadDeadline(deadline); err != nil {
+			return core.Answer{}, core.ErrPeer.Wrap(err)
+		}
+		c.deadline = deadline
+	}
+	for {
+		// A timeout while nothing of the frame has arrived leaves the decoder usable.
+		if _, err := c.in.Peek(1); err != nil {
+			return core.Answer{}, err
+		}
+		var r reply
+		if err := c.dec.Decode(&r); err != nil {
+			c.broken = core.ErrPeer.New("answer broke off: %v", err)
+			return core.Answer{}, c.broken
+		}
+		if !r.Goodbye {
+			return r.Answer, nil
+		}
+		c.leaving = true
+	}
+}
+
+// Guards implements core.LineConn.
+func (c *Conn) Guards() bool { return true }
+
+// Idle implements core.LineConn.
+func (c *Conn) Idle() bool {
+	return !c.leaving && c.broken == nil && c.in.Buffered() == 0 && sock.Quiet(c.conn)
+}
+
+// Close implements core.LineConn.
+func (c *Conn) Close() error { return c.conn.Close() }
--- /dev/null
+++ b/io/hop/server.go
@@ -0,0 +1,252 @@
+package hop
+
+import (
+	"bufio"
+	"context"
+	"encoding/gob"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"snipewall/core"
+)
+
+const (
+	// helloTimeout limits the time until a new connection has named its upstream.
+	helloTimeout = 3 * time.Second
+	// writeTimeout limits a write to a peer that doesn't read.
+	writeTimeout = 3 * time.Second
+	// defaultLeft is the time of commands that name none, such as ROLLBACK.
+	defaultLeft = time.Second
+	// goodbyeTimeout limits the write of a goodbye.
+	goodbyeTimeout = 100 * time.Millisecond
+	// idleTimeout ends connections that nobody uses.
+	idleTimeout = 2 * time.Minute
+)
+
+// Relay runs the commands of one connection on an upstream that this entry VM owns. It is used by one
+// goroutine at a time.
+type Relay interface {
+	// Execute runs one command until the deadline.
+	Execute(ctx context.Context, cmd core.Command, deadline time.Time) core.Answer
+	// Pause tells that no further command has arrived yet.
+	Pause()
+	// Close rolls back what is open.
+	Close(ctx context.Context)
+}
+
+// ServerConfig configures a Server.
+type ServerConfig struct {
+	Listener net.Listener
+	// Open returns the relay to the upstream and its last known position, or false if this entry VM
+	// doesn't know the upstream.
+	Open func(id core.UpstreamID) (Relay, core.Position, bool)
+	Log  log.Logger
+}
+
+// Server is the service "hop".
+type Server struct {
+	cfg  ServerConfig
+	ends chan struct{}
+
+	mu      sync.Mutex
+	peers   map[*peer]bool
+	leaving bool
+}
+
+// NewServer returns a server.
+func NewServer(cfg ServerConfig) *Server {
+	return &Server{cfg: cfg, ends: make(chan struct{}, 64), peers: make(map[*peer]bool)}
+}
+
+// Name implements core.Service.
+func (s *Server) Name() string { return "hop" }
+
+// Run accepts connections until ctx ends, and then closes all of them.
+func (s *Server) Run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = s.cfg.Listener.Close() })
+	defer stop()
+	accepted := make(chan error, 1)
+	go func() { accepted <- s.accept(ctx) }()
+	running := true
+	var failure error
+	for running || s.count() > 0 {
+		select {
+		case err := <-accepted:
+			running = false
+			if ctx.Err() == nil {
+				failure = err
+			}
+			s.closeAll()
+		case <-s.ends:
+		}
+	}
+	return failure
+}
+
+func (s *Server) accept(ctx context.Context) error {
+	for {
+		c, err := s.cfg.Listener.Accept()
+		if err != nil {
+			if ctx.Err() == nil && !errors.Is(err, net.ErrClosed) {
+				level.Warn(s.cfg.Log).Log("Msg", "connection not accepted", "Err", err)
+				time.Sleep(10 * time.Millisecond)
+				continue
+			}
+			return err
+		}
+		p := &peer{server: s, conn: c, in: bufio.NewReaderSize(c, bufferSize), out: bufio.NewWriterSize(c, bufferSize)}
+		p.dec, p.enc = gob.NewDecoder(p.in), gob.NewEncoder(p.out)
+		s.mu.Lock()
+		s.peers[p] = true
+		s.mu.Unlock()
+		go func() {
+			p.run(ctx)
+			s.mu.Lock()
+			delete(s.peers, p)
+			s.mu.Unlock()
+			s.ends <- struct{}{}
+		}()
+	}
+}
+
+func (s *Server) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.peers)
+}
+
+func (s *Server) closeAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for p := range s.peers {
+		_ = p.conn.Close()
+	}
+}
+
+// Leave asks the other entry VMs to stop using their connections. They are served until Run ends.
+func (s *Server) Leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = true
+	for p := range s.peers {
+		p.goodbye()
+	}
+}
+
+func (s *Server) isLeaving() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leaving
+}
+
+// peer is one connection from another entry VM.
+type peer struct {
+	server *Server
+	conn   net.Conn
+	in     *bufio.Reader
+	dec    *gob.Decoder
+
+	// mu is held while a frame is written.
+	mu  sync.Mutex
+	out *bufio.Writer
+	enc *gob.Encoder
+	// welcomed tells that frames other than the welcome may be written.
+	welcomed bool
+}
+
+func (p *peer) run(ctx context.Context) {
+	defer func() { _ = p.conn.Close() }()
+	if err := p.conn.SetReadDeadline(time.Now().Add(helloTimeout)); err != nil {
+		return
+	}
+	var h hello
+	if err := p.dec.Decode(&h); err != nil {
+		return
+	}
+	relay, at, ok := p.server.cfg.Open(h.Upstream)
+	if !ok || p.server.isLeaving() {
+		p.write(welcome{Fault: core.FaultBusy})
+		return
+	}
+	defer relay.Close(ctx)
+	if !p.write(welcome{Position: at}) {
+		return
+	}
+	p.mu.Lock()
+	p.welcomed = true
+	p.mu.Unlock()
+	for p.serve(ctx, relay) {
+	}
+}
+
+// serve runs one batch and reports whether the connection goes on.
+func (p *peer) serve(ctx context.Context, relay Relay) bool {
+	if err := p.conn.SetReadDeadline(time.Now().Add(idleTimeout)); err != nil {
+		return false
+	}
+	var b batch
+	if err := p.dec.Decode(&b); err != nil {
+		return false
+	}
+	if b.Left <= 0 {
+		b.Left = defaultLeft
+	}
+	deadline := time.Now().Add(b.Left)
+	for i, cmd := range b.Commands {
+		ans := relay.Execute(ctx, cmd, deadline)
+		last := i == len(b.Commands)-1
+		if last {
+			relay.Pause()
+		}
+		if !p.reply(reply{Answer: ans}, last) {
+			return false
+		}
+	}
+	return true
+}
+
+// reply writes a frame, and sends all that waits if it is the last of its batch.
+func (p *peer) reply(r reply, last bool) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err := p.enc.Encode(r); err != nil {
+		return false
+	}
+	return !last || p.flush()
+}
+
+func (p *peer) write(frame any) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.enc.Encode(frame) == nil && p.flush()
+}
+
+// flush sends what waits. The caller holds mu.
+func (p *peer) flush() bool {
+	if err := p.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return false
+	}
+	return p.out.Flush() == nil
+}
+
+// goodbye tells the other side that this entry VM stops.
+func (p *peer) goodbye() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.welcomed {
+		return
+	}
+	if err := p.enc.Encode(reply{Goodbye: true}); err != nil {
+		return
+	}
+	if err := p.conn.SetWriteDeadline(time.Now().Add(goodbyeTimeout)); err != nil {
+		return
+	}
+	// A peer that can't be told finds out when the connection ends.
+	_ = p.out.Flush()
+}
