Test the proxy's decisions on the fake clock; refuse overloaded statements at once

Cause: a statement that its upstream's queue refused as hopeless was repeated until its time was over, 700 ms later (TestRefusedAtOnce failed: 0 of 200 refused within 200 ms). Change: such a refusal ends a write or strict read at once and says when to come back; other reads try the other upstreams first. An owner that refuses isn't suspected. Watches of 4 s and leases of 30 s for VM entries.

--- /dev/null
+++ b/core/proxy/load_test.go
@@ -0,0 +1,145 @@
+package proxy
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"snipewall/core"
+	"snipewall/core/topo"
+)
+
+// Guards against reads that cross regions while the upstream at home would answer sooner, and against
+// reads that queue at home while another region is idle. Load pattern: a surge in one failure domain.
+func TestCheapest(t *testing.T) {
+	home := candidate{wait: 20 * time.Millisecond}
+	away := candidate{distance: regionTime, wait: 5 * time.Millisecond}
+	tests := []struct {
+		name  string
+		cands []candidate
+		want  int
+	}{
+		{"none", nil, -1},
+		{"home is near enough", []candidate{away, home}, 1},
+		{"home is in a surge", []candidate{away, {wait: 40 * time.Millisecond}}, 0},
+		{"the primary is spared", []candidate{{primary: true, wait: 10 * time.Millisecond}, home}, 1},
+		{"the primary helps out", []candidate{{primary: true, wait: time.Millisecond}, {wait: 50 * time.Millisecond}}, 0},
+		{"a lagging replica is passed over", []candidate{{lagging: true}, home}, 1},
+		{"a failing upstream is the last choice", []candidate{{failing: true}, {primary: true, lagging: true, distance: regionTime}}, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) { assert.Equal(t, cheapest(tt.cands), tt.want) })
+	}
+}
+
+// surge sends reads of the database at a fixed rate for a time and returns how they ended.
+func (r *rig) surge(database string, every, length time.Duration) map[core.Fault]int {
+	ends := map[core.Fault]int{}
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for i := range int(length / every) {
+		wg.Go(func() {
+			s := r.proxy.Open(database)
+			reply := r.do(s, VerbRead, fmt.Sprintf("READ %d", i))
+			mu.Lock()
+			defer mu.Unlock()
+			ends[reply.Fault]++
+		})
+		time.Sleep(every)
+	}
+	wg.Wait()
+	return ends
+}
+
+// Guards against a surge of bounded reads that overloads the nearest replica while others idle. At
+// 30 ms a read, one upstream serves 133 reads a second with four in progress; 250 arrive.
+func TestSurgeSpreads(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		for _, s := range r.servers {
+			s.set(func(s *server) { s.service = 30 * time.Millisecond })
+		}
+		r.must(r.proxy.Open("strict"), VerbRead, "READ 0")
+		ends := r.surge("bounded", 4*time.Millisecond, 3*time.Second)
+		assert.Equal(t, ends[core.FaultNone], 750, "%v", ends)
+		assert.Assert(t, len(r.texts(farID)) > 100, "the far replica served %d", len(r.texts(farID)))
+	})
+}
+
+// Guards against a surge of the least urgent kind that keeps the urgent one from its slots.
+func TestUrgentInSurge(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		cfg := r.dir.Snapshot().Config
+		cfg.Version++
+		last, urgent := cfg.Routes["own"], cfg.Routes["strict"]
+		last.Rank, last.Reads, urgent.Rank = core.RankLast, topo.Strict, core.RankUrgent
+		cfg.Routes = map[string]topo.Route{"own": last, "strict": urgent}
+		r.dir.Apply(cfg)
+		r.servers[primaryID].set(func(s *server) { s.service = 20 * time.Millisecond })
+		var wg sync.WaitGroup
+		// 500 a second arrive where 200 can run.
+		wg.Go(func() { r.surge("own", 2*time.Millisecond, 3*time.Second) })
+		time.Sleep(500 * time.Millisecond)
+		worst := time.Duration(0)
+		for range 40 {
+			began := time.Now()
+			r.must(r.proxy.Open("strict"), VerbRead, "READ urgent")
+			worst = max(worst, time.Since(began))
+			time.Sleep(50 * time.Millisecond)
+		}
+		wg.Wait()
+		assert.Assert(t, worst < 400*time.Millisecond, "an urgent read took %v", worst)
+	})
+}
+
+// Guards against statements that wait for a slot which they can't get in time: they are refused at
+// once, and say when to come back.
+func TestRefusedAtOnce(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.servers[primaryID].set(func(s *server) { s.service = 100 * time.Millisecond })
+		var wg sync.WaitGroup
+		var mu sync.Mutex
+		quick := 0
+		for range 200 {
+			wg.Go(func() {
+				began := time.Now()
+				reply := r.do(r.proxy.Open("strict"), VerbRead, "READ")
+				mu.Lock()
+				defer mu.Unlock()
+				if reply.Fault == core.FaultBusy && time.Since(began) < 200*time.Millisecond {
+					quick++
+				}
+			})
+			time.Sleep(2 * time.Millisecond)
+		}
+		wg.Wait()
+		assert.Assert(t, quick > 50, "%d of 200 were refused within 200 ms", quick)
+	})
+}
+
+// Guards against VMs that take an upstream's connections from each other, and against a detour over
+// an owner where each VM could dial: 6 VMs before 22 connections, 74 VMs before 46.
+func TestPlanPath(t *testing.T) {
+	vms := func(n int) []core.VM {
+		var out []core.VM
+		for i := range n {
+			out = append(out, core.VM{ID: core.VMID(fmt.Sprintf("vm-%02d", i)), FailureDomain: "here", Relay: "x"})
+		}
+		return out
+	}
+	u := topo.Upstream{UpstreamInfo: core.UpstreamInfo{ID: "u", FailureDomain: "here"}}
+	assert.Equal(t, len(planPath("vm-00", vms(6), u, 22).owners), 0)
+	owners := map[core.VMID]int{}
+	for _, vm := range vms(74) {
+		at := planPath(vm.ID, vms(74), u, 46)
+		if len(at.owners) == 0 {
+			owners[vm.ID]++
+			assert.Assert(t, at.conns < 46, "an owner leaves connections to its successor")
+			continue
+		}
+		assert.Assert(t, at.owners[0].ID != vm.ID)
+	}
+	assert.Equal(t, len(owners), 1, "one VM owns the upstream: %v", owners)
+}
--- a/core/proxy/node.go
+++ b/core/proxy/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -26,6 +27,9 @@
 	hopIdle = 20 * time.Second
 	// hopDialTime limits one dial of an owner: a multiple of the longest round trip.
 	hopDialTime = 250 * time.Millisecond
+	// detourConns limits the direct connections of a VM that reaches no owner of an upstream: many VMs
+	// may be in that place at the same time.
+	detourConns = 2
 	// sparedConns are the connections of an entry VM that open transactions leave to single statements.
 	sparedConns = 2
 	// connIdle is how long an unused connection is kept. Connections of VMs that lost power count
@@ -59,6 +63,8 @@
 	limit  int
 	cancel context.CancelFunc
 
+	// detours counts the connections to the upstream itself.
+	detours atomic.Int32
 	// pending counts statements that wait or run.
 	pending atomic.Int32
 	mu      sync.Mutex
@@ -87,7 +93,7 @@
 		Slots: slots, MaxOpen: max(1, conns-sparedConns), Policies: p,
 	}))
 	n.pool = pool.New(pool.Config[*conn]{
-		Limit: conns, Dial: n.dial, Close: func(c *conn) error { return c.Close() },
+		Limit: conns, Dial: n.dial, Close: n.closeConn,
 		AtLimit: atLimit, OnDialError: n.dialFailed, DialTime: dialTime, IdleTime: idle,
 		MinBackoff: 20 * time.Millisecond, MaxBackoff: 300 * time.Millisecond,
 	})
@@ -135,16 +141,31 @@
 			return &conn{LineConn: lc, owner: owner.ID}, nil
 		}
 		n.p.logDecision("owner not reached", "Upstream", u.ID, "Owner", owner.ID, "Err", err)
-		n.p.suspects.add(owner.ID)
+		// An owner that refuses is alive: it stops, or has just started and doesn't know the upstream.
+		if !atLimit(err) {
+			n.p.suspects.add(owner.ID)
+		}
+	}
+	if len(n.path.owners) > 0 && n.detours.Load() >= detourConns {
+		return nil, &core.RefusedError{Upstream: u.ID, Message: "no owner answers"}
 	}
 	n.p.metrics.dials.Inc(1)
 	lc, err := n.p.cfg.Dialer.Dial(ctx, u.UpstreamInfo)
 	if err != nil {
 		return nil, err
 	}
+	n.detours.Add(1)
 	return &conn{LineConn: lc}, nil
 }
 
+// closeConn closes a connection.
+func (n *node) closeConn(c *conn) error {
+	if c.owner == "" {
+		n.detours.Add(-1)
+	}
+	return c.Close()
+}
+
 func (n *node) dialFailed(err error) {
 	if atLimit(err) {
 		n.p.metrics.overloads.Inc(1)
@@ -167,13 +188,22 @@
 			}
 		}
 		c := h.Value
-		if !n.p.suspects.has(c.owner) && (time.Since(c.used) < checkAfter || c.Idle()) {
+		if n.isCurrent(c) && (time.Since(c.used) < checkAfter || c.Idle()) {
 			return h, nil
 		}
 		h.Discard()
 	}
 }
 
+// isCurrent reports whether the connection leads where a new one would: its owner answers, or there is
+// none that does.
+func (n *node) isCurrent(c *conn) bool {
+	if c.owner != "" {
+		return !n.p.suspects.has(c.owner)
+	}
+	return !slices.ContainsFunc(n.path.owners, func(vm core.VM) bool { return !n.p.suspects.has(vm.ID) })
+}
+
 // put returns a connection that has no statement in progress.
 func put(h *pool.Handle[*conn]) {
 	h.Value.used = time.Now()
--- a/core/proxy/path.go
+++ b/core/proxy/path.go
@@ -11,9 +11,9 @@
 )
 
 const (
-	// ownerShare is the part of an upstream's connections that its owner takes. Two owners fit, so
-	// that one that is paused or cut off doesn't keep its successor out.
-	ownerShare = 0.45
+	// ownerShare is the part of an upstream's connections that its owner takes. The rest is for its
+	// successor while the owner is paused or cut off, and for VMs that reach no owner.
+	ownerShare = 0.65
 	// ownerCount is how many entry VMs are tried as owners of an upstream before it is dialed directly.
 	ownerCount = 2
 	// suspectTime is how long an owner that didn't answer is passed over.
--- a/core/proxy/session.go
+++ b/core/proxy/session.go
@@ -56,6 +56,8 @@
 	Body     []byte
 	Status   core.TxStatus
 	Position core.Position
+	// overloaded tells that the upstream's queue refused the statement: waiting for it is in vain.
+	overloaded bool
 }
 
 // value is one session value.
--- /dev/null
+++ b/core/proxy/session_test.go
@@ -0,0 +1,287 @@
+package proxy
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"snipewall/core"
+	"snipewall/core/topo"
+)
+
+func inBubble(t *testing.T, test func(t *testing.T, r *rig)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) { test(t, newRig(t)) })
+}
+
+// Guards against a strict read at an upstream that no longer leads: its log lacks later commits.
+func TestStrictReadNeedsLeader(t *testing.T) {
+	for _, guards := range []bool{false, true} {
+		inBubble(t, func(t *testing.T, r *rig) {
+			r.guards = guards
+			r.servers[primaryID].set(func(s *server) { s.leads = false })
+			s := r.proxy.Open("strict")
+			reply := r.do(s, VerbRead, "READ 1")
+			assert.Equal(t, reply.Fault, core.FaultBusy)
+			if !guards {
+				assert.Equal(t, len(r.servers[primaryID].runs()), 0)
+			}
+			assert.Equal(t, reply.Status, core.TxIdle)
+		})
+	}
+}
+
+// Guards against reads that miss commits acknowledged before their accepted age: the awaited position
+// must come from a leader that was asked late enough.
+func TestBoundedReadAwaitsSample(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.must(r.proxy.Open("strict"), VerbRead, "READ 1")
+		r.servers[primaryID].set(func(s *server) { s.log.Offset = 20 })
+		s := r.proxy.Open("bounded")
+		r.must(s, VerbRead, "READ 2")
+		assert.DeepEqual(t, r.texts(nearID), []string{"READ 2"})
+		// The sample at offset 10 is too old now, and the replica lacks the new one.
+		time.Sleep(1600 * time.Millisecond)
+		r.must(s, VerbRead, "READ 3")
+		assert.DeepEqual(t, r.texts(nearID), []string{"READ 2"})
+		assert.Equal(t, len(r.texts(farID)), 0)
+	})
+}
+
+// Guards against a VM that was suspended and takes an old sample for a recent one, since its
+// monotonic clock stood still.
+func TestSuspensionAgesSamples(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.must(r.proxy.Open("strict"), VerbRead, "READ 1")
+		r.servers[primaryID].set(func(s *server) { s.log.Offset = 20 })
+		r.suspended = 10 * time.Second
+		r.must(r.proxy.Open("bounded"), VerbRead, "READ 2")
+		assert.Equal(t, len(r.texts(nearID)), 0)
+		assert.Equal(t, len(r.texts(farID)), 0)
+	})
+}
+
+// Guards against a session that doesn't see its own commit on a replica that lags.
+func TestOwnWrites(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		s := r.proxy.Open("own")
+		r.must(s, VerbWrite, "WRITE 1 x")
+		r.must(s, VerbRead, "READ 1")
+		assert.DeepEqual(t, r.texts(primaryID), []string{"WRITE 1 x", "READ 1"})
+		r.servers[nearID].set(func(s *server) { s.log.Offset = 11 })
+		time.Sleep(2 * lagMemory)
+		r.must(s, VerbRead, "READ 2")
+		assert.DeepEqual(t, r.texts(nearID), []string{"READ 2"})
+	})
+}
+
+// Guards against running a write twice, and against calling one "not run" that may have run.
+func TestLostWriteIsInDoubt(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.servers[primaryID].set(func(s *server) { s.broken = true })
+		reply := r.do(r.proxy.Open("own"), VerbWrite, "WRITE 1 x")
+		assert.Equal(t, reply.Fault, core.FaultInDoubt)
+		assert.DeepEqual(t, r.texts(primaryID), []string{"WRITE 1 x"})
+	})
+}
+
+// Guards against giving up a write that an upstream was too busy to run.
+func TestBusyWriteIsRepeated(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.servers[primaryID].set(func(s *server) { s.busy = 2 })
+		r.must(r.proxy.Open("own"), VerbWrite, "WRITE 1 x")
+		assert.DeepEqual(t, r.texts(primaryID), []string{"WRITE 1 x"})
+	})
+}
+
+// Guards against waiting out the statement's time for a read whose answer is lost.
+func TestLostReadIsTriedElsewhere(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.must(r.proxy.Open("strict"), VerbRead, "READ 0")
+		r.servers[nearID].set(func(s *server) { s.silent = true })
+		began := time.Now()
+		r.must(r.proxy.Open("bounded"), VerbRead, "READ 1")
+		assert.Assert(t, time.Since(began) < 400*time.Millisecond, "took %v", time.Since(began))
+	})
+}
+
+// Guards against session values of one caller that reach the statement of another.
+func TestValuesFollowTheSession(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		a, b, c := r.proxy.Open("own"), r.proxy.Open("own"), r.proxy.Open("own")
+		a.Execute(t.Context(), &Statement{ID: "1", Verb: VerbSet, Name: "zone", Arg: "a"})
+		b.Execute(t.Context(), &Statement{ID: "1", Verb: VerbSet, Name: "lang", Arg: "b"})
+		r.must(a, VerbWrite, "WRITE a")
+		r.must(b, VerbWrite, "WRITE b")
+		r.must(c, VerbWrite, "WRITE c")
+		r.must(a, VerbWrite, "WRITE a")
+		want := map[string]string{"WRITE a": "map[zone:a]", "WRITE b": "map[lang:b]", "WRITE c": "map[]"}
+		for _, x := range r.servers[primaryID].runs() {
+			assert.Equal(t, x.Values, want[x.Text], x.Text)
+		}
+	})
+}
+
+// Guards against a prepared name that runs the shape of another caller who chose the same name.
+func TestPreparedNamesCollide(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		a, b := r.proxy.Open("own"), r.proxy.Open("own")
+		for s, text := range map[*Session]string{a: "shape-a", b: "shape-b"} {
+			s.Execute(t.Context(), &Statement{ID: "1", Verb: VerbPrepare, Name: "s1", Arg: text, Write: true})
+		}
+		for _, s := range []*Session{a, b, a} {
+			reply := s.Execute(t.Context(), &Statement{ID: "2", Verb: VerbExecute, Name: "s1", Arg: "x"})
+			assert.Equal(t, reply.Fault, core.FaultNone, reply.Text)
+		}
+		assert.DeepEqual(t, r.texts(primaryID), []string{"shape-a x", "shape-b x", "shape-a x"})
+		reply := a.Execute(t.Context(), &Statement{ID: "3", Verb: VerbExecute, Name: "s2", Arg: "x"})
+		assert.Equal(t, reply.Fault, core.FaultUnprepared)
+	})
+}
+
+// Guards against a transaction whose statements run on several connections or outside of it, and
+// against other sessions that run inside it.
+func TestTransactionOwnsItsConnection(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		a, b := r.proxy.Open("own"), r.proxy.Open("own")
+		r.must(a, VerbBegin, "BEGIN")
+		r.must(a, VerbWrite, "WRITE a1")
+		r.must(b, VerbWrite, "WRITE b1")
+		r.must(a, VerbRead, "READ a2")
+		r.must(b, VerbWrite, "WRITE b2")
+		r.must(a, VerbCommit, "COMMIT")
+		conns := map[string]int{}
+		for _, x := range r.servers[primaryID].runs() {
+			owner := "b"
+			if x.Text == "COMMIT" || x.Text[len(x.Text)-2] == 'a' {
+				owner = "a"
+			}
+			assert.Equal(t, x.InTx, owner == "a", x.Text)
+			if n, ok := conns[owner]; ok {
+				assert.Equal(t, x.Conn, n, x.Text)
+			}
+			conns[owner] = x.Conn
+		}
+		assert.Assert(t, conns["a"] != conns["b"])
+	})
+}
+
+// Guards against promising "not kept" for a COMMIT that was sent, and against in-doubt answers for a
+// transaction that certainly isn't kept.
+func TestLostTransaction(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		s := r.proxy.Open("own")
+		r.must(s, VerbBegin, "BEGIN")
+		r.must(s, VerbWrite, "WRITE 1")
+		r.servers[primaryID].set(func(s *server) { s.broken = true })
+		reply := r.do(s, VerbWrite, "WRITE 2")
+		assert.Equal(t, reply.Fault, core.FaultAborted)
+		assert.Equal(t, reply.Status, core.TxFailed)
+		assert.Equal(t, r.do(s, VerbRead, "READ 1").Fault, core.FaultMalformed)
+		assert.Equal(t, r.must(s, VerbRollback, "ROLLBACK").Status, core.TxIdle)
+
+		r.servers[primaryID].set(func(s *server) { s.broken = false })
+		r.must(s, VerbBegin, "BEGIN")
+		r.must(s, VerbWrite, "WRITE 3")
+		r.servers[primaryID].set(func(s *server) { s.broken = true })
+		reply = r.do(s, VerbCommit, "COMMIT")
+		assert.Equal(t, reply.Fault, core.FaultInDoubt)
+		assert.Equal(t, reply.Status, core.TxIdle)
+	})
+}
+
+// Guards against idle transactions that hold connections which others need: clients rest inside
+// transactions.
+func TestAbortedTransaction(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		s := r.proxy.Open("own")
+		assert.Equal(t, s.TxIdle(), time.Duration(0))
+		r.must(s, VerbBegin, "BEGIN")
+		assert.Equal(t, s.TxIdle(), time.Duration(0), "nothing is held yet")
+		r.must(s, VerbWrite, "WRITE 1")
+		assert.Equal(t, s.TxIdle(), time.Second)
+		s.Abort(t.Context(), "idle")
+		assert.Assert(t, !s.Busy())
+		assert.Equal(t, r.do(s, VerbWrite, "WRITE 2").Fault, core.FaultAborted)
+		assert.Equal(t, r.do(s, VerbCommit, "COMMIT").Fault, core.FaultAborted)
+		assert.Equal(t, s.Status(), core.TxIdle)
+		assert.DeepEqual(t, r.texts(primaryID), []string{"WRITE 1"})
+	})
+}
+
+// Guards against holding statements back when a group has been without a primary for so long that
+// waiting is in vain, and against refusing those that a promotion would serve in time.
+func TestOutage(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		demote := func(role core.Role) {
+			u := r.dir.Snapshot().Upstreams[primaryID]
+			u.Role = role
+			r.dir.Put(u)
+			time.Sleep(time.Millisecond)
+		}
+		demote(core.RoleReplica)
+		s := r.proxy.Open("own")
+		time.AfterFunc(300*time.Millisecond, func() { demote(core.RolePrimary) })
+		began := time.Now()
+		r.must(s, VerbWrite, "WRITE 1")
+		assert.Assert(t, time.Since(began) < 400*time.Millisecond)
+
+		demote(core.RoleReplica)
+		for time.Since(began) < 5*time.Second {
+			assert.Equal(t, r.do(s, VerbWrite, "WRITE 2").Fault, core.FaultBusy)
+			time.Sleep(10 * time.Millisecond)
+		}
+		began = time.Now()
+		assert.Equal(t, r.do(s, VerbWrite, "WRITE 3").Fault, core.FaultBusy)
+		assert.Equal(t, time.Since(began), time.Duration(0))
+	})
+}
+
+// Guards against a dropped route that is still served, and a missing one that is refused otherwise.
+func TestRouteChanges(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		s := r.proxy.Open("own")
+		r.must(s, VerbWrite, "WRITE 1")
+		assert.Equal(t, r.proxy.Admit(t.Context(), "gone"), core.FaultNoDatabase)
+		cfg := r.dir.Snapshot().Config
+		cfg.Version++
+		cfg.Routes = map[string]topo.Route{"strict": cfg.Routes["strict"]}
+		r.dir.Apply(cfg)
+		assert.Equal(t, r.do(s, VerbWrite, "WRITE 2").Fault, core.FaultNoDatabase)
+		assert.DeepEqual(t, r.texts(primaryID), []string{"WRITE 1"})
+	})
+}
+
+// Guards against an owner that runs a statement although its BEGIN was refused.
+func TestRelayGuards(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		relay, _, ok := r.proxy.OpenRelay(nearID)
+		assert.Assert(t, ok)
+		deadline := time.Now().Add(time.Second)
+		begin := relay.Execute(t.Context(), core.Command{Op: core.OpBegin, Kind: "strict"}, deadline)
+		assert.Equal(t, begin.Fault, core.FaultReadOnly)
+		read := core.Command{Op: core.OpCaller, ID: "q", Text: "READ 1", Kind: "strict"}
+		assert.Equal(t, relay.Execute(t.Context(), read, deadline).Fault, core.FaultMalformed)
+		assert.Equal(t, relay.Execute(t.Context(), core.Command{Op: core.OpRollback}, deadline).Status, core.TxIdle)
+		assert.Equal(t, len(r.texts(nearID)), 0)
+		assert.Equal(t, relay.Execute(t.Context(), read, deadline).Fault, core.FaultNone)
+	})
+}
+
+// Guards against a relay that answers "not kept" for a COMMIT whose connection broke.
+func TestRelayLostCommit(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		relay, _, _ := r.proxy.OpenRelay(primaryID)
+		deadline := time.Now().Add(time.Second)
+		for _, c := range []core.Command{
+			{Op: core.OpBegin, Kind: "own"}, {Op: core.OpCaller, ID: "1", Text: "WRITE 1", Kind: "own"},
+		} {
+			assert.Equal(t, relay.Execute(t.Context(), c, deadline).Fault, core.FaultNone)
+		}
+		r.servers[primaryID].set(func(s *server) { s.broken = true })
+		ans := relay.Execute(t.Context(), core.Command{Op: core.OpCaller, ID: "2", Text: "COMMIT", Kind: "own", Commit: true}, deadline)
+		assert.Equal(t, ans.Fault, core.FaultInDoubt)
+	})
+}
--- a/core/proxy/single.go
+++ b/core/proxy/single.go
@@ -56,10 +56,13 @@
 	h, refused := s.acquire(ctx, w, t.node, false)
 	if refused != nil {
 		w.tried = append(w.tried, t.node)
-		if w.write || t.strict {
-			return *refused, noPrimary
+		switch {
+		case !w.write && !t.strict:
+			return *refused, again
+		case refused.overloaded:
+			return *refused, done
 		}
-		return *refused, again
+		return *refused, noPrimary
 	}
 	var asked core.Instant
 	if w.write || t.strict {
--- a/core/proxy/tx.go
+++ b/core/proxy/tx.go
@@ -92,6 +92,9 @@
 			return nil
 		}
 		w.last = *refused
+		if refused.overloaded && t.strict {
+			return &w.last
+		}
 		w.tried = append(w.tried, t.node)
 		pause := time.Duration(0)
 		if !s.tx.readOnly || t.strict {
--- a/core/proxy/work.go
+++ b/core/proxy/work.go
@@ -239,7 +239,8 @@
 	if err != nil {
 		n.pending.Add(-1)
 		n.p.metrics.refusals.Inc(1)
-		return &Reply{Fault: core.FaultBusy, Text: refusalText(err)}
+		var refusal *queue.Refusal
+		return &Reply{Fault: core.FaultBusy, Text: refusalText(err), overloaded: errors.As(err, &refusal) && refusal.RetryAfter > 0}
 	}
 	h.slot = slot
 	return nil
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -35,8 +35,9 @@
 
 const (
 	// leaseTime is how long an entry outlives its VM, and renewEvery how often the lease is renewed.
-	leaseTime  = 9 * time.Second
-	renewEvery = 3 * time.Second
+	// Each call is charged, and a VM that is gone is passed over long before its lease ends.
+	leaseTime  = 30 * time.Second
+	renewEvery = 10 * time.Second
 	// retryEvery is the time between attempts to write the entry.
 	retryEvery = time.Second
 	// missingGrace is how long a VM counts after its entry disappeared, enough to write it again.
--- a/core/topo/feed.go
+++ b/core/topo/feed.go
@@ -13,13 +13,14 @@
 )
 
 const (
-	// watchTime is how long one watch waits. A store that drops its history can leave a watch waiting
-	// although there were changes, and configurations have to be in force within 3 s.
-	watchTime = 1500 * time.Millisecond
+	// watchTime is how long one watch waits. A store that drops its history, or a connection that went
+	// silent, can leave a watch waiting although there were changes. The platform allows 5 s after
+	// such a disruption before configurations have to be in force in time again.
+	watchTime = 4 * time.Second
 	// listTimeout limits one listing.
 	listTimeout = 3 * time.Second
 	// watchSlack is what a watch may take beyond its waiting time, about three round trips to a slow
-	// store. A connection that went silent without a reset is given up then.
+	// store.
 	watchSlack = 700 * time.Millisecond
 	// minBackoff and maxBackoff limit the time between calls after failures. The longest one stays
 	// well below the 3 s in which a configuration has to be in force.
