--- a/core/proxy/work.go
+++ b/core/proxy/work.go
@@ -25,6 +25,8 @@
 	hedgeLeast  = 150 * time.Millisecond
 	// indexTime limits a read index: a few round trips between regions.
 	indexTime = 150 * time.Millisecond
+	// startShare is the part of a statement's time in which it has to get a slot.
+	startShare = 0.45
 	// maxTries limits the upstreams that are tried for one statement.
 	maxTries = 6
 	// endTime limits the answer to ROLLBACK and similar statements that take no slot.
@@ -172,6 +174,12 @@
 	return true
 }
 
+// startBy is until when the statement may wait for a slot and a connection. Beyond about half of its
+// time the caller is served better by trying another VM than by waiting here.
+func (w *work) startBy() time.Time {
+	return w.began.Add(time.Duration(startShare * float64(w.route.StatementTimeout)))
+}
+
 // reserve is the part of the statement's time that is kept for running it.
 func (w *work) reserve() time.Duration { return w.route.StatementTimeout / 8 }
 
@@ -209,7 +217,7 @@
 
 // acquire takes a slot and then a connection.
 func (s *Session) acquire(ctx context.Context, w *work, n *node, opens bool) (*held, *Reply) {
-	return n.acquire(ctx, core.Kind(s.database), w.route.Rank, opens, w.deadline.Add(-w.reserve()))
+	return n.acquire(ctx, core.Kind(s.database), w.route.Rank, opens, w.startBy())
 }
 
 // acquire takes a slot and then a connection, both until the deadline.
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -1,7 +1,7 @@
 // Package roster keeps the list of live entry VMs in the platform's store.
 //
-// Each entry VM writes an entry under a lease and renews the lease. A Roster holds the entries that
-// the store's feed reports. An entry that disappears is kept for a grace time, since leases also end
+// Each entry VM writes an entry under a lease, renews the lease and lists the entries now and then: a
+// watch would return to each VM for each other one that starts or stops. An entry that disappears is kept for a grace time, since leases also end
 // while the store is unwell; an entry VM that stops says so in its entry first. The list only
 // distributes work: two entry VMs that disagree about it are both right.
 //
@@ -9,7 +9,6 @@
 //
 //	r := roster.New(roster.Config{Self: vm, Store: store, Log: logger})
 //	go func() { ended <- r.Run(ctx) }()
-//	feed: r.Put(key, value), r.Remove(key), r.Sync(entries)
 //	vms := r.Alive()
 package roster
 
@@ -17,7 +16,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -38,17 +36,29 @@
 	// Each call is charged, and a VM that is gone is passed over long before its lease ends.
 	leaseTime  = 30 * time.Second
 	renewEvery = 10 * time.Second
+	// listEvery is the time between listings, and listFirst the one after the start, from which it
+	// doubles: VMs often start together.
+	listEvery = 5 * time.Second
+	listFirst = 500 * time.Millisecond
+	// callTime limits one listing.
+	callTime = 2 * time.Second
 	// retryEvery is the time between attempts to write the entry.
 	retryEvery = time.Second
 	// missingGrace is how long a VM counts after its entry disappeared, enough to write it again.
 	missingGrace = 4 * time.Second
 )
 
+// Store is what a Roster needs of the platform's store.
+type Store interface {
+	core.Store
+	ListStale(ctx context.Context, prefix string) ([]core.Entry, error)
+}
+
 // Config configures a Roster.
 type Config struct {
 	// Self is this entry VM.
 	Self  core.VM
-	Store core.Store
+	Store Store
 	Log   log.Logger
 }
 
@@ -62,7 +72,9 @@
 	leaving bool
 	changed chan struct{}
 	lease   core.LeaseID
-	written bool
+	// written tells that the entry says what it should, since writtenAt.
+	written   bool
+	writtenAt time.Time
 }
 
 type member struct {
@@ -102,70 +114,66 @@
 	return r.changed
 }
 
-// Put takes over an entry of the store.
-func (r *Roster) Put(e core.Entry) {
-	var vm core.VM
-	if err := json.Unmarshal(e.Value, &vm); err != nil || Prefix+string(vm.ID) != e.Key {
-		level.Warn(r.cfg.Log).Log("Msg", "entry of a VM can't be read", "Key", e.Key, "Err", err)
-		return
+// list reads the entries. This VM's own entry is written again if it is gone.
+func (r *Roster) list(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	entries, err := r.cfg.Store.ListStale(ctx, Prefix)
+	if err != nil {
+		return err
 	}
-	if vm.ID == r.cfg.Self.ID {
-		return
+	listed := make(map[core.VMID]core.VM, len(entries))
+	for _, e := range entries {
+		var vm core.VM
+		if err := json.Unmarshal(e.Value, &vm); err != nil || Prefix+string(vm.ID) != e.Key {
+			level.Warn(r.cfg.Log).Log("Msg", "entry of a VM can't be read", "Key", e.Key, "Err", err)
+			continue
+		}
+		listed[vm.ID] = vm
 	}
-	r.update(func(m map[core.VMID]member) { m[vm.ID] = member{vm: vm} })
+	r.take(listed)
+	return nil
 }
 
-// Remove notes that an entry is gone. This VM's own entry is written again.
-func (r *Roster) Remove(key string) {
-	id := core.VMID(strings.TrimPrefix(key, Prefix))
-	if id == r.cfg.Self.ID {
-		r.mu.Lock()
+// take replaces the list of VMs.
+func (r *Roster) take(listed map[core.VMID]core.VM) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	self := r.cfg.Self.ID
+	if _, ok := listed[self]; !ok && r.written && time.Since(r.writtenAt) > listEvery {
 		r.written = false
-		r.mu.Unlock()
-		r.signal()
-		return
 	}
-	r.update(func(m map[core.VMID]member) { markMissing(m, id) })
-}
-
-// Sync replaces the list by a complete listing.
-func (r *Roster) Sync(entries []core.Entry) {
-	listed := make(map[string]bool, len(entries))
-	for _, e := range entries {
-		listed[e.Key] = true
-		r.Put(e)
+	changed := false
+	for id, vm := range listed {
+		if id != self && r.vms[id] != (member{vm: vm}) {
+			r.vms[id] = member{vm: vm}
+			changed = true
+		}
 	}
-	r.update(func(m map[core.VMID]member) {
-		for id := range m {
-			if id != r.cfg.Self.ID && !listed[Prefix+string(id)] {
-				markMissing(m, id)
-			}
+	for id := range r.vms {
+		if _, ok := listed[id]; !ok && id != self {
+			changed = markMissing(r.vms, id) || changed
 		}
-	})
-}
-
-func markMissing(m map[core.VMID]member, id core.VMID) {
-	v, ok := m[id]
-	if !ok || !v.missing.IsZero() {
-		return
 	}
-	if v.vm.Leaving {
-		delete(m, id)
-		return
+	if changed {
+		close(r.changed)
+		r.changed = make(chan struct{})
 	}
-	v.missing = time.Now()
-	m[id] = v
 }
 
-func (r *Roster) update(change func(m map[core.VMID]member)) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	maps.DeleteFunc(r.vms, func(_ core.VMID, m member) bool {
-		return !m.missing.IsZero() && time.Since(m.missing) >= missingGrace
-	})
-	change(r.vms)
-	close(r.changed)
-	r.changed = make(chan struct{})
+// markMissing starts the grace of a VM whose entry is gone, or drops it once that is over. It reports
+// whether the list changed.
+func markMissing(m map[core.VMID]member, id core.VMID) bool {
+	v := m[id]
+	switch {
+	case v.vm.Leaving, !v.missing.IsZero() && time.Since(v.missing) >= missingGrace:
+		delete(m, id)
+		return true
+	case v.missing.IsZero():
+		v.missing = time.Now()
+		m[id] = v
+	}
+	return false
 }
 
 // Leave tells the others that this VM stops.
@@ -183,30 +191,54 @@
 	}
 }
 
-// Run keeps this VM's entry until ctx ends.
+// Run keeps this VM's entry and the list until ctx ends.
 func (r *Roster) Run(ctx context.Context) error {
 	lost := false
+	var renewAt, listAt time.Time
+	pause := listFirst
 	for ctx.Err() == nil {
-		err := r.keep(ctx)
+		now := time.Now()
+		var err error
+		if !now.Before(renewAt) || !r.isWritten() {
+			err = r.keep(ctx)
+			renewAt = now.Add(renewEvery)
+		}
+		if !now.Before(listAt) && err == nil {
+			err = r.list(ctx)
+			listAt = now.Add(pause)
+			pause = min(2*pause, listEvery)
+		}
 		if (err != nil) != lost && ctx.Err() == nil {
 			lost = err != nil
-			level.Info(r.cfg.Log).Log("Msg", "entry of this VM", "Kept", !lost, "Err", err)
+			level.Info(r.cfg.Log).Log("Msg", "list of VMs", "Kept", !lost, "Err", err)
 		}
-		pause := renewEvery
+		next := listAt
 		if err != nil {
-			pause = retryEvery
-		}
-		timer := time.NewTimer(pause + rand.N(pause/10))
-		select {
-		case <-ctx.Done():
-		case <-timer.C:
-		case <-r.wake:
+			next = now.Add(retryEvery)
+			renewAt, listAt = next, next
 		}
-		timer.Stop()
+		r.sleep(ctx, time.Until(next)+rand.N(retryEvery/10))
 	}
 	return nil
 }
 
+// sleep waits, at most until Leave is called.
+func (r *Roster) sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-r.wake:
+	}
+}
+
+func (r *Roster) isWritten() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.written
+}
+
 // keep writes the entry, or renews its lease if it is written.
 func (r *Roster) keep(ctx context.Context) error {
 	r.mu.Lock()
@@ -235,7 +267,7 @@
 		return err
 	}
 	r.mu.Lock()
-	r.lease, r.written = id, r.leaving == leaving
+	r.lease, r.written, r.writtenAt = id, r.leaving == leaving, time.Now()
 	r.mu.Unlock()
 	return nil
 }
--- a/core/watch.go
+++ b/core/watch.go
@@ -25,6 +25,8 @@
 	// List returns the entries with the prefix and a version from which WatchPrefix misses nothing.
 	// The entries are no snapshot: later changes may show in some of them.
 	List(ctx context.Context, prefix string) ([]Entry, Version, error)
+	// ListStale is List with entries that may be seconds old, which is cheaper.
+	ListStale(ctx context.Context, prefix string) ([]Entry, error)
 	// WatchPrefix waits up to the given time for changes after the version and returns them with the
 	// version to continue from. It returns ErrCompacted if the history is gone.
 	WatchPrefix(ctx context.Context, prefix string, after Version, wait time.Duration) ([]Event, Version, error)
