--- a/core/proxy/tx.go
+++ b/core/proxy/tx.go
@@ -72,7 +72,7 @@
 // readmit takes a slot for a further statement of the transaction.
 func (s *Session) readmit(ctx context.Context, w *work) *Reply {
 	return s.tx.held.admit(ctx, &queue.Item{
-		Kind: core.Kind(s.database), Rank: w.route.Rank, InTx: true, Deadline: w.startBy(),
+		Kind: core.Kind(s.database), Rank: w.route.Rank, InTx: true, Deadline: w.startBy,
 	})
 }
 
--- a/core/proxy/work.go
+++ b/core/proxy/work.go
@@ -45,6 +45,9 @@
 	seen     core.Instant
 	began    time.Time
 	deadline time.Time
+	// startBy is until when the statement may wait for a slot and a connection. Beyond about half of
+	// its time the caller is served better by trying another VM than by waiting here.
+	startBy time.Time
 	// tried are upstreams that failed the statement.
 	tried []*node
 	tries int
@@ -61,6 +64,7 @@
 		return nil, &Reply{Fault: core.FaultNoDatabase, Text: "no such database"}
 	}
 	w := &work{st: st, route: route, group: s.p.group(route.Group), began: began, deadline: began.Add(route.StatementTimeout)}
+	w.startBy = began.Add(time.Duration(startShare * float64(route.StatementTimeout)))
 	w.write = st.Verb == VerbWrite
 	if st.Verb == VerbExecute {
 		sh, ok := s.prepared[st.Name]
@@ -156,7 +160,7 @@
 		return false
 	}
 	now := time.Now()
-	if now.Add(pause).After(w.deadline.Add(-w.reserve())) {
+	if now.Add(pause).After(w.startBy) {
 		return false
 	}
 	s.p.metrics.retries.Inc(1)
@@ -174,12 +178,6 @@
 	return true
 }
 
-// startBy is until when the statement may wait for a slot and a connection. Beyond about half of its
-// time the caller is served better by trying another VM than by waiting here.
-func (w *work) startBy() time.Time {
-	return w.began.Add(time.Duration(startShare * float64(w.route.StatementTimeout)))
-}
-
 // reserve is the part of the statement's time that is kept for running it.
 func (w *work) reserve() time.Duration { return w.route.StatementTimeout / 8 }
 
@@ -202,8 +200,10 @@
 	case <-timer.C:
 		return false
 	case <-changed:
-		return true
 	}
+	// The statement waited for the group, not in a queue.
+	w.startBy = w.deadline.Add(-w.reserve())
+	return true
 }
 
 // held is a connection with a slot of its upstream's queue.
@@ -217,7 +217,7 @@
 
 // acquire takes a slot and then a connection.
 func (s *Session) acquire(ctx context.Context, w *work, n *node, opens bool) (*held, *Reply) {
-	return n.acquire(ctx, core.Kind(s.database), w.route.Rank, opens, w.startBy())
+	return n.acquire(ctx, core.Kind(s.database), w.route.Rank, opens, w.startBy)
 }
 
 // acquire takes a slot and then a connection, both until the deadline.
