--- a/cmds/entry.go
+++ b/cmds/entry.go
@@ -37,22 +37,23 @@
 }
 
 func runEntry(ctx context.Context, path string) error {
+	// Signals are handled before anything else: a SIGHUP that comes earlier would end the process.
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	hups := make(chan os.Signal, 1)
+	signal.Notify(hups, syscall.SIGHUP)
+	defer signal.Stop(hups)
 	s, err := conf.LoadEntry(path)
 	if err != nil {
 		return withCode(ExitInvalid, err)
 	}
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.Memory)))
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
-	defer stop()
 	out := logbuf.New(logbuf.Config{Out: os.Stdout})
 	logCtx, endLog := context.WithCancel(context.WithoutCancel(ctx))
 	ended := make(chan error, 1)
 	go func() { ended <- out.Run(logCtx) }()
 	logger := entryLogger(out, s)
-	hups := make(chan os.Signal, 1)
-	signal.Notify(hups, syscall.SIGHUP)
-	defer signal.Stop(hups)
 	reloads := make(chan struct{})
 	go func() {
 		defer close(reloads)
--- a/conf/entry.go
+++ b/conf/entry.go
@@ -38,6 +38,8 @@
 	Metrics string
 	// Relay takes statements that other entry VMs pass on.
 	Relay string
+	// Control takes control calls of other entry VMs.
+	Control string
 }
 
 // entryKey describes one key of an Entry.
@@ -59,6 +61,7 @@
 	{"Listen", "Ready", "", acceptsAddress, func(e *Entry, v string) bool { return setAddress(&e.Listen.Ready, v) }},
 	{"Listen", "Metrics", "", acceptsAddress, func(e *Entry, v string) bool { return setAddress(&e.Listen.Metrics, v) }},
 	{"Listen", "Relay", "", acceptsAddress, func(e *Entry, v string) bool { return setAddress(&e.Listen.Relay, v) }},
+	{"Listen", "Control", "", acceptsAddress, func(e *Entry, v string) bool { return setAddress(&e.Listen.Control, v) }},
 	{"Store", "Address", "", acceptsAddress, func(e *Entry, v string) bool { return setAddress(&e.Store, v) }},
 	{"Promotion", "Address", "", acceptsAddress, func(e *Entry, v string) bool { return setAddress(&e.Promotion, v) }},
 	{"Stop", "GraceSeconds", "6", acceptsSeconds, func(e *Entry, v string) bool {
--- a/conf/entry_test.go
+++ b/conf/entry_test.go
@@ -21,6 +21,7 @@
 Ready = 10.0.0.1:2
 Metrics = 10.0.0.1:3
 Relay = 10.0.0.1:4
+Control = 10.0.0.1:5
 [Store]
 Address = 10.0.0.2:1
 [Promotion]
--- /dev/null
+++ b/core/mirror/mirror_test.go
@@ -0,0 +1,200 @@
+package mirror
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"snipewall/core"
+)
+
+// fakeStore is a store with one key that changes.
+type fakeStore struct {
+	mu      sync.Mutex
+	version core.Version
+	news    chan struct{}
+	down    bool
+	calls   int
+}
+
+var errDown = errors.New("store is down")
+
+func (s *fakeStore) change() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	close(s.news)
+	s.news = make(chan struct{})
+}
+
+func (s *fakeStore) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+	close(s.news)
+	s.news = make(chan struct{})
+}
+
+func (s *fakeStore) List(context.Context, string) ([]core.Entry, core.Version, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return nil, s.version, nil
+}
+
+func (s *fakeStore) ListStale(context.Context, string) ([]core.Entry, error) { return nil, nil }
+
+func (s *fakeStore) WatchPrefix(ctx context.Context, prefix string, after core.Version, wait time.Duration) ([]core.Event, core.Version, error) {
+	s.mu.Lock()
+	s.calls++
+	s.mu.Unlock()
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		s.mu.Lock()
+		version, news, down := s.version, s.news, s.down
+		s.mu.Unlock()
+		if down {
+			return nil, 0, errDown
+		}
+		var events []core.Event
+		for v := after + 1; v <= version; v++ {
+			events = append(events, core.Event{Entry: core.Entry{Key: prefix, Version: v}})
+		}
+		if len(events) > 0 {
+			return events, version, nil
+		}
+		select {
+		case <-news:
+		case <-timer.C:
+			return nil, after, nil
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
+	}
+}
+
+// fleet is a number of VMs in one failure domain.
+type fleet struct {
+	store   *fakeStore
+	vms     []core.VM
+	mirrors map[string]*Mirror
+	// cut are VMs that don't answer calls.
+	cut sync.Map
+}
+
+func (f *fleet) Alive() []core.VM { return append([]core.VM(nil), f.vms...) }
+
+func (f *fleet) call(ctx context.Context, address, _ string, req, answer any) error {
+	if _, ok := f.cut.Load(address); ok {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return f.mirrors[address].Service().Watch(req.(*WatchRequest), answer.(*WatchAnswer))
+}
+
+func newFleet(n int) *fleet {
+	f := &fleet{store: &fakeStore{version: 5, news: make(chan struct{})}, mirrors: map[string]*Mirror{}}
+	for i := range n {
+		name := string(rune('a' + i))
+		f.vms = append(f.vms, core.VM{ID: core.VMID(name), FailureDomain: "here", Control: name})
+	}
+	for _, vm := range f.vms {
+		f.mirrors[vm.Control] = New(Config{Store: f.store, Members: f, Self: vm, Call: f.call})
+	}
+	return f
+}
+
+// follow watches on all VMs and reports each version that a VM learns of.
+func (f *fleet) follow(t *testing.T) *sync.Map {
+	t.Helper()
+	known := &sync.Map{}
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	for name, m := range f.mirrors {
+		wg.Go(func() {
+			at := core.Version(5)
+			for ctx.Err() == nil {
+				_, next, err := m.WatchPrefix(ctx, "p", at, 4*time.Second)
+				if err != nil {
+					time.Sleep(100 * time.Millisecond)
+					continue
+				}
+				at = next
+				known.Store(name, at)
+			}
+		})
+	}
+	t.Cleanup(func() {
+		cancel()
+		wg.Wait()
+	})
+	return known
+}
+
+func (f *fleet) behind(known *sync.Map, want core.Version) int {
+	n := 0
+	for name := range f.mirrors {
+		if v, ok := known.Load(name); !ok || v.(core.Version) < want {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against calls to the store that grow with the VMs, and against changes that don't reach all
+// of them at once.
+func TestSharedWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(12)
+		known := f.follow(t)
+		time.Sleep(10 * time.Second)
+		f.store.mu.Lock()
+		f.store.calls = 0
+		f.store.mu.Unlock()
+		f.store.change()
+		time.Sleep(100 * time.Millisecond)
+		assert.Equal(t, f.behind(known, 6), 0)
+		time.Sleep(40 * time.Second)
+		f.store.mu.Lock()
+		defer f.store.mu.Unlock()
+		assert.Assert(t, f.store.calls <= 2*13, "%d calls in 40 s", f.store.calls)
+	})
+}
+
+// Guards against VMs that hear nothing while the watchers don't answer: a change must be known in less
+// than 5 s.
+func TestWatchersCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(6)
+		known := f.follow(t)
+		time.Sleep(10 * time.Second)
+		for _, vm := range f.vms {
+			if _, asks := f.mirrors[vm.Control].watcher(); !asks {
+				f.cut.Store(vm.Control, true)
+			}
+		}
+		f.store.change()
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, f.behind(known, 6), 0)
+	})
+}
+
+// Guards against mirrors that lost the store and keep other VMs waiting that could reach it.
+func TestMirrorLosesStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(6)
+		known := f.follow(t)
+		time.Sleep(10 * time.Second)
+		f.store.setDown(true)
+		time.Sleep(20 * time.Second)
+		f.store.setDown(false)
+		f.store.change()
+		time.Sleep(time.Second)
+		assert.Equal(t, f.behind(known, 6), 0)
+	})
+}
