--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 GOBIN_DIR := $(shell $(GO) env GOPATH)/bin
 LINT := $(GOBIN_DIR)/golangci-lint
 
-.PHONY: help build fmt lint tools test up down demo bench overhead reads surge slopes matrix
+.PHONY: help build fmt lint tools test up down demo bench overhead reads surge slopes matrix soak
 
 help: ## Lists the targets.
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/'
@@ -56,3 +56,9 @@
 
 matrix: ## Runs the fault matrix, one line for each cell.
 	$(GO) test -count=1 -v ./matrix | grep -vE '^ *(---|===)'
+
+SEED ?= 0
+FOR ?= 1m
+
+soak: ## Injects faults into real processes for a time (SEED=n FOR=2m; SEED=0 draws one).
+	$(GO) test -count=1 -v -timeout 1h ./platform -run 'TestSoak$$' -soak.seed $(SEED) -soak.for $(FOR) | grep -v '"Msg"'
--- a/core/proxy/fake_test.go
+++ b/core/proxy/fake_test.go
@@ -183,6 +183,8 @@
 	alive     []core.VM
 	guards    bool
 	dials     int
+	// owner answers for an upstream's owner; nil means that none answers.
+	owner func(id core.UpstreamID) (core.LineConn, error)
 }
 
 const (
@@ -196,7 +198,7 @@
 	return topo.Route{Database: database, Group: "g", Reads: reads, MaxAge: maxAge, StatementTimeout: 800 * time.Millisecond}
 }
 
-func newRig(t *testing.T) *rig {
+func newRig(t *testing.T, others ...core.VM) *rig {
 	t.Helper()
 	r := &rig{t: t, servers: map[core.UpstreamID]*server{}, dir: topo.NewDirectory(), start: time.Now()}
 	r.dir.Apply(topo.Config{
@@ -223,9 +225,9 @@
 		r.dir.Put(u)
 	}
 	self := core.VM{ID: "vm-1", FailureDomain: "here", Region: "home"}
-	r.alive = []core.VM{self}
+	r.alive = append(others, self)
 	r.proxy = New(Config{
-		Directory: r.dir, Dialer: r, Self: self, Members: r,
+		Directory: r.dir, Dialer: r, Self: self, Members: r, DialOwner: r.dialOwner,
 		Regions: map[core.FailureDomain]core.Region{"here": "home", "there": "away"},
 		Log:     log.NewNopLogger(),
 		Now:     func() core.Instant { return core.Instant(time.Since(r.start) + r.suspended + time.Hour) },
@@ -244,6 +246,15 @@
 func (r *rig) Alive() []core.VM         { return r.alive }
 func (r *rig) Changed() <-chan struct{} { return nil }
 
+// dialOwner reaches an upstream's owner. One that doesn't answer takes all of the dial's time.
+func (r *rig) dialOwner(ctx context.Context, _ core.VM, id core.UpstreamID) (core.LineConn, error) {
+	if r.owner == nil {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return r.owner(id)
+}
+
 // Dial implements core.LineDialer.
 func (r *rig) Dial(_ context.Context, u core.UpstreamInfo) (core.LineConn, error) {
 	s := r.servers[u.ID]
--- a/core/proxy/load_test.go
+++ b/core/proxy/load_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -143,3 +144,46 @@
 	}
 	assert.Equal(t, len(owners), 1, "one VM owns the upstream: %v", owners)
 }
+
+// manyVMs are more than the connections suffice for; none of them is the rig's own.
+func manyVMs() []core.VM {
+	var out []core.VM
+	for i := range 40 {
+		out = append(out, core.VM{ID: core.VMID(fmt.Sprintf("other-%02d", i)), FailureDomain: "here", Relay: "x"})
+	}
+	return out
+}
+
+// Guards against statements that wait for an owner which is paused or gone, and against VMs that all
+// turn to the upstream itself then.
+func TestOwnerIsGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, manyVMs()...)
+		began := time.Now()
+		r.must(r.proxy.Open("own"), VerbWrite, "WRITE 1")
+		assert.Assert(t, time.Since(began) < 700*time.Millisecond, "took %v", time.Since(began))
+		began = time.Now()
+		r.must(r.proxy.Open("own"), VerbWrite, "WRITE 2")
+		assert.Assert(t, time.Since(began) < 50*time.Millisecond, "the owner is passed over for a while")
+		r.surge("strict", 5*time.Millisecond, time.Second)
+		assert.Assert(t, r.dials <= 3*detourConns, "%d direct connections", r.dials)
+	})
+}
+
+// Guards against direct connections that are kept after the owner is back.
+func TestOwnerIsBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, manyVMs()...)
+		r.must(r.proxy.Open("own"), VerbWrite, "WRITE 1")
+		asked := 0
+		r.owner = func(id core.UpstreamID) (core.LineConn, error) {
+			asked++
+			return &link{s: r.servers[id], status: core.TxIdle, values: map[string]string{}, prepared: map[string]string{}, guards: true}, nil
+		}
+		time.Sleep(suspectTime)
+		direct := r.dials
+		r.must(r.proxy.Open("own"), VerbWrite, "WRITE 2")
+		assert.Equal(t, asked, 1)
+		assert.Equal(t, r.dials, direct)
+	})
+}
--- a/core/proxy/node.go
+++ b/core/proxy/node.go
@@ -25,8 +25,9 @@
 	hopConns = 32
 	// hopIdle is how long an unused connection to an owner is kept.
 	hopIdle = 20 * time.Second
-	// hopDialTime limits one dial of an owner: a multiple of the longest round trip.
-	hopDialTime = 250 * time.Millisecond
+	// hopDialTime limits one dial of an owner: three times the round trips between regions that it
+	// takes. Two owners that don't answer must leave time to reach the upstream itself.
+	hopDialTime = 150 * time.Millisecond
 	// detourConns limits the direct connections of a VM that reaches no owner of an upstream: many VMs
 	// may be in that place at the same time.
 	detourConns = 2
