--- a/core/proxy/fake_test.go
+++ b/core/proxy/fake_test.go
@@ -225,7 +225,7 @@
 		r.dir.Put(u)
 	}
 	self := core.VM{ID: "vm-1", FailureDomain: "here", Region: "home"}
-	r.alive = append(others, self)
+	r.alive = append([]core.VM{self}, others...)
 	r.proxy = New(Config{
 		Directory: r.dir, Dialer: r, Self: self, Members: r, DialOwner: r.dialOwner,
 		Regions: map[core.FailureDomain]core.Region{"here": "home", "there": "away"},
