--- a/cmds/settings.go
+++ b/cmds/settings.go
@@ -23,13 +23,25 @@
 				Name:      "check",
 				Usage:     "check settings files without starting anything",
 				ArgsUsage: "FILE...",
-				Action:    func(_ context.Context, cmd *cli.Command) error { return checkSettings(d, cmd.Args().Slice()) },
+				Flags:     []cli.Flag{entryFlag()},
+				Action: func(_ context.Context, cmd *cli.Command) error {
+					check := checkServe
+					if cmd.Bool("entry") {
+						check = checkEntry
+					}
+					return checkSettings(d, cmd.Args().Slice(), check)
+				},
 			},
 			{
 				Name:  "reference",
 				Usage: "print all keys with their defaults",
-				Action: func(context.Context, *cli.Command) error {
-					_, err := fmt.Fprint(d.out, conf.Reference())
+				Flags: []cli.Flag{entryFlag()},
+				Action: func(_ context.Context, cmd *cli.Command) error {
+					text := conf.Reference()
+					if cmd.Bool("entry") {
+						text = conf.EntryReference()
+					}
+					_, err := fmt.Fprint(d.out, text)
 					return err
 				},
 			},
@@ -37,16 +49,38 @@
 	}
 }
 
-func checkSettings(d *deps, files []string) error {
+// entryFlag chooses the settings of an entry VM on a hosting platform.
+func entryFlag() cli.Flag {
+	return &cli.BoolFlag{Name: "entry", Usage: "settings of `snipewall entry` instead of `snipewall serve`"}
+}
+
+// checkSettings checks each file and prints what is in it.
+func checkSettings(d *deps, files []string, check func(file string) (string, error)) error {
 	if len(files) == 0 {
 		return withCode(ExitInvalid, fmt.Errorf("settings check: name at least one FILE"))
 	}
 	for _, file := range files {
-		s, err := conf.Load(file)
+		summary, err := check(file)
 		if err != nil {
 			return withCode(ExitInvalid, err)
 		}
-		fmt.Fprintf(d.out, "%s: valid, entry VM %s, %d upstreams\n", file, s.VM.ID, len(s.Upstreams))
+		fmt.Fprintf(d.out, "%s: valid, %s\n", file, summary)
 	}
 	return nil
 }
+
+func checkServe(file string) (string, error) {
+	s, err := conf.Load(file)
+	if err != nil {
+		return "", err
+	}
+	return fmt.Sprintf("entry VM %s, %d upstreams", s.VM.ID, len(s.Upstreams)), nil
+}
+
+func checkEntry(file string) (string, error) {
+	e, err := conf.LoadEntry(file)
+	if err != nil {
+		return "", err
+	}
+	return fmt.Sprintf("entry VM %s, %d failure domains", e.VM.ID, len(e.Regions)), nil
+}
--- a/conf/entry.go
+++ b/conf/entry.go
@@ -2,9 +2,11 @@
 
 import (
 	"errors"
+	"fmt"
 	"os"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"gopkg.in/ini.v1"
@@ -42,10 +44,10 @@
 	Control string
 }
 
-// entryKey describes one key of an Entry.
+// entryKey describes one key of an Entry. Keys without an initial value are required.
 type entryKey struct {
-	section, name, initial, accepts string
-	set                             func(e *Entry, value string) bool
+	section, name, initial, accepts, doc string
+	set                                  func(e *Entry, value string) bool
 }
 
 const (
@@ -54,27 +56,27 @@
 )
 
 var entryKeys = []entryKey{
-	{"VM", "ID", "", acceptsName, func(e *Entry, v string) bool { return setName((*string)(&e.VM.ID), v) }},
-	{"VM", "FailureDomain", "", acceptsName, func(e *Entry, v string) bool { return setName((*string)(&e.VM.FailureDomain), v) }},
-	{"VM", "Region", "", acceptsName, func(e *Entry, v string) bool { return setName((*string)(&e.VM.Region), v) }},
-	{"Listen", "Callers", "", acceptsAddress, func(e *Entry, v string) bool { return setAddress(&e.Listen.Callers, v) }},
-	{"Listen", "Ready", "", acceptsAddress, func(e *Entry, v string) bool { return setAddress(&e.Listen.Ready, v) }},
-	{"Listen", "Metrics", "", acceptsAddress, func(e *Entry, v string) bool { return setAddress(&e.Listen.Metrics, v) }},
-	{"Listen", "Relay", "", acceptsAddress, func(e *Entry, v string) bool { return setAddress(&e.Listen.Relay, v) }},
-	{"Listen", "Control", "", acceptsAddress, func(e *Entry, v string) bool { return setAddress(&e.Listen.Control, v) }},
-	{"Store", "Address", "", acceptsAddress, func(e *Entry, v string) bool { return setAddress(&e.Store, v) }},
-	{"Promotion", "Address", "", acceptsAddress, func(e *Entry, v string) bool { return setAddress(&e.Promotion, v) }},
-	{"Stop", "GraceSeconds", "6", acceptsSeconds, func(e *Entry, v string) bool {
+	{"VM", "ID", "", acceptsName, "Name of this entry VM, unique in the deployment.", func(e *Entry, v string) bool { return setName((*string)(&e.VM.ID), v) }},
+	{"VM", "FailureDomain", "", acceptsName, "Failure domain of this entry VM.", func(e *Entry, v string) bool { return setName((*string)(&e.VM.FailureDomain), v) }},
+	{"VM", "Region", "", acceptsName, "Region of the failure domain.", func(e *Entry, v string) bool { return setName((*string)(&e.VM.Region), v) }},
+	{"Listen", "Callers", "", acceptsAddress, "Address for callers, line protocol.", func(e *Entry, v string) bool { return setAddress(&e.Listen.Callers, v) }},
+	{"Listen", "Ready", "", acceptsAddress, "Address for the load balancer's probe, HTTP.", func(e *Entry, v string) bool { return setAddress(&e.Listen.Ready, v) }},
+	{"Listen", "Metrics", "", acceptsAddress, "Address for metrics and state dumps, HTTP.", func(e *Entry, v string) bool { return setAddress(&e.Listen.Metrics, v) }},
+	{"Listen", "Relay", "", acceptsAddress, "Address for statements that other entry VMs pass on.", func(e *Entry, v string) bool { return setAddress(&e.Listen.Relay, v) }},
+	{"Listen", "Control", "", acceptsAddress, "Address for control calls of other entry VMs.", func(e *Entry, v string) bool { return setAddress(&e.Listen.Control, v) }},
+	{"Store", "Address", "", acceptsAddress, "Address of the platform's metadata store.", func(e *Entry, v string) bool { return setAddress(&e.Store, v) }},
+	{"Promotion", "Address", "", acceptsAddress, "Address of the platform's promotion call.", func(e *Entry, v string) bool { return setAddress(&e.Promotion, v) }},
+	{"Stop", "GraceSeconds", "6", acceptsSeconds, "Time between SIGTERM and SIGKILL.", func(e *Entry, v string) bool {
 		n, err := strconv.ParseFloat(v, 64)
 		e.Grace = time.Duration(n * float64(time.Second))
 		return err == nil && n > 0
 	}},
-	{"Limits", "MemoryMegabytes", "256", acceptsMegabytes, func(e *Entry, v string) bool {
+	{"Limits", "MemoryMegabytes", "256", acceptsMegabytes, "Memory limit of the process.", func(e *Entry, v string) bool {
 		n, err := strconv.ParseFloat(v, 64)
 		e.Memory = int64(n * (1 << 20))
 		return err == nil && n > 0
 	}},
-	{"Log", "Level", "info", acceptsLevel, func(e *Entry, v string) bool {
+	{"Log", "Level", "info", acceptsLevel, "Lowest level that is logged.", func(e *Entry, v string) bool {
 		e.Log.Level = v
 		return slices.Contains([]string{"debug", "info", "warn", "error"}, v)
 	}},
@@ -83,6 +85,21 @@
 // regionsSection lists the failure domains with their regions.
 const regionsSection = "Regions"
 
+// EntryReference returns the documentation of all keys with their defaults, as an INI file.
+func EntryReference() string {
+	var b strings.Builder
+	section := ""
+	for _, k := range entryKeys {
+		if k.section != section {
+			section = k.section
+			fmt.Fprintf(&b, "[%s]\n", section)
+		}
+		writeKey(&b, k.doc, k.accepts, k.name, k.initial, k.initial == "")
+	}
+	fmt.Fprintf(&b, "[%s]\n# Region of each failure domain, one a line.\n# DOMAIN = REGION\n", regionsSection)
+	return b.String()
+}
+
 // LoadEntry reads and checks the file. The error joins all problems found.
 func LoadEntry(path string) (*Entry, error) {
 	data, err := os.ReadFile(path)
--- a/conf/entry_test.go
+++ b/conf/entry_test.go
@@ -64,3 +64,21 @@
 		}
 	}
 }
+
+// Guards against a reference that can't be used as settings once the required keys are filled in.
+func TestEntryReferenceIsValid(t *testing.T) {
+	text := EntryReference()
+	for _, k := range entryKeys {
+		assert.Assert(t, strings.Contains(text, k.doc), k.name)
+		if k.initial != "" {
+			continue
+		}
+		value := "10.0.0.1:1"
+		if k.accepts == acceptsName {
+			value = "name"
+		}
+		text = strings.Replace(text, "# "+k.name+" =", k.name+" = "+value, 1)
+	}
+	_, err := ParseEntry("reference", []byte(text))
+	assert.NilError(t, err)
+}
