--- a/core/proxy/node.go
+++ b/core/proxy/node.go
@@ -38,6 +38,10 @@
 	connIdle = 500 * time.Millisecond
 	// dialTime limits one dial. It is a multiple of the longest handshake and round trip.
 	dialTime = time.Second
+	// minDialBackoff and maxDialBackoff limit the time between dials after failures. The longest one
+	// stays below the time in which a statement has to start.
+	minDialBackoff = 20 * time.Millisecond
+	maxDialBackoff = 300 * time.Millisecond
 	// checkAfter is the idle time after which a connection is checked before its next use.
 	checkAfter = 20 * time.Millisecond
 	// lagMemory is how long a replica that lacked a position is avoided.
@@ -98,7 +102,7 @@
 	n.pool = pool.New(pool.Config[*conn]{
 		Limit: conns, Dial: n.dial, Close: n.closeConn,
 		AtLimit: atLimit, OnDialError: n.dialFailed, DialTime: dialTime, IdleTime: idle,
-		MinBackoff: 20 * time.Millisecond, MaxBackoff: 300 * time.Millisecond,
+		MinBackoff: minDialBackoff, MaxBackoff: maxDialBackoff,
 	})
 	ctx, n.cancel = context.WithCancel(ctx)
 	p.spawn(func() { _ = n.pool.Run(ctx) })
--- a/core/proxy/relay.go
+++ b/core/proxy/relay.go
@@ -58,7 +58,7 @@
 }
 
 // Close rolls back what is open.
-func (r *Relay) Close(context.Context) { r.rollback() }
+func (r *Relay) Close() { r.rollback() }
 
 // Pause gives back the slot of a transaction whose next statement hasn't arrived.
 func (r *Relay) Pause() {
--- a/core/proxy/session.go
+++ b/core/proxy/session.go
@@ -127,19 +127,19 @@
 }
 
 // Abort rolls an open transaction back. Its next statement learns that it was aborted.
-func (s *Session) Abort(ctx context.Context, reason string) {
+func (s *Session) Abort(reason string) {
 	if s.tx == nil || s.tx.failed {
 		return
 	}
 	s.p.metrics.aborts.Inc(1)
 	s.p.logDecision("transaction aborted", "Database", s.database, "Reason", reason)
-	s.rollback(ctx)
+	s.rollback()
 	s.tx.failed, s.tx.aborted = true, reason
 }
 
 // Close ends the session and rolls an open transaction back.
-func (s *Session) Close(ctx context.Context) {
-	s.rollback(ctx)
+func (s *Session) Close() {
+	s.rollback()
 	s.tx = nil
 }
 
@@ -161,7 +161,7 @@
 
 func (s *Session) dispatch(ctx context.Context, st *Statement, began time.Time) Reply {
 	if st.Verb == VerbRollback {
-		s.rollback(ctx)
+		s.rollback()
 		s.tx = nil
 		return Reply{}
 	}
@@ -170,7 +170,7 @@
 	}
 	switch st.Verb {
 	case VerbBegin, VerbBeginRead:
-		return s.begin(st, began)
+		return s.begin(st)
 	case VerbSet:
 		s.set(st.Name, st.Arg)
 		return Reply{}
@@ -212,11 +212,11 @@
 	return Reply{Fault: core.FaultMalformed, Text: "the transaction has failed"}
 }
 
-func (s *Session) begin(st *Statement, began time.Time) Reply {
+func (s *Session) begin(st *Statement) Reply {
 	if s.tx != nil {
 		return Reply{Fault: core.FaultMalformed, Text: "a transaction is open"}
 	}
-	s.tx = &tx{readOnly: st.Verb == VerbBeginRead, began: began}
+	s.tx = &tx{readOnly: st.Verb == VerbBeginRead}
 	return Reply{}
 }
 
--- a/core/proxy/session_test.go
+++ b/core/proxy/session_test.go
@@ -202,7 +202,7 @@
 		assert.Equal(t, s.TxIdle(), time.Duration(0), "nothing is held yet")
 		r.must(s, VerbWrite, "WRITE 1")
 		assert.Equal(t, s.TxIdle(), time.Second)
-		s.Abort(t.Context(), "idle")
+		s.Abort("idle")
 		assert.Assert(t, !s.Busy())
 		assert.Equal(t, r.do(s, VerbWrite, "WRITE 2").Fault, core.FaultAborted)
 		assert.Equal(t, r.do(s, VerbCommit, "COMMIT").Fault, core.FaultAborted)
@@ -306,3 +306,18 @@
 
 // failAfterSilence is less than the time in which a silent primary is replaced.
 const failAfterSilence = 500 * time.Millisecond
+
+// Guards against a session that stays in a failed transaction after its COMMIT was refused: callers
+// close a session that an operation leaves outside of the idle state.
+func TestRefusedCommitEndsTransaction(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		s := r.proxy.Open("own")
+		r.must(s, VerbBegin, "BEGIN")
+		r.must(s, VerbWrite, "WRITE 1")
+		r.servers[primaryID].set(func(s *server) { s.busy = 1000 })
+		reply := r.do(s, VerbCommit, "COMMIT")
+		assert.Equal(t, reply.Fault, core.FaultBusy)
+		assert.Equal(t, reply.Status, core.TxIdle)
+		assert.DeepEqual(t, r.texts(primaryID), []string{"WRITE 1"})
+	})
+}
--- a/core/proxy/tx.go
+++ b/core/proxy/tx.go
@@ -11,7 +11,6 @@
 // tx is a caller's transaction. It holds an upstream connection from its first statement on.
 type tx struct {
 	readOnly bool
-	began    time.Time
 	failed   bool
 	// aborted is the reason to report to the next statement.
 	aborted string
@@ -20,30 +19,26 @@
 }
 
 // rollback ends the transaction's part on the upstream.
-func (s *Session) rollback(_ context.Context) {
+func (s *Session) rollback() {
 	if s.tx == nil || s.tx.held == nil {
 		return
 	}
 	h := s.tx.held
 	s.tx.held = nil
-	if _, err := h.setUp([]core.Command{{Op: core.OpRollback}}, time.Now().Add(endTime)); err != nil {
-		h.drop()
-		return
-	}
-	h.free(false)
+	h.recycle(core.TxOpen)
 }
 
 // runTx runs a statement of the open transaction.
 func (s *Session) runTx(ctx context.Context, w *work) Reply {
 	if w.write && s.tx.readOnly {
-		return s.failTx(ctx, Reply{Fault: core.FaultReadOnly, Text: "the transaction is read-only"})
+		return s.failTx(w, Reply{Fault: core.FaultReadOnly, Text: "the transaction is read-only"})
 	}
 	if s.tx.held == nil {
 		if r := s.bind(ctx, w); r != nil {
-			return s.failTx(ctx, *r)
+			return s.failTx(w, *r)
 		}
 	} else if r := s.readmit(ctx, w); r != nil {
-		return s.failTx(ctx, *r)
+		return s.failTx(w, *r)
 	}
 	for {
 		reply, retry := s.statement(w)
@@ -52,7 +47,7 @@
 				s.tx.held.releaseSlot(reply.Fault == core.FaultNone)
 			}
 			if reply.Fault != core.FaultNone {
-				return s.failTx(ctx, reply)
+				return s.failTx(w, reply)
 			}
 			return reply
 		}
@@ -60,11 +55,15 @@
 }
 
 // failTx rolls the transaction back and marks it as failed. A failed COMMIT ends it.
-func (s *Session) failTx(ctx context.Context, r Reply) Reply {
+func (s *Session) failTx(w *work, r Reply) Reply {
 	if s.tx == nil {
 		return r
 	}
-	s.rollback(ctx)
+	s.rollback()
+	if w.st.Verb == VerbCommit {
+		s.tx = nil
+		return r
+	}
 	s.tx.failed = true
 	return r
 }
@@ -206,7 +205,7 @@
 	if w.st.Verb != VerbCommit {
 		return reply
 	}
-	s.rollback(context.Background())
+	s.rollback()
 	s.tx = nil
 	return reply
 }
--- a/io/hop/hop_test.go
+++ b/io/hop/hop_test.go
@@ -38,7 +38,7 @@
 	e.pauses++
 }
 
-func (e *echo) Close(context.Context) { close(e.closed) }
+func (e *echo) Close() { close(e.closed) }
 
 func newPair(t *testing.T, e *echo) (*Server, *Conn) {
 	t.Helper()
--- a/io/hop/server.go
+++ b/io/hop/server.go
@@ -36,7 +36,7 @@
 	// Pause tells that no further command has arrived yet.
 	Pause()
 	// Close rolls back what is open.
-	Close(ctx context.Context)
+	Close()
 }
 
 // ServerConfig configures a Server.
@@ -173,7 +173,7 @@
 		p.write(welcome{Fault: core.FaultBusy})
 		return
 	}
-	defer relay.Close(ctx)
+	defer relay.Close()
 	if !p.write(welcome{Position: at}) {
 		return
 	}
