Lend connections between VMs while an upstream accepts no more

Cause: after all VMs lost power, the connections of before count against an upstream's limit for 3 s. Ruled out: slots (idle), the configuration (known 0.1 s after the start); closing surplus idle connections after 100 ms left 11 to 19 at each primary before the loss, and changed little. Change: a VM whose dial was refused sends its statements through a VM that has connections. Statements of other VMs only use direct connections, so that none is passed around.

--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -90,6 +90,14 @@
 	return p.takeIdle()
 }
 
+// IsRefused reports whether the other side refused the last dial because of its connection limit, and
+// the time to dial again hasn't come.
+func (p *Pool[T]) IsRefused() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.dialErr != nil && p.cfg.AtLimit != nil && p.cfg.AtLimit(p.dialErr) && time.Now().Before(p.retryAt)
+}
+
 // takeIdle takes the connection that was used last. The caller holds mu.
 func (p *Pool[T]) takeIdle() (*Handle[T], bool) {
 	n := len(p.idle)
--- a/core/proxy/cluster.go
+++ b/core/proxy/cluster.go
@@ -110,7 +110,7 @@
 
 // ask waits for a pooled connection and asks on it.
 func (n *node) ask(ctx context.Context, deadline time.Time) (lead.Standing, error) {
-	handle, err := n.get(ctx, deadline)
+	handle, err := n.getOrBorrow(ctx, deadline)
 	if err != nil {
 		return lead.Standing{}, err
 	}
--- a/core/proxy/fake_test.go
+++ b/core/proxy/fake_test.go
@@ -183,6 +183,8 @@
 	alive     []core.VM
 	guards    bool
 	dials     int
+	// full makes the upstreams refuse new connections.
+	full bool
 	// owner answers for an upstream's owner; nil means that none answers.
 	owner func(id core.UpstreamID) (core.LineConn, error)
 }
@@ -255,11 +257,19 @@
 	return r.owner(id)
 }
 
+// relayLink connects to the upstream as its owner would.
+func (r *rig) relayLink(id core.UpstreamID) (core.LineConn, error) {
+	return &link{s: r.servers[id], status: core.TxIdle, values: map[string]string{}, prepared: map[string]string{}, guards: true}, nil
+}
+
 // Dial implements core.LineDialer.
 func (r *rig) Dial(_ context.Context, u core.UpstreamInfo) (core.LineConn, error) {
 	s := r.servers[u.ID]
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if r.full {
+		return nil, &core.RefusedError{Upstream: u.ID, Message: "OVERLOAD"}
+	}
 	s.conns++
 	r.dials++
 	return &link{s: s, n: s.conns, status: core.TxIdle, values: map[string]string{}, prepared: map[string]string{}, guards: r.guards}, nil
--- a/core/proxy/load_test.go
+++ b/core/proxy/load_test.go
@@ -178,7 +178,7 @@
 		asked := 0
 		r.owner = func(id core.UpstreamID) (core.LineConn, error) {
 			asked++
-			return &link{s: r.servers[id], status: core.TxIdle, values: map[string]string{}, prepared: map[string]string{}, guards: true}, nil
+			return r.relayLink(id)
 		}
 		time.Sleep(suspectTime)
 		direct := r.dials
@@ -187,3 +187,49 @@
 		assert.Equal(t, r.dials, direct)
 	})
 }
+
+// otherVMs are few enough for direct connections.
+func otherVMs() []core.VM {
+	return []core.VM{
+		{ID: "vm-2", FailureDomain: "here", Region: "home", Relay: "x"},
+		{ID: "vm-3", FailureDomain: "there", Region: "away", Relay: "x"},
+	}
+}
+
+// Guards against a VM without connections that refuses its callers while others have idle ones: after
+// all VMs lost power, the connections of before count against an upstream's limit for 3 s, and the VMs
+// that dial first take what is left.
+func TestConnectionsAreLent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, otherVMs()...)
+		r.full, r.owner = true, r.relayLink
+		ends := r.surge("strict", 10*time.Millisecond, time.Second)
+		assert.Equal(t, ends[core.FaultNone], 100, "%v", ends)
+		r.full = false
+		time.Sleep(connIdle + maxDialBackoff)
+		r.surge("strict", 10*time.Millisecond, time.Second)
+		assert.Assert(t, r.dials > 0, "the VM dials again once it may")
+	})
+}
+
+// Guards against statements of another VM that are passed on: VMs that all lack connections would send
+// them around until their deadline.
+func TestLentStatementsStay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, otherVMs()...)
+		asked := 0
+		r.full = true
+		r.owner = func(id core.UpstreamID) (core.LineConn, error) {
+			asked++
+			return r.relayLink(id)
+		}
+		relay, _, ok := r.proxy.OpenRelay(primaryID)
+		assert.Assert(t, ok)
+		read := core.Command{Op: core.OpCaller, ID: "q", Text: "READ 1", Kind: "strict"}
+		ans := relay.Execute(t.Context(), read, time.Now().Add(300*time.Millisecond))
+		assert.Equal(t, ans.Fault, core.FaultOverload)
+		assert.Equal(t, asked, 0)
+		_, _, ok = r.proxy.OpenRelay(primaryID)
+		assert.Assert(t, !ok, "a VM without connections lends none")
+	})
+}
--- a/core/proxy/node.go
+++ b/core/proxy/node.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"snipewall/core"
+	"snipewall/core/place"
 	"snipewall/core/pool"
 	"snipewall/core/queue"
 	"snipewall/core/topo"
@@ -64,8 +65,13 @@
 	queue *queue.Queue
 	pool  *pool.Pool[*conn]
 	path  path
+	// lent holds connections through other VMs, for times in which the upstream accepts no more of
+	// this one. It is created with its first use.
+	lent     *pool.Pool[*conn]
+	lentOnce sync.Once
 	// limit is the number of statements that the upstream gets at once.
 	limit  int
+	ctx    context.Context
 	cancel context.CancelFunc
 
 	// detours counts the connections to the upstream itself.
@@ -104,9 +110,9 @@
 		AtLimit: atLimit, OnDialError: n.dialFailed, DialTime: dialTime, IdleTime: idle,
 		MinBackoff: minDialBackoff, MaxBackoff: maxDialBackoff,
 	})
-	ctx, n.cancel = context.WithCancel(ctx)
-	p.spawn(func() { _ = n.pool.Run(ctx) })
-	p.spawn(func() { _ = n.queue.Run(ctx) })
+	n.ctx, n.cancel = context.WithCancel(ctx)
+	p.spawn(func() { _ = n.pool.Run(n.ctx) })
+	p.spawn(func() { _ = n.queue.Run(n.ctx) })
 	return n
 }
 
@@ -136,33 +142,44 @@
 // connect dials the upstream's owner, or the upstream itself if this VM owns it or no owner answers.
 func (n *node) connect(ctx context.Context) (*conn, error) {
 	u := n.info.Load()
-	for _, owner := range n.path.owners {
+	if len(n.path.owners) > 0 {
+		if c, ok := n.dialOwners(ctx, n.path.owners); ok {
+			return c, nil
+		}
+		if n.detours.Load() >= detourConns {
+			return nil, &core.RefusedError{Upstream: u.ID, Message: "no owner answers"}
+		}
+	}
+	n.p.metrics.dials.Inc(1)
+	lc, err := n.p.cfg.Dialer.Dial(ctx, u.UpstreamInfo)
+	if err != nil {
+		return nil, err
+	}
+	n.detours.Add(1)
+	return &conn{LineConn: lc}, nil
+}
+
+// dialOwners connects to the first of the VMs that answers.
+func (n *node) dialOwners(ctx context.Context, owners []core.VM) (*conn, bool) {
+	id := n.id()
+	for _, owner := range owners {
 		if n.p.suspects.has(owner.ID) {
 			continue
 		}
 		dialCtx, cancel := context.WithTimeout(ctx, hopDialTime)
-		lc, err := n.p.cfg.DialOwner(dialCtx, owner, u.ID)
+		lc, err := n.p.cfg.DialOwner(dialCtx, owner, id)
 		cancel()
 		if err == nil {
 			n.p.metrics.hopDials.Inc(1)
-			return &conn{LineConn: lc, owner: owner.ID}, nil
+			return &conn{LineConn: lc, owner: owner.ID}, true
 		}
-		n.p.logDecision("owner not reached", "Upstream", u.ID, "Owner", owner.ID, "Err", err)
-		// An owner that refuses is alive: it stops, or has just started and doesn't know the upstream.
+		n.p.logDecision("owner not reached", "Upstream", id, "Owner", owner.ID, "Err", err)
+		// An owner that refuses is alive: it stops, or has no connection to the upstream to give.
 		if !atLimit(err) {
 			n.p.suspects.add(owner.ID)
 		}
 	}
-	if len(n.path.owners) > 0 && n.detours.Load() >= detourConns {
-		return nil, &core.RefusedError{Upstream: u.ID, Message: "no owner answers"}
-	}
-	n.p.metrics.dials.Inc(1)
-	lc, err := n.p.cfg.Dialer.Dial(ctx, u.UpstreamInfo)
-	if err != nil {
-		return nil, err
-	}
-	n.detours.Add(1)
-	return &conn{LineConn: lc}, nil
+	return nil, false
 }
 
 // closeConn closes a connection.
@@ -183,12 +200,62 @@
 
 // get takes a connection that is open, waiting at most until the deadline.
 func (n *node) get(ctx context.Context, deadline time.Time) (*pool.Handle[*conn], error) {
+	return n.getFrom(ctx, n.pool, deadline)
+}
+
+// getOrBorrow is get, but goes through another VM while the upstream accepts no more connections of
+// this one. A VM must not use it for statements of others, which would be passed around.
+func (n *node) getOrBorrow(ctx context.Context, deadline time.Time) (*pool.Handle[*conn], error) {
+	if h, ok := n.tryGet(); ok {
+		return h, nil
+	}
+	if len(n.path.owners) > 0 || !n.pool.IsRefused() {
+		h, err := n.get(ctx, deadline)
+		if err == nil || len(n.path.owners) > 0 || !atLimit(err) {
+			return h, err
+		}
+	}
+	h, err := n.borrow(ctx, deadline)
+	if err == nil {
+		return h, nil
+	}
+	return n.get(ctx, deadline)
+}
+
+// borrow takes a connection through another VM.
+func (n *node) borrow(ctx context.Context, deadline time.Time) (*pool.Handle[*conn], error) {
+	n.lentOnce.Do(func() {
+		n.lent = pool.New(pool.Config[*conn]{
+			Limit: hopConns, Dial: n.dialLender, Close: n.closeConn, AtLimit: atLimit,
+			DialTime: ownerCount * hopDialTime, IdleTime: connIdle, MinBackoff: minDialBackoff, MaxBackoff: maxDialBackoff,
+		})
+		n.p.spawn(func() { _ = n.lent.Run(n.ctx) })
+	})
+	return n.getFrom(ctx, n.lent, deadline)
+}
+
+// dialLender connects to a VM that may have connections to the upstream to spare.
+func (n *node) dialLender(ctx context.Context) (*conn, error) {
+	u := n.info.Load()
+	owners := place.Owners(u.UpstreamInfo, n.p.cfg.Members.Alive(), ownerCount+1)
+	owners = slices.DeleteFunc(owners, func(vm core.VM) bool { return vm.ID == n.p.cfg.Self.ID || vm.Relay == "" })
+	c, ok := n.dialOwners(ctx, owners)
+	if !ok {
+		return nil, &core.RefusedError{Upstream: u.ID, Message: "no VM lends a connection"}
+	}
+	n.notePosition(c.Hello())
+	c.used = time.Now()
+	return c, nil
+}
+
+// getFrom takes a connection of the pool that is open.
+func (n *node) getFrom(ctx context.Context, p *pool.Pool[*conn], deadline time.Time) (*pool.Handle[*conn], error) {
 	for {
-		if h, ok := n.tryGet(); ok {
+		if h, ok := n.tryGetFrom(p); ok {
 			return h, nil
 		}
 		ctx, cancel := context.WithDeadline(ctx, deadline)
-		h, err := n.pool.Get(ctx)
+		h, err := p.Get(ctx)
 		cancel()
 		if err != nil {
 			return nil, err
@@ -201,9 +268,11 @@
 }
 
 // tryGet takes an idle connection that is open, if there is one.
-func (n *node) tryGet() (*pool.Handle[*conn], bool) {
+func (n *node) tryGet() (*pool.Handle[*conn], bool) { return n.tryGetFrom(n.pool) }
+
+func (n *node) tryGetFrom(p *pool.Pool[*conn]) (*pool.Handle[*conn], bool) {
 	for {
-		h, ok := n.pool.TryGet()
+		h, ok := p.TryGet()
 		if !ok {
 			return nil, false
 		}
--- a/core/proxy/relay.go
+++ b/core/proxy/relay.go
@@ -23,10 +23,10 @@
 }
 
 // OpenRelay returns a relay to the upstream and the upstream's last known position, or false if the
-// upstream isn't known here.
+// upstream isn't known here or accepts no connection of this VM.
 func (p *Proxy) OpenRelay(id core.UpstreamID) (*Relay, core.Position, bool) {
 	n := p.owned(id)
-	if n == nil {
+	if n == nil || (n.pool.IsRefused() && n.pool.Stats().Total == 0) {
 		return nil, core.Position{}, false
 	}
 	n.mu.Lock()
@@ -138,7 +138,7 @@
 // leads: that takes no slot of the upstream.
 func (r *Relay) connect(ctx context.Context, cmd core.Command, deadline time.Time) (*held, *Reply) {
 	if cmd.Kind != "" {
-		return r.n.acquire(ctx, cmd.Kind, cmd.Rank, true, deadline)
+		return r.n.acquire(ctx, &queue.Item{Kind: cmd.Kind, Rank: cmd.Rank, Opens: true, Deadline: deadline}, r.n.get)
 	}
 	handle, err := r.n.get(ctx, deadline)
 	if err != nil {
@@ -186,7 +186,7 @@
 // admit takes a slot, and a connection unless a transaction holds one.
 func (r *Relay) admit(ctx context.Context, cmd core.Command, deadline time.Time) (*held, *Reply) {
 	if r.held == nil {
-		return r.n.acquire(ctx, cmd.Kind, cmd.Rank, false, deadline)
+		return r.n.acquire(ctx, &queue.Item{Kind: cmd.Kind, Rank: cmd.Rank, Deadline: deadline}, r.n.get)
 	}
 	if r.held.slot != nil {
 		return r.held, nil
--- a/core/proxy/work.go
+++ b/core/proxy/work.go
@@ -215,20 +215,24 @@
 	opens bool
 }
 
+// getter takes a connection, waiting at most until the deadline.
+type getter func(ctx context.Context, deadline time.Time) (*pool.Handle[*conn], error)
+
 // acquire takes a slot and then a connection.
 func (s *Session) acquire(ctx context.Context, w *work, n *node, opens bool) (*held, *Reply) {
-	return n.acquire(ctx, core.Kind(s.database), w.route.Rank, opens, w.startBy)
+	it := &queue.Item{Kind: core.Kind(s.database), Rank: w.route.Rank, Opens: opens, Deadline: w.startBy}
+	return n.acquire(ctx, it, n.getOrBorrow)
 }
 
-// acquire takes a slot and then a connection, both until the deadline.
-func (n *node) acquire(ctx context.Context, kind core.Kind, rank core.Rank, opens bool, deadline time.Time) (*held, *Reply) {
+// acquire takes a slot and then a connection, both until the item's deadline.
+func (n *node) acquire(ctx context.Context, it *queue.Item, get getter) (*held, *Reply) {
 	h := &held{node: n}
-	if refused := h.admit(ctx, &queue.Item{Kind: kind, Rank: rank, Opens: opens, Deadline: deadline}); refused != nil {
+	if refused := h.admit(ctx, it); refused != nil {
 		return nil, refused
 	}
-	h.opens = opens
+	h.opens = it.Opens
 	var err error
-	if h.handle, err = n.get(ctx, deadline); err == nil {
+	if h.handle, err = get(ctx, it.Deadline); err == nil {
 		return h, nil
 	}
 	h.releaseSlot(false)
