Hear busy replicas before a primary is replaced

Ruled out: detection (0.7 s), the lease (granted at once), the platform's promotion call. Change: a probe that is refused a connection waits for a pooled one within its time. Without an answer it still says nothing of the upstream.

--- a/core/proxy/cluster.go
+++ b/core/proxy/cluster.go
@@ -86,8 +86,11 @@
 		deadline = time.Now().Add(dialTime)
 	}
 	at, err := n.probe(ctx, deadline)
-	if err == nil || errors.Is(err, lead.ErrNotAsked) {
-		return at, err
+	if errors.Is(err, lead.ErrNotAsked) {
+		return n.askLater(ctx, deadline)
+	}
+	if err == nil {
+		return at, nil
 	}
 	// The pool doesn't dial for a while after a failure although the upstream may be back, and an
 	// owner that doesn't answer says nothing of the upstream.
@@ -117,6 +120,17 @@
 	return n.askOn(handle, deadline)
 }
 
+// askLater asks an upstream that accepts no new connection once a pooled one is free: busy replicas
+// have to be heard before a primary is replaced. No answer says nothing of the upstream, since it
+// was alive to refuse.
+func (n *node) askLater(ctx context.Context, deadline time.Time) (lead.Standing, error) {
+	at, err := n.ask(ctx, deadline)
+	if err != nil {
+		return lead.Standing{}, lead.ErrNotAsked
+	}
+	return at, nil
+}
+
 func (n *node) askOn(handle *pool.Handle[*conn], deadline time.Time) (lead.Standing, error) {
 	h := &held{node: n, handle: handle}
 	at, err := n.standing(h.handle.Value, deadline)
--- a/core/proxy/load_test.go
+++ b/core/proxy/load_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"fmt"
 	"sync"
 	"testing"
@@ -233,3 +234,25 @@
 		assert.Assert(t, !ok, "a VM without connections lends none")
 	})
 }
+
+// Guards against a replica that counts as silent because its connections are all in use: a group whose
+// primary had crashed kept none for 4 s, since the busiest replica couldn't be heard (gbpc-shore
+// trouble-1, 7 s to 11 s).
+func TestBusyReplicaIsHeard(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.servers[nearID].set(func(s *server) { s.service = 100 * time.Millisecond })
+		r.must(r.proxy.Open("strict"), VerbRead, "READ 0")
+		var wg sync.WaitGroup
+		wg.Go(func() { r.surge("bounded", 5*time.Millisecond, 4*time.Second) })
+		defer wg.Wait()
+		time.Sleep(500 * time.Millisecond)
+		r.full = true
+		for range 20 {
+			ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+			at, err := r.proxy.Probe(ctx, nearID)
+			cancel()
+			assert.NilError(t, err)
+			assert.Assert(t, !at.Leads && !at.Log.IsZero())
+		}
+	})
+}
