Reach an upstream through other VMs when this one gets no connection

And a VM that is cut off from an upstream couldn't use the lent connections, since only refusals led to them. Change: a node has one pool of direct connections and one of connections through other VMs; the one that is used first depends on the path, the other one helps while the first gets no connection. A probe asks through others as well, so that a VM that is cut off doesn't replace a primary that works.

--- a/core/pool/config.go
+++ b/core/pool/config.go
@@ -35,6 +35,8 @@
 	OnDialError func(err error)
 	// DialTime limits one dial.
 	DialTime time.Duration
+	// SlowDial is the time after which IsBlocked takes a dial for failing; 0 means never.
+	SlowDial time.Duration
 	// IdleTime is how long a connection above the warm reserve may stay idle.
 	IdleTime time.Duration
 	// Heartbeat is the time without use after which an idle connection is checked.
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -24,9 +24,11 @@
 	// total counts all connections against the limit: idle, in use, dialing, in a check or closing.
 	total, inUse, dialing, checking int
 	closed                          bool
-	dialErr                         error
-	backoff                         time.Duration
-	retryAt                         time.Time
+	// dialingSince is when the oldest dial in progress may have begun.
+	dialingSince time.Time
+	dialErr      error
+	backoff      time.Duration
+	retryAt      time.Time
 	// doubt is a time: idle connections that last answered before it may be as silent as one that
 	// was discarded, and are checked before they are used again.
 	doubt time.Time
@@ -90,12 +92,16 @@
 	return p.takeIdle()
 }
 
-// IsRefused reports whether the other side refused the last dial because of its connection limit, and
-// the time to dial again hasn't come.
-func (p *Pool[T]) IsRefused() bool {
+// IsBlocked reports whether no new connection can be had now: the last dial failed and the next one
+// hasn't succeeded yet, or the dials in progress are slow.
+func (p *Pool[T]) IsBlocked() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.dialErr != nil && p.cfg.AtLimit != nil && p.cfg.AtLimit(p.dialErr) && time.Now().Before(p.retryAt)
+	now := time.Now()
+	if p.dialErr != nil && (p.dialing > 0 || now.Before(p.retryAt)) {
+		return true
+	}
+	return p.cfg.SlowDial > 0 && p.dialing > 0 && now.Sub(p.dialingSince) >= p.cfg.SlowDial
 }
 
 // takeIdle takes the connection that was used last. The caller holds mu.
@@ -256,6 +262,9 @@
 			n = 0
 		}
 	}
+	if n > 0 && p.dialing == 0 {
+		p.dialingSince = now
+	}
 	p.total += n
 	p.dialing += n
 	return n
@@ -274,6 +283,7 @@
 	e := &entry[T]{value: v, used: now, checked: now}
 	p.mu.Lock()
 	p.dialing--
+	p.dialingSince = now
 	p.dialErr = nil
 	p.backoff = 0
 	kept := p.offer(e)
--- a/core/proxy/cluster.go
+++ b/core/proxy/cluster.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"slices"
+	"sync"
 	"time"
 
 	"snipewall/core"
@@ -13,6 +14,10 @@
 	"snipewall/core/pool"
 )
 
+// probeHopAfter is the time after which a probe that got no answer is also sent through other VMs. It
+// leaves them two thirds of a probe's time, and is above the time of a probe between regions.
+const probeHopAfter = 100 * time.Millisecond
+
 // State implements lead.Cluster.
 func (p *Proxy) State() []lead.Group {
 	now := time.Now()
@@ -85,50 +90,73 @@
 	if !ok {
 		deadline = time.Now().Add(dialTime)
 	}
-	at, err := n.probe(ctx, deadline)
-	if errors.Is(err, lead.ErrNotAsked) {
-		return n.askLater(ctx, deadline)
-	}
-	if err == nil {
-		return at, nil
-	}
-	// The pool doesn't dial for a while after a failure although the upstream may be back, and an
-	// owner that doesn't answer says nothing of the upstream.
-	return n.probeDirectly(ctx, deadline)
+	return n.probe(ctx, deadline)
 }
 
-// probe asks over a pooled connection. It doesn't wait for one to the upstream itself: where all are in
-// use without any proof of leadership, they may be silent.
+// probe asks on an idle connection if there is one, otherwise on a new one, and soon through other VMs
+// as well: this VM may be cut off from an upstream that works.
 func (n *node) probe(ctx context.Context, deadline time.Time) (lead.Standing, error) {
-	if len(n.path.owners) > 0 {
-		// Half of the time is left to ask the upstream itself.
-		return n.ask(ctx, time.Now().Add(time.Until(deadline)/2))
+	first, _ := n.ways()
+	if handle, ok := n.tryGet(first); ok {
+		if at, err := n.askOn(handle, time.Now().Add(time.Until(deadline)/3)); err == nil {
+			return at, nil
+		}
 	}
-	handle, ok := n.tryGet()
-	if !ok {
-		return n.probeDirectly(ctx, deadline)
+	type result struct {
+		at  lead.Standing
+		err error
+	}
+	results := make(chan result, 2)
+	ask := func(how func(context.Context, time.Time) (lead.Standing, error)) {
+		n.p.spawn(func() {
+			at, err := how(ctx, deadline)
+			results <- result{at, err}
+		})
+	}
+	ask(n.probeDirectly)
+	timer := time.NewTimer(probeHopAfter)
+	defer timer.Stop()
+	askOthers := sync.OnceFunc(func() { ask(n.probeThroughOthers) })
+	var failure error
+	for answers := 0; answers < cap(results); {
+		select {
+		case <-timer.C:
+			askOthers()
+		case r := <-results:
+			if r.err == nil {
+				return r.at, nil
+			}
+			answers++
+			askOthers()
+			// An upstream that refused the question was alive to do so.
+			if failure == nil || errors.Is(r.err, lead.ErrNotAsked) {
+				failure = r.err
+			}
+		}
 	}
-	return n.askOn(handle, deadline)
+	return lead.Standing{}, failure
+}
+
+// probeThroughOthers asks on a connection through another VM.
+func (n *node) probeThroughOthers(ctx context.Context, deadline time.Time) (lead.Standing, error) {
+	return n.askFrom(ctx, n.hops, deadline)
 }
 
 // ask waits for a pooled connection and asks on it.
 func (n *node) ask(ctx context.Context, deadline time.Time) (lead.Standing, error) {
-	handle, err := n.getOrBorrow(ctx, deadline)
+	handle, err := n.get(ctx, deadline)
 	if err != nil {
 		return lead.Standing{}, err
 	}
 	return n.askOn(handle, deadline)
 }
 
-// askLater asks an upstream that accepts no new connection once a pooled one is free: busy replicas
-// have to be heard before a primary is replaced. No answer says nothing of the upstream, since it
-// was alive to refuse.
-func (n *node) askLater(ctx context.Context, deadline time.Time) (lead.Standing, error) {
-	at, err := n.ask(ctx, deadline)
+func (n *node) askFrom(ctx context.Context, p *pool.Pool[*conn], deadline time.Time) (lead.Standing, error) {
+	handle, err := n.getFrom(ctx, p, deadline)
 	if err != nil {
-		return lead.Standing{}, lead.ErrNotAsked
+		return lead.Standing{}, err
 	}
-	return at, nil
+	return n.askOn(handle, deadline)
 }
 
 func (n *node) askOn(handle *pool.Handle[*conn], deadline time.Time) (lead.Standing, error) {
@@ -143,12 +171,18 @@
 	return at, nil
 }
 
+// probeDirectly asks on a new connection, since pooled ones may be silent. If the upstream accepts none,
+// it asks on a pooled one: busy replicas have to be heard before a primary is replaced.
 func (n *node) probeDirectly(ctx context.Context, deadline time.Time) (lead.Standing, error) {
 	lc, err := n.p.cfg.Dialer.Dial(ctx, n.info.Load().UpstreamInfo)
-	if err != nil {
-		if atLimit(err) {
+	if atLimit(err) {
+		at, err := n.askFrom(ctx, n.direct, deadline)
+		if err != nil {
 			return lead.Standing{}, lead.ErrNotAsked
 		}
+		return at, nil
+	}
+	if err != nil {
 		return lead.Standing{}, err
 	}
 	defer func() { _ = lc.Close() }()
--- a/core/proxy/node.go
+++ b/core/proxy/node.go
@@ -2,14 +2,11 @@
 
 import (
 	"context"
-	"errors"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"snipewall/core"
-	"snipewall/core/place"
 	"snipewall/core/pool"
 	"snipewall/core/queue"
 	"snipewall/core/topo"
@@ -19,32 +16,6 @@
 	// slotsAhead is how many statements an entry VM sends to an upstream beyond its slots, so that the
 	// upstream doesn't idle for the round trip between two statements.
 	slotsAhead = 1
-	// connLimit is how many connections an entry VM opens to an upstream: enough for its slots and a few
-	// open transactions, and few enough that a VM that is paused or cut off can't keep the others out.
-	connLimit = 4
-	// hopConns limits the connections to the owner of an upstream. They cost the upstream nothing.
-	hopConns = 32
-	// hopIdle is how long an unused connection to an owner is kept.
-	hopIdle = 20 * time.Second
-	// hopDialTime limits one dial of an owner: three times the round trips between regions that it
-	// takes. Two owners that don't answer must leave time to reach the upstream itself.
-	hopDialTime = 150 * time.Millisecond
-	// detourConns limits the direct connections of a VM that reaches no owner of an upstream: many VMs
-	// may be in that place at the same time.
-	detourConns = 2
-	// sparedConns are the connections of an entry VM that open transactions leave to single statements.
-	sparedConns = 2
-	// connIdle is how long an unused connection is kept. Connections of VMs that lost power count
-	// against an upstream's limit for 3 s more, so that unused ones would keep the VMs out that return.
-	connIdle = 500 * time.Millisecond
-	// dialTime limits one dial. It is a multiple of the longest handshake and round trip.
-	dialTime = time.Second
-	// minDialBackoff and maxDialBackoff limit the time between dials after failures. The longest one
-	// stays below the time in which a statement has to start.
-	minDialBackoff = 20 * time.Millisecond
-	maxDialBackoff = 300 * time.Millisecond
-	// checkAfter is the idle time after which a connection is checked before its next use.
-	checkAfter = 20 * time.Millisecond
 	// lagMemory is how long a replica that lacked a position is avoided.
 	lagMemory = 60 * time.Millisecond
 	// calmTime is the time in which the memory of slow answers halves while an upstream isn't used.
@@ -63,19 +34,13 @@
 	group *group
 	info  atomic.Pointer[topo.Upstream]
 	queue *queue.Queue
-	pool  *pool.Pool[*conn]
 	path  path
-	// lent holds connections through other VMs, for times in which the upstream accepts no more of
-	// this one. It is created with its first use.
-	lent     *pool.Pool[*conn]
-	lentOnce sync.Once
+	// direct holds connections to the upstream itself, hops those through other VMs.
+	direct, hops *pool.Pool[*conn]
 	// limit is the number of statements that the upstream gets at once.
 	limit  int
-	ctx    context.Context
 	cancel context.CancelFunc
 
-	// detours counts the connections to the upstream itself.
-	detours atomic.Int32
 	// pending counts statements that wait or run.
 	pending atomic.Int32
 	mu      sync.Mutex
@@ -98,21 +63,18 @@
 func (p *Proxy) newNode(ctx context.Context, g *group, u topo.Upstream, at path) *node {
 	n := &node{p: p, group: g, path: at, limit: max(1, u.Slots) + slotsAhead}
 	n.info.Store(&u)
-	slots, conns, idle := n.limit, at.conns, connIdle
-	if len(at.owners) > 0 {
-		slots, idle = conns, hopIdle
+	slots, conns := n.limit, at.conns
+	if at.isIndirect() {
+		slots = conns
 	}
 	n.queue = queue.New(queue.NewShares(queue.Config{
 		Slots: slots, MaxOpen: max(1, conns-sparedConns), Policies: p,
 	}))
-	n.pool = pool.New(pool.Config[*conn]{
-		Limit: conns, Dial: n.dial, Close: n.closeConn,
-		AtLimit: atLimit, OnDialError: n.dialFailed, DialTime: dialTime, IdleTime: idle,
-		MinBackoff: minDialBackoff, MaxBackoff: maxDialBackoff,
-	})
-	n.ctx, n.cancel = context.WithCancel(ctx)
-	p.spawn(func() { _ = n.pool.Run(n.ctx) })
-	p.spawn(func() { _ = n.queue.Run(n.ctx) })
+	n.direct, n.hops = n.newDirect(), n.newHops()
+	ctx, n.cancel = context.WithCancel(ctx)
+	p.spawn(func() { _ = n.direct.Run(ctx) })
+	p.spawn(func() { _ = n.hops.Run(ctx) })
+	p.spawn(func() { _ = n.queue.Run(ctx) })
 	return n
 }
 
@@ -124,185 +86,6 @@
 // id returns the upstream's id.
 func (n *node) id() core.UpstreamID { return n.info.Load().ID }
 
-func atLimit(err error) bool {
-	var refused *core.RefusedError
-	return errors.As(err, &refused)
-}
-
-func (n *node) dial(ctx context.Context) (*conn, error) {
-	c, err := n.connect(ctx)
-	if err != nil {
-		return nil, err
-	}
-	n.notePosition(c.Hello())
-	c.used = time.Now()
-	return c, nil
-}
-
-// connect dials the upstream's owner, or the upstream itself if this VM owns it or no owner answers.
-func (n *node) connect(ctx context.Context) (*conn, error) {
-	u := n.info.Load()
-	if len(n.path.owners) > 0 {
-		if c, ok := n.dialOwners(ctx, n.path.owners); ok {
-			return c, nil
-		}
-		if n.detours.Load() >= detourConns {
-			return nil, &core.RefusedError{Upstream: u.ID, Message: "no owner answers"}
-		}
-	}
-	n.p.metrics.dials.Inc(1)
-	lc, err := n.p.cfg.Dialer.Dial(ctx, u.UpstreamInfo)
-	if err != nil {
-		return nil, err
-	}
-	n.detours.Add(1)
-	return &conn{LineConn: lc}, nil
-}
-
-// dialOwners connects to the first of the VMs that answers.
-func (n *node) dialOwners(ctx context.Context, owners []core.VM) (*conn, bool) {
-	id := n.id()
-	for _, owner := range owners {
-		if n.p.suspects.has(owner.ID) {
-			continue
-		}
-		dialCtx, cancel := context.WithTimeout(ctx, hopDialTime)
-		lc, err := n.p.cfg.DialOwner(dialCtx, owner, id)
-		cancel()
-		if err == nil {
-			n.p.metrics.hopDials.Inc(1)
-			return &conn{LineConn: lc, owner: owner.ID}, true
-		}
-		n.p.logDecision("owner not reached", "Upstream", id, "Owner", owner.ID, "Err", err)
-		// An owner that refuses is alive: it stops, or has no connection to the upstream to give.
-		if !atLimit(err) {
-			n.p.suspects.add(owner.ID)
-		}
-	}
-	return nil, false
-}
-
-// closeConn closes a connection.
-func (n *node) closeConn(c *conn) error {
-	if c.owner == "" {
-		n.detours.Add(-1)
-	}
-	return c.Close()
-}
-
-func (n *node) dialFailed(err error) {
-	if atLimit(err) {
-		n.p.metrics.overloads.Inc(1)
-		return
-	}
-	n.noteFailure(nil)
-}
-
-// get takes a connection that is open, waiting at most until the deadline.
-func (n *node) get(ctx context.Context, deadline time.Time) (*pool.Handle[*conn], error) {
-	return n.getFrom(ctx, n.pool, deadline)
-}
-
-// getOrBorrow is get, but goes through another VM while the upstream accepts no more connections of
-// this one. A VM must not use it for statements of others, which would be passed around.
-func (n *node) getOrBorrow(ctx context.Context, deadline time.Time) (*pool.Handle[*conn], error) {
-	if h, ok := n.tryGet(); ok {
-		return h, nil
-	}
-	if len(n.path.owners) > 0 || !n.pool.IsRefused() {
-		h, err := n.get(ctx, deadline)
-		if err == nil || len(n.path.owners) > 0 || !atLimit(err) {
-			return h, err
-		}
-	}
-	h, err := n.borrow(ctx, deadline)
-	if err == nil {
-		return h, nil
-	}
-	return n.get(ctx, deadline)
-}
-
-// borrow takes a connection through another VM.
-func (n *node) borrow(ctx context.Context, deadline time.Time) (*pool.Handle[*conn], error) {
-	n.lentOnce.Do(func() {
-		n.lent = pool.New(pool.Config[*conn]{
-			Limit: hopConns, Dial: n.dialLender, Close: n.closeConn, AtLimit: atLimit,
-			DialTime: ownerCount * hopDialTime, IdleTime: connIdle, MinBackoff: minDialBackoff, MaxBackoff: maxDialBackoff,
-		})
-		n.p.spawn(func() { _ = n.lent.Run(n.ctx) })
-	})
-	return n.getFrom(ctx, n.lent, deadline)
-}
-
-// dialLender connects to a VM that may have connections to the upstream to spare.
-func (n *node) dialLender(ctx context.Context) (*conn, error) {
-	u := n.info.Load()
-	owners := place.Owners(u.UpstreamInfo, n.p.cfg.Members.Alive(), ownerCount+1)
-	owners = slices.DeleteFunc(owners, func(vm core.VM) bool { return vm.ID == n.p.cfg.Self.ID || vm.Relay == "" })
-	c, ok := n.dialOwners(ctx, owners)
-	if !ok {
-		return nil, &core.RefusedError{Upstream: u.ID, Message: "no VM lends a connection"}
-	}
-	n.notePosition(c.Hello())
-	c.used = time.Now()
-	return c, nil
-}
-
-// getFrom takes a connection of the pool that is open.
-func (n *node) getFrom(ctx context.Context, p *pool.Pool[*conn], deadline time.Time) (*pool.Handle[*conn], error) {
-	for {
-		if h, ok := n.tryGetFrom(p); ok {
-			return h, nil
-		}
-		ctx, cancel := context.WithDeadline(ctx, deadline)
-		h, err := p.Get(ctx)
-		cancel()
-		if err != nil {
-			return nil, err
-		}
-		if n.isUsable(h.Value) {
-			return h, nil
-		}
-		h.Discard()
-	}
-}
-
-// tryGet takes an idle connection that is open, if there is one.
-func (n *node) tryGet() (*pool.Handle[*conn], bool) { return n.tryGetFrom(n.pool) }
-
-func (n *node) tryGetFrom(p *pool.Pool[*conn]) (*pool.Handle[*conn], bool) {
-	for {
-		h, ok := p.TryGet()
-		if !ok {
-			return nil, false
-		}
-		if n.isUsable(h.Value) {
-			return h, true
-		}
-		h.Discard()
-	}
-}
-
-// isUsable reports whether the connection may carry the next statement.
-func (n *node) isUsable(c *conn) bool {
-	return n.isCurrent(c) && (time.Since(c.used) < checkAfter || c.Idle())
-}
-
-// isCurrent reports whether the connection leads where a new one would: its owner answers, or there is
-// none that does.
-func (n *node) isCurrent(c *conn) bool {
-	if c.owner != "" {
-		return !n.p.suspects.has(c.owner)
-	}
-	return !slices.ContainsFunc(n.path.owners, func(vm core.VM) bool { return !n.p.suspects.has(vm.ID) })
-}
-
-// put returns a connection that has no statement in progress.
-func put(h *pool.Handle[*conn]) {
-	h.Value.used = time.Now()
-	h.Put()
-}
-
 func (n *node) notePosition(p core.Position) {
 	if p.IsZero() {
 		return
--- a/core/proxy/path.go
+++ b/core/proxy/path.go
@@ -28,6 +28,9 @@
 	conns int
 }
 
+// isIndirect reports whether the VM reaches the upstream through its owners.
+func (a path) isIndirect() bool { return len(a.owners) > 0 }
+
 func (a path) equal(b path) bool {
 	return a.conns == b.conns && slices.EqualFunc(a.owners, b.owners, func(x, y core.VM) bool { return x.ID == y.ID && x.Relay == y.Relay })
 }
--- a/core/proxy/relay.go
+++ b/core/proxy/relay.go
@@ -26,7 +26,7 @@
 // upstream isn't known here or accepts no connection of this VM.
 func (p *Proxy) OpenRelay(id core.UpstreamID) (*Relay, core.Position, bool) {
 	n := p.owned(id)
-	if n == nil || (n.pool.IsRefused() && n.pool.Stats().Total == 0) {
+	if n == nil || !n.mayLend() {
 		return nil, core.Position{}, false
 	}
 	n.mu.Lock()
@@ -42,7 +42,7 @@
 	p.mu.Lock()
 	n, spare := p.nodes[id], p.spare[id]
 	p.mu.Unlock()
-	if n == nil || len(n.path.owners) == 0 {
+	if n == nil || !n.path.isIndirect() {
 		return n
 	}
 	if spare != nil {
@@ -138,9 +138,9 @@
 // leads: that takes no slot of the upstream.
 func (r *Relay) connect(ctx context.Context, cmd core.Command, deadline time.Time) (*held, *Reply) {
 	if cmd.Kind != "" {
-		return r.n.acquire(ctx, &queue.Item{Kind: cmd.Kind, Rank: cmd.Rank, Opens: true, Deadline: deadline}, r.n.get)
+		return r.n.acquire(ctx, &queue.Item{Kind: cmd.Kind, Rank: cmd.Rank, Opens: true, Deadline: deadline}, r.n.getDirect)
 	}
-	handle, err := r.n.get(ctx, deadline)
+	handle, err := r.n.getDirect(ctx, deadline)
 	if err != nil {
 		return nil, &Reply{Fault: core.FaultOverload, Text: "no connection to the upstream in time"}
 	}
@@ -186,7 +186,7 @@
 // admit takes a slot, and a connection unless a transaction holds one.
 func (r *Relay) admit(ctx context.Context, cmd core.Command, deadline time.Time) (*held, *Reply) {
 	if r.held == nil {
-		return r.n.acquire(ctx, &queue.Item{Kind: cmd.Kind, Rank: cmd.Rank, Deadline: deadline}, r.n.get)
+		return r.n.acquire(ctx, &queue.Item{Kind: cmd.Kind, Rank: cmd.Rank, Deadline: deadline}, r.n.getDirect)
 	}
 	if r.held.slot != nil {
 		return r.held, nil
--- a/core/proxy/work.go
+++ b/core/proxy/work.go
@@ -221,7 +221,7 @@
 // acquire takes a slot and then a connection.
 func (s *Session) acquire(ctx context.Context, w *work, n *node, opens bool) (*held, *Reply) {
 	it := &queue.Item{Kind: core.Kind(s.database), Rank: w.route.Rank, Opens: opens, Deadline: w.startBy}
-	return n.acquire(ctx, it, n.getOrBorrow)
+	return n.acquire(ctx, it, n.get)
 }
 
 // acquire takes a slot and then a connection, both until the item's deadline.
