Refuse relayed statements by the time in which they have to start

Cause: a statement that another VM relays waited in the owner's queue until its deadline. Change: commands carry the time to start besides the deadline. A lent connection whose owner has none to the upstream is left, so that the next statement asks another VM.

--- a/core/line.go
+++ b/core/line.go
@@ -90,11 +90,11 @@
 	// Await is the position that the upstream must have, for OpCaller and OpExecute of reads and for
 	// OpBeginRead. The zero value asks for none.
 	Await Position
-	// Kind and Rank are what the statement queues as, and Deadline is until when it is useful. Only
-	// owners of upstreams use them.
-	Kind     Kind
-	Rank     Rank
-	Deadline time.Time
+	// Kind and Rank are what the statement queues as, StartBy is until when it may wait for a slot and a
+	// connection, and Deadline until when its answer is useful. Only other VMs use them.
+	Kind              Kind
+	Rank              Rank
+	StartBy, Deadline time.Time
 }
 
 // Answer is the upstream's answer to a Command.
--- a/core/proxy/load_test.go
+++ b/core/proxy/load_test.go
@@ -277,3 +277,24 @@
 		assert.Assert(t, at.Leads)
 	})
 }
+
+// Guards against a statement of another VM that waits in the owner's queue until its deadline: the refusal
+// would meet a VM that has given up, and count as an unknown outcome (gbpc-shore trouble-3, 38 s).
+func TestRelayedStatementIsRefusedInTime(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.servers[primaryID].set(func(s *server) { s.service = 700 * time.Millisecond })
+		var wg sync.WaitGroup
+		defer wg.Wait()
+		for range 3 + slotsAhead {
+			wg.Go(func() { r.do(r.proxy.Open("own"), VerbWrite, "WRITE 1") })
+		}
+		time.Sleep(10 * time.Millisecond)
+		relay, _, ok := r.proxy.OpenRelay(primaryID)
+		assert.Assert(t, ok)
+		began := time.Now()
+		cmd := core.Command{Op: core.OpCaller, ID: "q", Text: "WRITE 2", Kind: "own", StartBy: began.Add(200 * time.Millisecond)}
+		ans := relay.Execute(t.Context(), cmd, began.Add(600*time.Millisecond))
+		assert.Assert(t, ans.Fault.NotRun(), "%v", ans.Fault)
+		assert.Assert(t, time.Since(began) <= 250*time.Millisecond, "refused after %v", time.Since(began))
+	})
+}
--- a/core/proxy/relay.go
+++ b/core/proxy/relay.go
@@ -106,7 +106,7 @@
 	}
 	h := r.held
 	r.held = nil
-	h.recycle(core.TxOpen)
+	h.recycle(core.TxOpen, core.FaultNone)
 }
 
 // begin opens a transaction and keeps its connection, and its slot until Pause.
@@ -126,7 +126,7 @@
 	}
 	r.n.notePosition(ans.Position)
 	if ans.Fault != core.FaultNone {
-		h.recycle(ans.Status)
+		h.recycle(ans.Status, ans.Fault)
 		ans.Status = core.TxFailed
 		return ans
 	}
@@ -138,7 +138,7 @@
 // leads: that takes no slot of the upstream.
 func (r *Relay) connect(ctx context.Context, cmd core.Command, deadline time.Time) (*held, *Reply) {
 	if cmd.Kind != "" {
-		return r.n.acquire(ctx, &queue.Item{Kind: cmd.Kind, Rank: cmd.Rank, Opens: true, Deadline: deadline}, r.n.getDirect)
+		return r.n.acquire(ctx, &queue.Item{Kind: cmd.Kind, Rank: cmd.Rank, Opens: true, Deadline: startBy(cmd, deadline)}, r.n.getDirect)
 	}
 	handle, err := r.n.getDirect(ctx, deadline)
 	if err != nil {
@@ -147,6 +147,15 @@
 	return &held{node: r.n, handle: handle}, nil
 }
 
+// startBy is until when the command may wait. Beyond it, its caller is served better by a refusal, which
+// has to arrive before the caller's VM gives up, as the outcome would be unknown then.
+func startBy(cmd core.Command, deadline time.Time) time.Time {
+	if cmd.StartBy.IsZero() {
+		return deadline
+	}
+	return cmd.StartBy
+}
+
 // run passes a caller's statement on.
 func (r *Relay) run(ctx context.Context, cmd core.Command, deadline time.Time) core.Answer {
 	var sh *shape
@@ -186,12 +195,12 @@
 // admit takes a slot, and a connection unless a transaction holds one.
 func (r *Relay) admit(ctx context.Context, cmd core.Command, deadline time.Time) (*held, *Reply) {
 	if r.held == nil {
-		return r.n.acquire(ctx, &queue.Item{Kind: cmd.Kind, Rank: cmd.Rank, Deadline: deadline}, r.n.getDirect)
+		return r.n.acquire(ctx, &queue.Item{Kind: cmd.Kind, Rank: cmd.Rank, Deadline: startBy(cmd, deadline)}, r.n.getDirect)
 	}
 	if r.held.slot != nil {
 		return r.held, nil
 	}
-	return r.held, r.held.admit(ctx, &queue.Item{Kind: cmd.Kind, Rank: cmd.Rank, InTx: true, Deadline: deadline})
+	return r.held, r.held.admit(ctx, &queue.Item{Kind: cmd.Kind, Rank: cmd.Rank, InTx: true, Deadline: startBy(cmd, deadline)})
 }
 
 // lost answers a statement whose connection failed: a transaction that wasn't asked to commit is
--- a/core/proxy/single.go
+++ b/core/proxy/single.go
@@ -140,7 +140,7 @@
 		h.drop()
 		return Reply{Fault: core.FaultBusy, Text: "the primary doesn't answer"}, noPrimary
 	}
-	h.recycle(ans.Status)
+	h.recycle(ans.Status, ans.Fault)
 	if ans.Fault == core.FaultReadOnly {
 		n.noteDenied()
 	}
@@ -224,7 +224,7 @@
 		}
 	}
 	if h != nil {
-		h.free(ans.Fault == core.FaultNone)
+		h.settle(ans.Fault)
 	}
 	n.noteAnswer(now, max(0, now.Sub(sent)-s.p.distance(n.info.Load())), ans.Position)
 	if ans.Fault == core.FaultNone {
--- a/core/proxy/tx.go
+++ b/core/proxy/tx.go
@@ -25,7 +25,7 @@
 	}
 	h := s.tx.held
 	s.tx.held = nil
-	h.recycle(core.TxOpen)
+	h.recycle(core.TxOpen, core.FaultNone)
 }
 
 // runTx runs a statement of the open transaction.
@@ -138,7 +138,7 @@
 		return &Reply{Fault: core.FaultBusy, Text: "the upstream doesn't answer"}
 	}
 	if ans.Fault != core.FaultNone {
-		h.recycle(ans.Status)
+		h.recycle(ans.Status, ans.Fault)
 		switch ans.Fault {
 		case core.FaultReadOnly:
 			t.node.noteDenied()
--- a/core/proxy/work.go
+++ b/core/proxy/work.go
@@ -91,7 +91,8 @@
 
 // stamp adds what an owner needs to queue the command.
 func (w *work) stamp(c core.Command) core.Command {
-	c.Kind, c.Rank, c.Deadline = core.Kind(w.route.Database), w.route.Rank, w.deadline
+	c.Kind, c.Rank = core.Kind(w.route.Database), w.route.Rank
+	c.StartBy, c.Deadline = w.startBy, w.deadline
 	return c
 }
 
@@ -293,8 +294,27 @@
 	put(h.handle)
 }
 
+// isUnserved reports whether another VM refused the statement since it has no connection. The next one
+// asks somebody else.
+func (h *held) isUnserved(fault core.Fault) bool {
+	return fault == core.FaultOverload && h.handle.Value.owner != ""
+}
+
+// settle frees what the answered statement held.
+func (h *held) settle(fault core.Fault) {
+	if h.isUnserved(fault) {
+		h.drop()
+		return
+	}
+	h.free(fault == core.FaultNone)
+}
+
 // recycle returns a connection whose BEGIN was refused. It ends a transaction that failed that way.
-func (h *held) recycle(status core.TxStatus) {
+func (h *held) recycle(status core.TxStatus, fault core.Fault) {
+	if h.isUnserved(fault) {
+		h.drop()
+		return
+	}
 	if status != core.TxIdle {
 		if _, err := h.setUp([]core.Command{{Op: core.OpRollback}}, time.Now().Add(endTime)); err != nil {
 			h.drop()
--- a/io/hop/client.go
+++ b/io/hop/client.go
@@ -79,6 +79,10 @@
 			b.Left = time.Until(d)
 			cmds[i].Deadline = time.Time{}
 		}
+		if d := cmds[i].StartBy; !d.IsZero() {
+			b.Wait = max(time.Until(d), time.Nanosecond)
+			cmds[i].StartBy = time.Time{}
+		}
 	}
 	if err := c.enc.Encode(b); err != nil {
 		return core.ErrPeer.Wrap(err)
--- a/io/hop/frames.go
+++ b/io/hop/frames.go
@@ -22,6 +22,8 @@
 	Commands []core.Command
 	// Left is the time that the commands have, since the clocks of VMs differ.
 	Left time.Duration
+	// Wait is the part of it in which they may wait for a slot and a connection; 0 means all of it.
+	Wait time.Duration
 }
 
 // reply is the answer to one command, or a goodbye.
--- a/io/hop/server.go
+++ b/io/hop/server.go
@@ -196,8 +196,13 @@
 	if b.Left <= 0 {
 		b.Left = defaultLeft
 	}
-	deadline := time.Now().Add(b.Left)
+	if b.Wait <= 0 {
+		b.Wait = b.Left
+	}
+	now := time.Now()
+	deadline, startBy := now.Add(b.Left), now.Add(b.Wait)
 	for i, cmd := range b.Commands {
+		cmd.StartBy = startBy
 		ans := relay.Execute(ctx, cmd, deadline)
 		last := i == len(b.Commands)-1
 		if last {
