Open connections one after the other

Change: no more dials at once than there are open connections, at least one. Refusals of lenders aren't logged, those that don't answer are.

--- a/core/pool/config.go
+++ b/core/pool/config.go
@@ -35,6 +35,10 @@
 	OnDialError func(err error)
 	// DialTime limits one dial.
 	DialTime time.Duration
+	// Gradual limits the dials in progress to the number of open connections, at least one. Load
+	// pattern: all VMs come back at once, and each dial occupies the other side for longer than a
+	// statement does.
+	Gradual bool
 	// SlowDial is the time after which IsBlocked takes a dial for failing; 0 means never.
 	SlowDial time.Duration
 	// IdleTime is how long a connection above the warm reserve may stay idle.
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -247,7 +247,11 @@
 // lacking returns how many more connections should be dialed. The caller holds mu.
 func (p *Pool[T]) lacking() int {
 	want := len(p.waiters) + max(0, p.cfg.Warm-len(p.idle)-p.checking) - p.dialing
-	return max(0, min(want, p.cfg.Limit-p.total))
+	want = min(want, p.cfg.Limit-p.total)
+	if p.cfg.Gradual {
+		want = min(want, max(1, p.total-p.dialing)-p.dialing)
+	}
+	return max(0, want)
 }
 
 // reserveDials returns how many dials to start and counts them.
--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -238,3 +238,30 @@
 		})
 	})
 }
+
+// Guards against a start at which all waiting requests dial at once: each dial occupies a slot of an
+// upstream for 12 to 27 ms, several times as long as a statement.
+func TestGradualDials(t *testing.T) {
+	run(t, Config[*conn]{Limit: 4, Gradual: true}, func(t *testing.T, p *Pool[*conn], s *server) {
+		ended := make(chan struct{})
+		for range 4 {
+			go func() {
+				h, err := p.Get(t.Context())
+				if assert.Check(t, err) {
+					time.Sleep(time.Second)
+					h.Put()
+				}
+				ended <- struct{}{}
+			}()
+		}
+		for range 10 {
+			time.Sleep(dialTime / 3)
+			st := p.Stats()
+			assert.Assert(t, st.Dialing <= max(1, st.InUse), "%d dials beside %d connections", st.Dialing, st.InUse)
+		}
+		assert.Equal(t, p.Stats().InUse, 4)
+		for range 4 {
+			<-ended
+		}
+	})
+}
--- a/core/proxy/links.go
+++ b/core/proxy/links.go
@@ -58,7 +58,7 @@
 		limit = detourConns
 	}
 	return pool.New(pool.Config[*conn]{
-		Limit: limit, Dial: n.dial, Close: closeConn, AtLimit: atLimit, OnDialError: n.dialFailed,
+		Limit: limit, Dial: n.dial, Close: closeConn, AtLimit: atLimit, OnDialError: n.dialFailed, Gradual: true,
 		DialTime: dialTime, SlowDial: blockedAfter, IdleTime: connIdle, MinBackoff: minDialBackoff, MaxBackoff: maxDialBackoff,
 	})
 }
@@ -71,7 +71,7 @@
 		idle = hopIdle
 	}
 	return pool.New(pool.Config[*conn]{
-		Limit: hopConns, Dial: n.dialHop, Close: closeConn, DialTime: lenders * hopDialTime,
+		Limit: hopConns, Dial: n.dialHop, Close: closeConn, Gradual: true, DialTime: lenders * hopDialTime,
 		IdleTime: idle, MinBackoff: minDialBackoff, MaxBackoff: maxDialBackoff,
 	})
 }
@@ -107,11 +107,12 @@
 			n.p.metrics.hopDials.Inc(1)
 			return n.opened(lc, owner.ID), nil
 		}
-		n.p.logDecision("owner not reached", "Upstream", u.ID, "Owner", owner.ID, "Err", err)
 		// An owner that refuses is alive: it stops, or has no connection to the upstream to give.
-		if !atLimit(err) {
-			n.p.suspects.add(owner.ID)
+		if atLimit(err) {
+			continue
 		}
+		n.p.logDecision("owner not reached", "Upstream", u.ID, "Owner", owner.ID, "Err", err)
+		n.p.suspects.add(owner.ID)
 	}
 	return nil, &core.RefusedError{Upstream: u.ID, Message: "no other VM has a connection to the upstream"}
 }
