Dial directly while each VM can have two connections

Ruled out: that connections don't suffice then, since VMs that get none borrow them. Change: owners are used where an upstream has fewer than two connections for each VM, instead of four.

--- a/core/proxy/load_test.go
+++ b/core/proxy/load_test.go
@@ -122,7 +122,7 @@
 }
 
 // Guards against VMs that take an upstream's connections from each other, and against a detour over
-// an owner where each VM could dial: 6 VMs before 22 connections, 74 VMs before 46.
+// an owner where each VM could dial: 6 to 9 VMs before 22 connections, 74 VMs before 46.
 func TestPlanPath(t *testing.T) {
 	vms := func(n int) []core.VM {
 		var out []core.VM
@@ -133,6 +133,8 @@
 	}
 	u := topo.Upstream{UpstreamInfo: core.UpstreamInfo{ID: "u", FailureDomain: "here"}}
 	assert.Equal(t, len(planPath("vm-00", vms(6), u, 22).owners), 0)
+	// Three VMs are added, or the list still holds some that are gone: gbpc-shore trouble-3.
+	assert.Equal(t, len(planPath("vm-00", vms(9), u, 22).owners), 0)
 	owners := map[core.VMID]int{}
 	for _, vm := range vms(74) {
 		at := planPath(vm.ID, vms(74), u, 46)
--- a/core/proxy/path.go
+++ b/core/proxy/path.go
@@ -14,6 +14,9 @@
 	// ownerShare is the part of an upstream's connections that its owner takes. The rest is for its
 	// successor while the owner is paused or cut off, and for VMs that reach no owner.
 	ownerShare = 0.65
+	// leastConns is the number of connections to an upstream that each VM must be able to have where VMs
+	// dial directly. Those that need more for a while borrow them.
+	leastConns = 2
 	// ownerCount is how many entry VMs are tried as owners of an upstream before it is dialed directly.
 	ownerCount = 2
 	// suspectTime is how long an owner that didn't answer is passed over.
@@ -39,7 +42,7 @@
 // one dials directly, which is the shortest path and has no point of failure. Otherwise the upstream
 // has an owner in its failure domain, and the others go through it.
 func planPath(self core.VMID, alive []core.VM, u topo.Upstream, connections int) path {
-	if len(alive)*connLimit <= connections+connLimit {
+	if len(alive)*leastConns <= connections {
 		return path{conns: max(1, min(connLimit, connections))}
 	}
 	owners := place.Owners(u.UpstreamInfo, alive, ownerCount)
