Look for a new leader while the lease is asked for

What a probe finds is used by waiting statements at once. TestFindLeaderWithoutStore failed before (found after 2.4 s of its fake clock).

--- a/core/lead/driver.go
+++ b/core/lead/driver.go
@@ -212,9 +212,16 @@
 	if g.Leaving {
 		sleep(ctx, rand.N(startJitter))
 	}
+	// Another VM may have replaced the primary already. A VM that can't reach the store would learn of
+	// it only when the store's call has timed out.
+	found := make(chan struct{})
+	go func() {
+		defer close(found)
+		d.findLeader(ctx, g)
+	}()
+	defer func() { <-found }()
 	held, err := d.acquire(ctx, g.ID, c.held)
 	if err != nil {
-		d.findLeader(ctx, g)
 		return held, err
 	}
 	// This VM's view may be from before another holder's change: what was read before the lease was
--- a/core/lead/driver_test.go
+++ b/core/lead/driver_test.go
@@ -23,7 +23,11 @@
 	silent      map[core.UpstreamID]bool
 	// storeDown makes the store's calls fail; leaseHeld makes the lease belong to somebody else.
 	storeDown, leaseHeld bool
-	version              core.Version
+	// slow is the time that a lease takes.
+	slow time.Duration
+	// foundAt is when a probe first met another leader than the believed one.
+	foundAt time.Time
+	version core.Version
 	// unanswered is the number of promotions that get no answer.
 	unanswered int
 	promotions []promotion
@@ -56,6 +60,9 @@
 func (w *world) Probe(ctx context.Context, id core.UpstreamID) (Standing, error) {
 	w.mu.Lock()
 	silent, at := w.silent[id], w.standing[id]
+	if at.Leads && !silent && id != w.view.Primary && w.foundAt.IsZero() {
+		w.foundAt = time.Now()
+	}
 	w.mu.Unlock()
 	if silent {
 		<-ctx.Done()
@@ -89,6 +96,7 @@
 }
 
 func (w *world) Grant(context.Context, time.Duration) (core.LeaseID, error) {
+	time.Sleep(w.slow)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.storeDown {
@@ -264,3 +272,17 @@
 		assert.DeepEqual(t, []promotion{{"c", 11}}, got)
 	})
 }
+
+// Guards against a VM that reaches neither the store nor the old primary and learns of the new one only
+// after the store's call has timed out: hoangphat-seals trouble-3, 5.4 s to 7 s.
+func TestFindLeaderWithoutStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		w.silent["a"] = true
+		w.standing["b"] = Standing{Leads: true, Log: core.Position{Term: 2, Offset: 8}}
+		w.storeDown, w.slow = true, 1500*time.Millisecond
+		began := time.Now()
+		assert.Equal(t, len(w.run(t, 3*time.Second)), 0)
+		assert.Assert(t, !w.foundAt.IsZero() && w.foundAt.Sub(began) < 1200*time.Millisecond, "found after %v", w.foundAt.Sub(began))
+	})
+}
