Leave replicas that lag alone for longer each time

Each VM tried them every 60 ms: 1,000 of the statements in a second were refused as lagging, each with a round trip and, for the far one, bytes between regions. Change: the time for which reads that need as much avoid the replica doubles up to 500 ms, and after three times in a row they don't try it. Reads that a known position covers still do. TestLaggingReplicasAreSpared failed before.

--- a/core/proxy/choose.go
+++ b/core/proxy/choose.go
@@ -25,6 +25,8 @@
 	wait time.Duration
 	// lagging tells that it lacked the position moments ago.
 	lagging bool
+	// behind tells that it lacks the position for certain.
+	behind bool
 	// failing tells that its last statements got no answer.
 	failing bool
 }
@@ -44,12 +46,15 @@
 	return d
 }
 
-// cheapest returns the index of the candidate with the lowest cost, or -1. Load pattern: a surge of
+// cheapest returns the index of the candidate with the lowest cost, or -1 if none has the position. Load pattern: a surge of
 // one kind of reads in one failure domain, which spills over to the other regions only once the
 // wait at home exceeds the round trip.
 func cheapest(cands []candidate) int {
 	best := -1
 	for i := range cands {
+		if cands[i].behind {
+			continue
+		}
 		if best < 0 || cands[i].cost() < cands[best].cost() {
 			best = i
 		}
--- a/core/proxy/fake_test.go
+++ b/core/proxy/fake_test.go
@@ -30,7 +30,9 @@
 	// busy is the number of statements that are refused as busy.
 	busy  int
 	conns int
-	ran   []run
+	// lagged is the number of statements that awaited a position which the log lacks.
+	lagged int
+	ran    []run
 }
 
 // run is one statement of a caller that ran.
@@ -145,6 +147,7 @@
 		return core.FaultBusy
 	}
 	if l.s.log.Less(c.Await) {
+		l.s.lagged++
 		return core.FaultLagging
 	}
 	text := c.Text
--- a/core/proxy/load_test.go
+++ b/core/proxy/load_test.go
@@ -300,3 +300,28 @@
 		assert.Assert(t, time.Since(began) <= 250*time.Millisecond, "refused after %v", time.Since(began))
 	})
 }
+
+// Guards against reads that try lagging replicas again and again: on hoangphat-seals scale-1, where two
+// replicas lagged by 6 s, an upstream's refusals were a third of all statements. The replicas must be used
+// again soon after they have caught up.
+func TestLaggingReplicasAreSpared(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		replicas := []core.UpstreamID{nearID, farID}
+		for _, id := range replicas {
+			r.servers[id].set(func(s *server) { s.log.Offset = 5 })
+		}
+		r.must(r.proxy.Open("strict"), VerbRead, "READ 0")
+		const length = 3 * time.Second
+		ends := r.surge("bounded", 10*time.Millisecond, length)
+		assert.Equal(t, ends[core.FaultNone], 300, "%v", ends)
+		for _, id := range replicas {
+			lagged := r.servers[id].lagged
+			assert.Assert(t, lagged <= lagCertain+int(length/maxLagMemory)+1, "%s was tried %d times", id, lagged)
+			r.servers[id].set(func(s *server) { s.log.Offset = 10 })
+		}
+		time.Sleep(maxLagMemory)
+		before := len(r.texts(nearID))
+		r.surge("bounded", 10*time.Millisecond, time.Second)
+		assert.Assert(t, len(r.texts(nearID))-before > 90)
+	})
+}
--- a/core/proxy/node.go
+++ b/core/proxy/node.go
@@ -16,8 +16,13 @@
 	// slotsAhead is how many statements an entry VM sends to an upstream beyond its slots, so that the
 	// upstream doesn't idle for the round trip between two statements.
 	slotsAhead = 1
-	// lagMemory is how long a replica that lacked a position is avoided.
-	lagMemory = 60 * time.Millisecond
+	// lagMemory is how long a replica that lacked a position is avoided for reads that need as much. It
+	// doubles each time in a row up to maxLagMemory: one that lags by seconds costs each VM two round
+	// trips a second, and one that has caught up is used again soon.
+	lagMemory    = 60 * time.Millisecond
+	maxLagMemory = 500 * time.Millisecond
+	// lagCertain is the number of times in a row after which such reads don't try the replica at all.
+	lagCertain = 3
 	// calmTime is the time in which the memory of slow answers halves while an upstream isn't used.
 	calmTime = 300 * time.Millisecond
 	// latencyWeight is the weight of a new answer time in the moving average.
@@ -47,7 +52,11 @@
 	// latency is the moving average of answer times, without the round trip.
 	latency    time.Duration
 	answeredAt time.Time
-	laggedAt   time.Time
+	// laggedAt is when the upstream last lacked a position, laggedFor the position, and lags how often
+	// in a row it did.
+	laggedAt  time.Time
+	laggedFor core.Position
+	lags      int
 	// denied tells that the upstream refused to act as primary, proved that it acted as one, whatever
 	// its entry in the store says. The later of the two counts.
 	denied, proved bool
@@ -107,6 +116,9 @@
 	if n.position.Less(p) {
 		n.position = p
 	}
+	if !n.position.Less(n.laggedFor) {
+		n.lags = 0
+	}
 }
 
 // noteFailure records that the connection's other end, or a dial if c is nil, gave no answer.
@@ -120,10 +132,26 @@
 	}
 }
 
-func (n *node) noteLag() {
+// noteLag records that the upstream lacked the position.
+func (n *node) noteLag(await core.Position) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.laggedAt = time.Now()
+	n.laggedAt, n.laggedFor = time.Now(), await
+	n.lags++
+}
+
+// lag reports whether the upstream lacked the position moments ago, and whether it did so often enough
+// that a read needn't try it. The caller holds mu.
+func (n *node) lag(now time.Time, await core.Position) (lagging, certain bool) {
+	if n.lags == 0 || await.Less(n.laggedFor) || !n.position.Less(await) {
+		return false, false
+	}
+	memory := maxLagMemory
+	if n.lags <= lagCertain {
+		memory = lagMemory << (n.lags - 1)
+	}
+	lagging = now.Sub(n.laggedAt) < memory
+	return lagging, lagging && n.lags >= lagCertain
 }
 
 // noteDenied records that the upstream refused to act as primary.
@@ -169,8 +197,8 @@
 	}
 }
 
-// view returns the node as a candidate for a read.
-func (n *node) view(now time.Time) candidate {
+// view returns the node as a candidate for a read that awaits the position.
+func (n *node) view(now time.Time, await core.Position) candidate {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	u := n.info.Load()
@@ -178,11 +206,13 @@
 	for d := now.Sub(n.answeredAt); d > calmTime && latency > time.Millisecond; d -= calmTime {
 		latency /= 2
 	}
+	lagging, behind := n.lag(now, await)
 	return candidate{
 		primary:  n.claims(),
 		distance: n.p.distance(u),
 		wait:     latency * time.Duration(1+n.pending.Load()) / time.Duration(n.limit),
-		lagging:  now.Sub(n.laggedAt) < lagMemory,
+		lagging:  lagging,
+		behind:   behind,
 		failing:  n.failures >= failAfter && now.Sub(n.failedAt) < failMemory,
 	}
 }
--- a/core/proxy/single.go
+++ b/core/proxy/single.go
@@ -236,14 +236,15 @@
 		}
 		return reply, done
 	}
-	return s.refused(w, n, reply)
+	return s.refused(w, t, reply)
 }
 
 // refused decides what follows an upstream's error.
-func (s *Session) refused(w *work, n *node, reply Reply) (Reply, outcome) {
+func (s *Session) refused(w *work, t target, reply Reply) (Reply, outcome) {
+	n := t.node
 	switch reply.Fault {
 	case core.FaultLagging:
-		n.noteLag()
+		n.noteLag(t.await)
 	case core.FaultReadOnly:
 		n.noteDenied()
 		return Reply{Fault: core.FaultBusy, Text: "the primary has changed"}, noPrimary
--- a/core/proxy/tx.go
+++ b/core/proxy/tx.go
@@ -143,7 +143,7 @@
 		case core.FaultReadOnly:
 			t.node.noteDenied()
 		case core.FaultLagging:
-			t.node.noteLag()
+			t.node.noteLag(t.await)
 		}
 		return &Reply{Fault: core.FaultBusy, Text: "the upstream refused the transaction: " + ans.Fault.String()}
 	}
--- a/core/proxy/work.go
+++ b/core/proxy/work.go
@@ -122,7 +122,7 @@
 	if w.route.Reads == topo.OwnWrites && await.Less(s.own) {
 		await = s.own
 	}
-	if n := w.replica(now); n != nil {
+	if n := w.replica(now, await); n != nil {
 		return target{node: n, await: await}, true
 	}
 	// No upstream has the position, or none that has it answers: the primary always has it.
@@ -138,7 +138,7 @@
 }
 
 // replica returns the upstream with the earliest expected answer of those that weren't tried, or nil.
-func (w *work) replica(now time.Time) *node {
+func (w *work) replica(now time.Time, await core.Position) *node {
 	nodes := *w.group.nodes.Load()
 	var cands []candidate
 	var from []*node
@@ -146,7 +146,7 @@
 		if slices.Contains(w.tried, n) || n.info.Load().Leaving {
 			continue
 		}
-		cands, from = append(cands, n.view(now)), append(from, n)
+		cands, from = append(cands, n.view(now, await)), append(from, n)
 	}
 	if i := cheapest(cands); i >= 0 {
 		return from[i]
