--- a/core/topo/topo.go
+++ b/core/topo/topo.go
@@ -50,9 +50,7 @@
 	MaxAge time.Duration
 	// StatementTimeout limits one statement.
 	StatementTimeout time.Duration
-	// Target is the latency that a caller wants for a whole operation.
-	Target time.Duration
-	Rank   core.Rank
+	Rank             core.Rank
 }
 
 // Group is one database group of the configuration.
--- a/io/hop/server.go
+++ b/io/hop/server.go
@@ -4,15 +4,15 @@
 	"bufio"
 	"context"
 	"encoding/gob"
-	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
-	"github.com/go-kit/log/level"
 
 	"snipewall/core"
+	"snipewall/io/sock"
 )
 
 const (
@@ -50,98 +50,34 @@
 
 // Server is the service "hop".
 type Server struct {
-	cfg  ServerConfig
-	ends chan struct{}
-
-	mu      sync.Mutex
-	peers   map[*peer]bool
-	leaving bool
+	*sock.Server[*peer]
+	cfg     ServerConfig
+	leaving atomic.Bool
 }
 
 // NewServer returns a server.
 func NewServer(cfg ServerConfig) *Server {
-	return &Server{cfg: cfg, ends: make(chan struct{}, 64), peers: make(map[*peer]bool)}
+	s := &Server{cfg: cfg}
+	s.Server = sock.NewServer(sock.ServerConfig[*peer]{
+		Listener: cfg.Listener, Log: cfg.Log, Open: s.open,
+		Serve: func(ctx context.Context, p *peer) { p.run(ctx) },
+	})
+	return s
 }
 
 // Name implements core.Service.
 func (s *Server) Name() string { return "hop" }
 
-// Run accepts connections until ctx ends, and then closes all of them.
-func (s *Server) Run(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { _ = s.cfg.Listener.Close() })
-	defer stop()
-	accepted := make(chan error, 1)
-	go func() { accepted <- s.accept(ctx) }()
-	running := true
-	var failure error
-	for running || s.count() > 0 {
-		select {
-		case err := <-accepted:
-			running = false
-			if ctx.Err() == nil {
-				failure = err
-			}
-			s.closeAll()
-		case <-s.ends:
-		}
-	}
-	return failure
-}
-
-func (s *Server) accept(ctx context.Context) error {
-	for {
-		c, err := s.cfg.Listener.Accept()
-		if err != nil {
-			if ctx.Err() == nil && !errors.Is(err, net.ErrClosed) {
-				level.Warn(s.cfg.Log).Log("Msg", "connection not accepted", "Err", err)
-				time.Sleep(10 * time.Millisecond)
-				continue
-			}
-			return err
-		}
-		p := &peer{server: s, conn: c, in: bufio.NewReaderSize(c, bufferSize), out: bufio.NewWriterSize(c, bufferSize)}
-		p.dec, p.enc = gob.NewDecoder(p.in), gob.NewEncoder(p.out)
-		s.mu.Lock()
-		s.peers[p] = true
-		s.mu.Unlock()
-		go func() {
-			p.run(ctx)
-			s.mu.Lock()
-			delete(s.peers, p)
-			s.mu.Unlock()
-			s.ends <- struct{}{}
-		}()
-	}
-}
-
-func (s *Server) count() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.peers)
-}
-
-func (s *Server) closeAll() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for p := range s.peers {
-		_ = p.conn.Close()
-	}
+func (s *Server) open(c net.Conn) *peer {
+	p := &peer{server: s, conn: c, in: bufio.NewReaderSize(c, bufferSize), out: bufio.NewWriterSize(c, bufferSize)}
+	p.dec, p.enc = gob.NewDecoder(p.in), gob.NewEncoder(p.out)
+	return p
 }
 
 // Leave asks the other entry VMs to stop using their connections. They are served until Run ends.
 func (s *Server) Leave() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.leaving = true
-	for p := range s.peers {
-		p.goodbye()
-	}
-}
-
-func (s *Server) isLeaving() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.leaving
+	s.leaving.Store(true)
+	s.Each((*peer).goodbye)
 }
 
 // peer is one connection from another entry VM.
@@ -160,7 +96,6 @@
 }
 
 func (p *peer) run(ctx context.Context) {
-	defer func() { _ = p.conn.Close() }()
 	if err := p.conn.SetReadDeadline(time.Now().Add(helloTimeout)); err != nil {
 		return
 	}
@@ -169,7 +104,7 @@
 		return
 	}
 	relay, at, ok := p.server.cfg.Open(h.Upstream)
-	if !ok || p.server.isLeaving() {
+	if !ok || p.server.leaving.Load() {
 		p.write(welcome{Fault: core.FaultBusy})
 		return
 	}
--- /dev/null
+++ b/io/sock/server.go
@@ -0,0 +1,113 @@
+package sock
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+)
+
+// acceptPause is the wait after a failure of Accept that may pass, as when descriptors ran out: about
+// the time in which some sessions end under load.
+const acceptPause = 10 * time.Millisecond
+
+// ServerConfig configures a Server. All fields are required.
+type ServerConfig[T comparable] struct {
+	Listener net.Listener
+	// Open returns the state of a new connection, and Serve serves it until its end.
+	Open  func(c net.Conn) T
+	Serve func(ctx context.Context, state T)
+	Log   log.Logger
+}
+
+// Server accepts connections and serves each with a state of type T. It is safe for concurrent use.
+type Server[T comparable] struct {
+	cfg ServerConfig[T]
+	// ends receives one value for each connection that ended.
+	ends chan struct{}
+
+	mu    sync.Mutex
+	conns map[T]net.Conn
+}
+
+// NewServer returns a server that accepts nothing before Run.
+func NewServer[T comparable](cfg ServerConfig[T]) *Server[T] {
+	return &Server[T]{cfg: cfg, ends: make(chan struct{}, 64), conns: make(map[T]net.Conn)}
+}
+
+// Run accepts connections until ctx ends, and then closes all of them and waits for their ends. Its
+// error is that of the listener.
+func (s *Server[T]) Run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = s.cfg.Listener.Close() })
+	defer stop()
+	accepted := make(chan error, 1)
+	go func() { accepted <- s.accept(ctx) }()
+	running := true
+	var failure error
+	for running || s.Count() > 0 {
+		select {
+		case err := <-accepted:
+			running = false
+			if ctx.Err() == nil {
+				failure = err
+			}
+			s.closeAll()
+		case <-s.ends:
+		}
+	}
+	return failure
+}
+
+// Count returns the number of open connections.
+func (s *Server[T]) Count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
+// Each calls fn with the state of each open connection, while no connection is opened or ends.
+func (s *Server[T]) Each(fn func(state T)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for state := range s.conns {
+		fn(state)
+	}
+}
+
+func (s *Server[T]) accept(ctx context.Context) error {
+	for {
+		c, err := s.cfg.Listener.Accept()
+		if err != nil {
+			if ctx.Err() == nil && !errors.Is(err, net.ErrClosed) {
+				level.Warn(s.cfg.Log).Log("Msg", "connection not accepted", "Err", err)
+				time.Sleep(acceptPause)
+				continue
+			}
+			return err
+		}
+		state := s.cfg.Open(c)
+		s.mu.Lock()
+		s.conns[state] = c
+		s.mu.Unlock()
+		go func() {
+			s.cfg.Serve(ctx, state)
+			_ = c.Close()
+			s.mu.Lock()
+			delete(s.conns, state)
+			s.mu.Unlock()
+			s.ends <- struct{}{}
+		}()
+	}
+}
+
+func (s *Server[T]) closeAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.conns {
+		_ = c.Close()
+	}
+}
--- /dev/null
+++ b/io/sock/server_test.go
@@ -0,0 +1,51 @@
+package sock
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+)
+
+// Guards against a server that returns while connections are still served, and against connections that
+// outlive it.
+func TestServerEndsItsConnections(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	served := 0
+	s := NewServer(ServerConfig[*net.TCPConn]{
+		Listener: ln, Log: log.NewNopLogger(),
+		Open: func(c net.Conn) *net.TCPConn { return c.(*net.TCPConn) },
+		Serve: func(_ context.Context, c *net.TCPConn) {
+			_, _ = io.Copy(io.Discard, c)
+			time.Sleep(50 * time.Millisecond)
+			served++
+		},
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	end := make(chan error, 1)
+	go func() { end <- s.Run(ctx) }()
+	c, err := Dial(t.Context(), ln.Addr().String())
+	assert.NilError(t, err)
+	defer func() { _ = c.Close() }()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if s.Count() == 1 {
+			return poll.Success()
+		}
+		return poll.Continue("connection not accepted yet")
+	})
+	assert.Assert(t, Quiet(c))
+	cancel()
+	assert.NilError(t, <-end)
+	assert.Equal(t, served, 1)
+	assert.Equal(t, s.Count(), 0)
+	assert.NilError(t, c.SetReadDeadline(time.Now().Add(5*time.Second)))
+	_, err = c.Read(make([]byte, 1))
+	assert.Assert(t, err != nil, "the connection is open")
+	assert.Assert(t, !Quiet(c))
+}
