Log when a connection is borrowed from another VM

Cause: the on-call engineer couldn't see from the logs that a statement went through another VM, and why. Change: one line for each borrowed connection, with the lender and the reason.

--- a/core/proxy/links.go
+++ b/core/proxy/links.go
@@ -113,6 +113,9 @@
 		if err == nil {
 			n.p.metrics.hopDials.Inc(1)
 			n.noteRefusal(false)
+			if !n.path.isIndirect() {
+				n.p.logDecision("connection borrowed", "Upstream", u.ID, "Lender", owner.ID, "Why", n.direct.Blocked())
+			}
 			return n.opened(lc, owner.ID), nil
 		}
 		// An owner that refuses is alive: it stops, or has no connection to the upstream to give.
--- a/core/queue/wait.go
+++ b/core/queue/wait.go
@@ -8,8 +8,9 @@
 
 // expectedWait estimates the time until the waiting item starts. It is the lower of two bounds: how
 // long the kind's own work ahead takes at the rate that the kind is guaranteed or has had recently,
-// and how long that work and all work that goes first take in the slots that more urgent ranks leave. The first item of a kind is never expected to wait, so that a wrong estimate is corrected
-// by the next measurement.
+// and how long that work and all work that goes first take in the slots that more urgent ranks leave. The
+// first item of a kind is never expected to wait, so that a wrong estimate is corrected by the next
+// measurement.
 func (s *Shares) expectedWait(now time.Time, it *Item) time.Duration {
 	k := it.state
 	ahead := k.ahead(it)
