--- a/core/proxy/session_test.go
+++ b/core/proxy/session_test.go
@@ -321,3 +321,23 @@
 		assert.DeepEqual(t, r.texts(primaryID), []string{"WRITE 1"})
 	})
 }
+
+// Guards against work that a leaving primary still gets after a few seconds, when no other has taken over:
+// the platform takes the upstream away 7 s after it said so.
+func TestLeavingPrimaryGetsNoWorkLater(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		u := r.dir.Snapshot().Upstreams[primaryID]
+		u.Leaving = true
+		r.dir.Put(u)
+		time.Sleep(leavingTime - time.Second)
+		r.must(r.proxy.Open("strict"), VerbRead, "READ 1")
+		time.Sleep(time.Second)
+		ran := len(r.texts(primaryID))
+		for range 20 {
+			reply := r.do(r.proxy.Open("own"), VerbWrite, "WRITE 1")
+			assert.Assert(t, reply.Fault.NotRun(), "%v", reply.Fault)
+		}
+		assert.Equal(t, len(r.texts(primaryID)), ran)
+		assert.Assert(t, leavingTime < 7*time.Second)
+	})
+}
