--- a/core/lead/driver.go
+++ b/core/lead/driver.go
@@ -218,10 +218,10 @@
 	// Another VM may have replaced the primary already. A VM that can't reach the store would learn of
 	// it only when the store's call has timed out.
 	found := make(chan struct{})
-	go func() {
+	go func(g Group) {
 		defer close(found)
 		d.findLeader(ctx, g)
-	}()
+	}(g)
 	defer func() { <-found }()
 	held, err := d.acquire(ctx, g.ID, c.held)
 	if err != nil {
--- a/core/proxy/fake_test.go
+++ b/core/proxy/fake_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -22,7 +23,9 @@
 
 	mu    sync.Mutex
 	leads bool
-	log   core.Position
+	// unproved makes the upstream open plain transactions even if it doesn't lead.
+	unproved bool
+	log      core.Position
 	// service is how long a statement takes.
 	service time.Duration
 	// silent statements get no answer; broken ones break the connection after they ran.
@@ -41,6 +44,8 @@
 	Text   string
 	Values string
 	InTx   bool
+	// Log is the end of the upstream's log when the statement ran.
+	Log core.Position
 }
 
 func (s *server) runs() []run {
@@ -67,10 +72,15 @@
 	guards   bool
 }
 
-func (l *link) Hello() core.Position { return l.s.log }
-func (l *link) Idle() bool           { return !l.closed && len(l.answers) == 0 }
-func (l *link) Guards() bool         { return l.guards }
-func (l *link) Close() error         { l.closed = true; return nil }
+func (l *link) Hello() core.Position {
+	l.s.mu.Lock()
+	defer l.s.mu.Unlock()
+	return l.s.log
+}
+
+func (l *link) Idle() bool   { return !l.closed && len(l.answers) == 0 }
+func (l *link) Guards() bool { return l.guards }
+func (l *link) Close() error { l.closed = true; return nil }
 
 func (l *link) Send(cmds []core.Command) error {
 	for _, c := range cmds {
@@ -120,7 +130,7 @@
 func (l *link) decide(c core.Command) core.Fault {
 	switch c.Op {
 	case core.OpBegin, core.OpBeginRead:
-		if c.Op == core.OpBegin && !l.s.leads {
+		if c.Op == core.OpBegin && !l.s.leads && !l.s.unproved {
 			return core.FaultReadOnly
 		}
 		if l.s.log.Less(c.Await) {
@@ -163,7 +173,7 @@
 	if write && !l.s.leads {
 		return core.FaultReadOnly
 	}
-	l.s.ran = append(l.s.ran, run{Conn: l.n, Text: text, Values: fmt.Sprint(l.values), InTx: l.status == core.TxOpen})
+	l.s.ran = append(l.s.ran, run{Conn: l.n, Text: text, Values: fmt.Sprint(l.values), InTx: l.status == core.TxOpen, Log: l.s.log})
 	if write && l.status == core.TxIdle || text == "COMMIT" {
 		l.s.log.Offset++
 	}
@@ -181,13 +191,13 @@
 	dir     *topo.Directory
 	proxy   *Proxy
 	// now is the clock that counts suspension.
-	suspended time.Duration
+	suspended atomic.Int64
 	start     time.Time
 	alive     []core.VM
 	guards    bool
-	dials     int
+	dials     atomic.Int32
 	// full makes the upstreams refuse new connections; those that are cut don't answer this VM.
-	full bool
+	full atomic.Bool
 	cut  map[core.UpstreamID]bool
 	// owner answers for an upstream's owner; nil means that none answers.
 	owner func(id core.UpstreamID) (core.LineConn, error)
@@ -236,7 +246,9 @@
 		Directory: r.dir, Dialer: r, Self: self, Members: r, DialOwner: r.dialOwner,
 		Regions: map[core.FailureDomain]core.Region{"here": "home", "there": "away"},
 		Log:     log.NewNopLogger(),
-		Now:     func() core.Instant { return core.Instant(time.Since(r.start) + r.suspended + time.Hour) },
+		Now: func() core.Instant {
+			return core.Instant(time.Since(r.start) + time.Duration(r.suspended.Load()) + time.Hour)
+		},
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	end := make(chan error, 1)
@@ -275,11 +287,11 @@
 	s := r.servers[u.ID]
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if r.full {
+	if r.full.Load() {
 		return nil, &core.RefusedError{Upstream: u.ID, Message: "OVERLOAD"}
 	}
 	s.conns++
-	r.dials++
+	r.dials.Add(1)
 	return &link{s: s, n: s.conns, status: core.TxIdle, values: map[string]string{}, prepared: map[string]string{}, guards: r.guards}, nil
 }
 
--- a/core/proxy/load_test.go
+++ b/core/proxy/load_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -171,7 +172,7 @@
 		r.must(r.proxy.Open("own"), VerbWrite, "WRITE 2")
 		assert.Assert(t, time.Since(began) < 50*time.Millisecond, "the owner is passed over for a while")
 		r.surge("strict", 5*time.Millisecond, time.Second)
-		assert.Assert(t, r.dials <= 3*detourConns, "%d direct connections", r.dials)
+		assert.Assert(t, r.dials.Load() <= 3*detourConns, "%d direct connections", r.dials.Load())
 	})
 }
 
@@ -186,10 +187,10 @@
 			return r.relayLink(id)
 		}
 		time.Sleep(suspectTime)
-		direct := r.dials
+		direct := r.dials.Load()
 		r.must(r.proxy.Open("own"), VerbWrite, "WRITE 2")
 		assert.Equal(t, asked, 1)
-		assert.Equal(t, r.dials, direct)
+		assert.Equal(t, r.dials.Load(), direct)
 	})
 }
 
@@ -207,13 +208,14 @@
 func TestConnectionsAreLent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig(t, otherVMs()...)
-		r.full, r.owner = true, r.relayLink
+		r.owner = r.relayLink
+		r.full.Store(true)
 		ends := r.surge("strict", 10*time.Millisecond, time.Second)
 		assert.Equal(t, ends[core.FaultNone], 100, "%v", ends)
-		r.full = false
+		r.full.Store(false)
 		time.Sleep(connIdle + maxDialBackoff)
 		r.surge("strict", 10*time.Millisecond, time.Second)
-		assert.Assert(t, r.dials > 0, "the VM dials again once it may")
+		assert.Assert(t, r.dials.Load() > 0, "the VM dials again once it may")
 	})
 }
 
@@ -223,7 +225,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig(t, otherVMs()...)
 		asked := 0
-		r.full = true
+		r.full.Store(true)
 		r.owner = func(id core.UpstreamID) (core.LineConn, error) {
 			asked++
 			return r.relayLink(id)
@@ -252,7 +254,7 @@
 			wg.Go(func() { r.must(r.proxy.Open("bounded"), VerbRead, "READ 1") })
 		}
 		time.Sleep(10 * time.Millisecond)
-		r.full = true
+		r.full.Store(true)
 		ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
 		defer cancel()
 		at, err := r.proxy.Probe(ctx, nearID)
@@ -334,23 +336,24 @@
 func TestOwnerRefuses(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig(t, manyVMs()...)
-		refuse := true
+		var refuse atomic.Bool
+		refuse.Store(true)
 		r.owner = func(id core.UpstreamID) (core.LineConn, error) {
-			if refuse {
+			if refuse.Load() {
 				return nil, &core.RefusedError{Upstream: id}
 			}
 			return r.relayLink(id)
 		}
 		r.surge("strict", 5*time.Millisecond, time.Second)
-		assert.Equal(t, r.dials, 0)
-		refuse = false
+		assert.Equal(t, r.dials.Load(), int32(0))
+		refuse.Store(false)
 		time.Sleep(maxDialBackoff)
 		r.must(r.proxy.Open("own"), VerbWrite, "WRITE 1")
-		assert.Equal(t, r.dials, 0)
-		refuse = true
+		assert.Equal(t, r.dials.Load(), int32(0))
+		refuse.Store(true)
 		time.Sleep(hopIdle + time.Second)
 		r.surge("strict", 5*time.Millisecond, ownerPatience+time.Second)
-		assert.Assert(t, r.dials > 0)
+		assert.Assert(t, r.dials.Load() > 0)
 		r.must(r.proxy.Open("own"), VerbWrite, "WRITE 2")
 	})
 }
@@ -360,7 +363,7 @@
 func TestUnaskedPrimary(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig(t, manyVMs()...)
-		r.full = true
+		r.full.Store(true)
 		r.owner = func(id core.UpstreamID) (core.LineConn, error) { return nil, &core.RefusedError{Upstream: id} }
 		ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
 		defer cancel()
--- a/core/proxy/session_test.go
+++ b/core/proxy/session_test.go
@@ -56,7 +56,7 @@
 	inBubble(t, func(t *testing.T, r *rig) {
 		r.must(r.proxy.Open("strict"), VerbRead, "READ 1")
 		r.servers[primaryID].set(func(s *server) { s.log.Offset = 20 })
-		r.suspended = 10 * time.Second
+		r.suspended.Store(int64(10 * time.Second))
 		r.must(r.proxy.Open("bounded"), VerbRead, "READ 2")
 		assert.Equal(t, len(r.texts(nearID)), 0)
 		assert.Equal(t, len(r.texts(farID)), 0)
