Log the source of each configuration and every failed mirror

The logs could not tell why a VM got a change late: the error of a mirror was swallowed, nothing named the VM that a change came from, and a refused CONNECT did not say which version refused it.

At most one line for each watch that fails or changes its source. No decision changes.

--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -20,6 +20,10 @@
 	"sync"
 	"time"
 
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/uber-go/tally/v4"
+
 	"snipewall/core"
 	"snipewall/core/place"
 )
@@ -45,13 +49,15 @@
 // errNotCurrent is the answer of a mirror that isn't receiving the store's changes at present.
 var errNotCurrent = errors.New("mirror has no current view of the store")
 
-// Config configures a Mirror.
+// Config configures a Mirror. Metrics may be nil.
 type Config struct {
 	Store   core.PrefixStore
 	Members Members
 	Self    core.VM
 	// Call calls a method of another entry VM at its control address.
-	Call func(ctx context.Context, address, method string, req, answer any) error
+	Call    func(ctx context.Context, address, method string, req, answer any) error
+	Log     log.Logger
+	Metrics tally.Scope
 }
 
 // Members provides the live entry VMs.
@@ -61,10 +67,13 @@
 
 // Mirror is a core.PrefixStore with shared watches. It is safe for concurrent use.
 type Mirror struct {
-	cfg Config
+	cfg     Config
+	metrics metrics
 
 	mu      sync.Mutex
 	changes map[string]*changes
+	// sources holds the VM whose mirror the last watch of each prefix used, empty for the store.
+	sources map[string]core.VMID
 	// failedAt is when a VM's mirror last failed to answer.
 	failedAt map[core.VMID]time.Time
 }
@@ -82,7 +91,10 @@
 
 // New returns a mirror without any changes.
 func New(cfg Config) *Mirror {
-	return &Mirror{cfg: cfg, changes: make(map[string]*changes), failedAt: make(map[core.VMID]time.Time)}
+	return &Mirror{
+		cfg: cfg, metrics: newMetrics(cfg.Metrics), changes: make(map[string]*changes),
+		sources: make(map[string]core.VMID), failedAt: make(map[core.VMID]time.Time),
+	}
 }
 
 // List implements core.PrefixStore.
@@ -100,19 +112,37 @@
 // change is delayed by one watch at most.
 func (m *Mirror) WatchPrefix(ctx context.Context, prefix string, after core.Version, wait time.Duration) ([]core.Event, core.Version, error) {
 	if vm, ok := m.watcher(); ok {
+		m.noteSource(prefix, vm.ID)
+		began := time.Now()
 		events, at, err := m.watchMirror(ctx, vm, prefix, after, wait)
 		if err == nil || errors.Is(err, core.ErrCompacted) || ctx.Err() != nil {
 			return events, at, err
 		}
+		m.metrics.mirrorFailures.Inc(1)
+		level.Info(m.cfg.Log).Log("Msg", "mirror failed", "Prefix", prefix, "Mirror", vm.ID, "After", after,
+			"WaitedMs", time.Since(began).Milliseconds(), "Err", err)
 		m.mu.Lock()
 		m.failedAt[vm.ID] = time.Now()
 		m.mu.Unlock()
 	}
+	m.noteSource(prefix, "")
+	m.metrics.storeWatches.Inc(1)
 	events, at, err := m.cfg.Store.WatchPrefix(ctx, prefix, after, wait)
 	m.record(prefix, after, events, at, err)
 	return events, at, err
 }
 
+// noteSource logs when the source of the prefix changes.
+func (m *Mirror) noteSource(prefix string, vm core.VMID) {
+	m.mu.Lock()
+	old, ok := m.sources[prefix]
+	m.sources[prefix] = vm
+	m.mu.Unlock()
+	if !ok || old != vm {
+		level.Info(m.cfg.Log).Log("Msg", "watch source changed", "Prefix", prefix, "Mirror", vm, "Old", old)
+	}
+}
+
 // watcher returns the VM whose mirror this VM must watch, or false if it must watch the store itself.
 func (m *Mirror) watcher() (core.VM, bool) {
 	domain := m.cfg.Self.FailureDomain
@@ -152,9 +182,13 @@
 	if err := m.cfg.Call(ctx, vm.Control, watchMethod, &WatchRequest{Prefix: prefix, After: after, Wait: wait}, &out); err != nil {
 		return nil, 0, err
 	}
+	m.metrics.mirrorWatches.Inc(1)
 	if out.Compacted {
 		return nil, 0, core.ErrCompacted
 	}
+	for i := range out.Events {
+		out.Events[i].Source = vm.ID
+	}
 	return out.Events, out.At, nil
 }
 
--- a/core/mirror/mirror_test.go
+++ b/core/mirror/mirror_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/go-kit/log"
 	"gotest.tools/v3/assert"
 
 	"snipewall/core"
@@ -110,7 +111,7 @@
 		f.vms = append(f.vms, core.VM{ID: core.VMID(name), FailureDomain: "here", Control: name})
 	}
 	for _, vm := range f.vms {
-		f.mirrors[vm.Control] = New(Config{Store: f.store, Members: f, Self: vm, Call: f.call})
+		f.mirrors[vm.Control] = New(Config{Store: f.store, Members: f, Self: vm, Call: f.call, Log: log.NewNopLogger()})
 	}
 	return f
 }
--- a/core/proxy/session.go
+++ b/core/proxy/session.go
@@ -105,6 +105,9 @@
 	}
 }
 
+// ConfigVersion returns the version of the configuration in force on this VM, or 0 if none is known.
+func (p *Proxy) ConfigVersion() core.Version { return p.cfg.Directory.Snapshot().Config.Version }
+
 // Status returns the session's transaction status.
 func (s *Session) Status() core.TxStatus {
 	switch {
--- a/core/topo/feed.go
+++ b/core/topo/feed.go
@@ -44,7 +44,8 @@
 type Feed struct {
 	cfg     FeedConfig
 	backoff time.Duration
-	lost    bool
+	// lostAt is when the store was lost, or zero.
+	lostAt time.Time
 }
 
 // NewFeed returns a feed. It makes no calls until Run is called.
@@ -59,6 +60,7 @@
 	var version core.Version
 	listed := false
 	for ctx.Err() == nil {
+		began := time.Now()
 		var err error
 		if !listed {
 			version, err = f.list(ctx)
@@ -71,7 +73,7 @@
 				continue
 			}
 		}
-		f.afterCall(ctx, err)
+		f.afterCall(ctx, err, time.Since(began))
 	}
 	return nil
 }
@@ -102,18 +104,18 @@
 
 // afterCall logs when the store is lost or regained, and waits after a failure. Jitter keeps the entry VMs
 // from calling the store all at the same time.
-func (f *Feed) afterCall(ctx context.Context, err error) {
+func (f *Feed) afterCall(ctx context.Context, err error, took time.Duration) {
 	if err == nil {
-		if f.lost {
-			level.Info(f.cfg.Log).Log("Msg", "store regained", "Feed", f.cfg.Title)
+		if !f.lostAt.IsZero() {
+			level.Info(f.cfg.Log).Log("Msg", "store regained", "Feed", f.cfg.Title, "LostMs", time.Since(f.lostAt).Milliseconds())
 		}
-		f.lost, f.backoff = false, 0
+		f.lostAt, f.backoff = time.Time{}, 0
 		return
 	}
-	if !f.lost && ctx.Err() == nil {
-		level.Warn(f.cfg.Log).Log("Msg", "store lost", "Feed", f.cfg.Title, "Err", err)
+	if f.lostAt.IsZero() && ctx.Err() == nil {
+		level.Warn(f.cfg.Log).Log("Msg", "store lost", "Feed", f.cfg.Title, "WaitedMs", took.Milliseconds(), "Err", err)
+		f.lostAt = time.Now()
 	}
-	f.lost = true
 	f.backoff = min(max(2*f.backoff, minBackoff), maxBackoff)
 	timer := time.NewTimer(f.backoff/2 + rand.N(f.backoff/2+1))
 	defer timer.Stop()
--- a/core/watch.go
+++ b/core/watch.go
@@ -19,6 +19,8 @@
 	Entry
 	// Deleted is set if the key was deleted; the value is then empty.
 	Deleted bool
+	// Source is the VM whose mirror delivered the change; empty for the store itself.
+	Source VMID
 }
 
 // PrefixStore lists and watches all keys with a prefix.
