--- /dev/null
+++ b/core/mirror/fleet_test.go
@@ -0,0 +1,347 @@
+package mirror
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+	"gotest.tools/v3/assert"
+
+	"snipewall/core"
+	"snipewall/core/topo"
+)
+
+const (
+	// applyTime is the time within which an acknowledged change must be known to each VM that reaches
+	// the store.
+	applyTime = 3 * time.Second
+	// phases is the number of runs of each scenario. They spread the disturbance over phaseTime, which
+	// is longer than a watch.
+	phases    = 240
+	phaseTime = 6 * time.Second
+	// messageTime is the time that a message takes between two VMs or to the store.
+	messageTime = time.Millisecond
+	// The VMs start up to startPhases-1 intervals apart, since the order of their watches matters.
+	startInterval = 130 * time.Millisecond
+	startPhases   = 31
+	prefix        = "p"
+	fleetSize     = 6
+)
+
+// simulation is a fleet of VMs in one failure domain that follow one key of the store with feeds.
+type simulation struct {
+	t     *testing.T
+	store *fakeStore
+	// hidden holds the VMs that are missing from the lists of VMs.
+	hidden map[core.VMID]bool
+	// lists, if set, holds a list of its own for each VM.
+	lists   map[core.VMID][]core.VM
+	vms     []core.VM
+	mirrors map[core.VMID]*Mirror
+	links   map[core.VMID]*link
+	group   sync.WaitGroup
+
+	mu sync.Mutex
+	// knownAt is when each VM learned of the version.
+	knownAt map[core.VMID]map[core.Version]time.Time
+}
+
+// link is the state of a VM's connections. The zero value works.
+type link struct {
+	mu sync.Mutex
+	// storeSilent makes the store not answer the VM, storeRefuses makes it refuse the VM's calls.
+	storeSilent, storeRefuses bool
+	// deaf makes the VM not receive calls of other VMs, mute drops its answers to them.
+	deaf, mute bool
+	// changed is closed when the state changes.
+	changed chan struct{}
+}
+
+func (l *link) set(change func(l *link)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	change(l)
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+func (l *link) get() link {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return link{storeSilent: l.storeSilent, storeRefuses: l.storeRefuses, deaf: l.deaf, mute: l.mute, changed: l.changed}
+}
+
+// linkedStore is the store as one VM reaches it.
+type linkedStore struct {
+	*fakeStore
+	link *link
+}
+
+func (s linkedStore) List(ctx context.Context, prefix string) ([]core.Entry, core.Version, error) {
+	if err := s.link.reachStore(ctx); err != nil {
+		return nil, 0, err
+	}
+	return s.fakeStore.List(ctx, prefix)
+}
+
+func (s linkedStore) WatchPrefix(ctx context.Context, prefix string, after core.Version, wait time.Duration) ([]core.Event, core.Version, error) {
+	if err := s.link.reachStore(ctx); err != nil {
+		return nil, 0, err
+	}
+	events, at, err := s.fakeStore.WatchPrefix(ctx, prefix, after, wait)
+	if s.link.get().storeSilent {
+		// The answer is lost.
+		<-ctx.Done()
+		return nil, 0, ctx.Err()
+	}
+	return events, at, err
+}
+
+// reachStore sends a request to the store. While the store is silent, it blocks until ctx ends.
+func (l *link) reachStore(ctx context.Context) error {
+	time.Sleep(messageTime)
+	state := l.get()
+	if state.storeRefuses {
+		return errDown
+	}
+	if state.storeSilent {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return nil
+}
+
+// members is the list of VMs as one VM knows it.
+type members struct {
+	s    *simulation
+	self core.VMID
+}
+
+func (m members) Alive() []core.VM {
+	m.s.mu.Lock()
+	defer m.s.mu.Unlock()
+	if list, ok := m.s.lists[m.self]; ok {
+		return slices.Clone(list)
+	}
+	return slices.DeleteFunc(slices.Clone(m.s.vms), func(vm core.VM) bool { return m.s.hidden[vm.ID] && vm.ID != m.self })
+}
+
+// simulate runs a fleet that prepare, if set, changes before its start. The disturbance changes the fleet at a time that differs in each phase, and
+// the store's key changes after it. It returns how long the VM that was last took to learn of the change,
+// over all phases, and fails the test if a VM other than exempt never does.
+func simulate(t *testing.T, prepare, disturb func(s *simulation), exempt func(s *simulation, id core.VMID) bool) time.Duration {
+	t.Helper()
+	var worst time.Duration
+	for phase := range phases {
+		synctest.Test(t, func(t *testing.T) {
+			s := newSimulation(t)
+			if prepare != nil {
+				prepare(s)
+			}
+			defer s.group.Wait()
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			for _, vm := range s.vms {
+				s.run(ctx, vm.ID)
+				time.Sleep(time.Duration(phase%startPhases) * startInterval)
+			}
+			time.Sleep(10*time.Second + time.Duration(phase)*phaseTime/phases)
+			disturb(s)
+			// The change follows at once, within a watch, or when the disturbance has lasted for a while.
+			time.Sleep([]time.Duration{0, 700 * time.Millisecond, 2600 * time.Millisecond}[phase%3])
+			s.store.change()
+			changedAt := time.Now()
+			time.Sleep(15 * time.Second)
+			for _, vm := range s.vms {
+				if exempt != nil && exempt(s, vm.ID) {
+					continue
+				}
+				at, ok := s.learned(vm.ID, 6)
+				assert.Assert(t, ok, "phase %d: VM %s never learned of the change", phase, vm.ID)
+				worst = max(worst, at.Sub(changedAt))
+			}
+		})
+	}
+	return worst
+}
+
+func newSimulation(t *testing.T) *simulation {
+	s := &simulation{
+		t: t, store: &fakeStore{version: 5, changed: make(chan struct{})}, hidden: map[core.VMID]bool{},
+		lists: map[core.VMID][]core.VM{}, mirrors: map[core.VMID]*Mirror{}, links: map[core.VMID]*link{},
+		knownAt: map[core.VMID]map[core.Version]time.Time{},
+	}
+	for i := range fleetSize {
+		id := core.VMID(fmt.Sprintf("vm-%d", i))
+		vm := core.VM{ID: id, FailureDomain: "here", Control: string(id)}
+		s.vms = append(s.vms, vm)
+		s.links[id] = &link{changed: make(chan struct{})}
+		s.knownAt[id] = map[core.Version]time.Time{}
+	}
+	for _, vm := range s.vms {
+		s.mirrors[vm.ID] = New(Config{
+			Store: linkedStore{s.store, s.links[vm.ID]}, Members: members{s, vm.ID}, Self: vm, Log: log.NewNopLogger(),
+			Call: s.call,
+		})
+	}
+	return s
+}
+
+// run runs the VM's feed until ctx ends.
+func (s *simulation) run(ctx context.Context, id core.VMID) {
+	learn := func(v core.Version) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if _, ok := s.knownAt[id][v]; !ok {
+			s.knownAt[id][v] = time.Now()
+		}
+	}
+	feed := topo.NewFeed(topo.FeedConfig{
+		Title: "test", Store: s.mirrors[id], Prefix: prefix, Log: log.NewNopLogger(),
+		Reset: func([]core.Entry) {},
+		Event: func(e core.Event) { learn(e.Version) },
+	})
+	s.group.Go(func() { _ = feed.Run(ctx) })
+}
+
+func (s *simulation) learned(id core.VMID, v core.Version) (time.Time, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at, ok := s.knownAt[id][v]
+	return at, ok
+}
+
+// call is the control call between VMs. A VM that is deaf or mute leaves the caller without an answer.
+func (s *simulation) call(ctx context.Context, address, _ string, req, answer any) error {
+	id := core.VMID(address)
+	l := s.links[id]
+	time.Sleep(messageTime)
+	if l.get().deaf {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	type result struct {
+		answer WatchAnswer
+		err    error
+	}
+	results := make(chan result, 1)
+	s.group.Go(func() {
+		var out WatchAnswer
+		err := s.mirrors[id].Service().Watch(req.(*WatchRequest), &out)
+		results <- result{out, err}
+	})
+	for {
+		state := l.get()
+		select {
+		case r := <-results:
+			if state.mute || state.deaf {
+				<-ctx.Done()
+				return ctx.Err()
+			}
+			*answer.(*WatchAnswer) = r.answer
+			return r.err
+		case <-state.changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// watchers returns the VMs that watch the store themselves.
+func (s *simulation) watchers() []core.VMID {
+	var out []core.VMID
+	for _, vm := range s.vms {
+		if _, watchesMirror := s.mirrors[vm.ID].watcher(); !watchesMirror {
+			out = append(out, vm.ID)
+		}
+	}
+	return out
+}
+
+// disturbWatchers changes the links of all watchers.
+func disturbWatchers(change func(l *link)) func(s *simulation) {
+	return func(s *simulation) {
+		for _, id := range s.watchers() {
+			s.links[id].set(change)
+		}
+	}
+}
+
+// hideWatchers removes the VMs that would be the watchers from the lists of the others.
+func hideWatchers(s *simulation) {
+	for _, id := range s.watchers() {
+		s.hidden[id] = true
+	}
+}
+
+// Guards against changes that are late at a VM which reaches the store, because it waits for watchers that
+// are paused, removed or cut off from it.
+func TestLateChangeSilentWatchers(t *testing.T) {
+	worst := simulate(t, nil, disturbWatchers(func(l *link) { l.deaf = true }), nil)
+	assert.Assert(t, worst <= applyTime, "latest VM: %v", worst)
+}
+
+// Guards against changes that are late at a VM whose requests reach the watchers while the answers don't
+// come back.
+func TestLateChangeLostAnswers(t *testing.T) {
+	worst := simulate(t, nil, disturbWatchers(func(l *link) { l.mute = true }), nil)
+	assert.Assert(t, worst <= applyTime, "latest VM: %v", worst)
+}
+
+// Guards against changes that are late at a VM which reaches the store, because the store no longer answers
+// the watchers.
+func TestLateChangeWatchersLoseStore(t *testing.T) {
+	var lost map[core.VMID]bool
+	worst := simulate(t, nil, func(s *simulation) {
+		lost = map[core.VMID]bool{}
+		for _, id := range s.watchers() {
+			lost[id] = true
+			s.links[id].set(func(l *link) { l.storeSilent = true })
+		}
+	}, func(_ *simulation, id core.VMID) bool { return lost[id] })
+	assert.Assert(t, worst <= applyTime, "latest VM: %v", worst)
+}
+
+// Guards against changes that are late although nothing fails: VMs are added, the watchers change, and a VM
+// that is no longer a watcher keeps the requests of others.
+func TestLateChangeNewWatchers(t *testing.T) {
+	worst := simulate(t, hideWatchers, func(s *simulation) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		clear(s.hidden)
+	}, nil)
+	assert.Assert(t, worst <= applyTime, "latest VM: %v", worst)
+}
+
+// Guards against changes that are late because VMs disagree about which of them are watchers.
+func TestLateChangeDifferentLists(t *testing.T) {
+	phase := 0
+	worst := simulate(t, nil, func(s *simulation) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		phase++
+		r := rand.New(rand.NewPCG(uint64(phase), 0))
+		for _, self := range s.vms {
+			s.lists[self.ID] = slices.DeleteFunc(slices.Clone(s.vms), func(vm core.VM) bool { return vm.ID != self.ID && r.IntN(2) == 0 })
+		}
+	}, nil)
+	assert.Assert(t, worst <= applyTime, "latest VM: %v", worst)
+}
+
+// Guards against VMs that learn of no change while the store refuses them, although other VMs know it.
+func TestLateChangeStoreRefusesWatchers(t *testing.T) {
+	worst := simulate(t, nil, disturbWatchers(func(l *link) { l.storeRefuses = true }), nil)
+	assert.Assert(t, worst <= applyTime, "latest VM: %v", worst)
+}
+
+// Guards against VMs that learn of no change while the store doesn't answer them, although other VMs know it.
+func TestLateChangeStoreSilentToWatchers(t *testing.T) {
+	worst := simulate(t, nil, disturbWatchers(func(l *link) { l.storeSilent = true }), nil)
+	assert.Assert(t, worst <= applyTime, "latest VM: %v", worst)
+}
