Ask the store when the last confirmation gets old

What callers saw: a VM that reached the store refused routes that had been added, up to 4.7 s (5.8 s with differing lists of VMs) after the change was acknowledged. The target is 3 s.

Cause: a VM that watches another VM's mirror took silence for "no change", for as long as a watch lasts. The mirror's VM may be cut off, removed for good and still listed, unable to reach the store, or no longer a watcher; the last happens without any failure when VMs are added. The class of fault: a promise with a time limit rested on the silence of somebody to whom the limit does not apply.

Change: each VM keeps the time at which the store last confirmed that it knows all changes. Mirrors pass on the age of their own confirmation, by CLOCK_BOOTTIME, so that no clock is compared and a suspended VM does not vouch for its past. When the confirmation is older than half of the target plus 0.6 s, the VM asks the store, whatever the mirrors say. Every VM keeps the newest change of each key and passes on what it learns from others, so that it no longer matters who believes to be a watcher. The targets come from the settings (Targets.ConfigurationMilliseconds, DrainMilliseconds). A watch lasts 1.5 s (configuration) and 3 s (discovery) instead of 4 s.

TestWatchersUnreachable now asks for 3 s instead of 5 s, with the feed's watch time.

An answer without an age, as older builds give, confirms nothing.

--- a/conf/entry.go
+++ b/conf/entry.go
@@ -23,6 +23,9 @@
 	Store, Promotion string
 	// Regions maps each failure domain to its region.
 	Regions map[core.FailureDomain]core.Region
+	// ConfigTarget is the time after which an acknowledged configuration must be in force, DrainTarget the
+	// time after which an upstream that announced its stop must not be used.
+	ConfigTarget, DrainTarget time.Duration
 	// Grace is the time between SIGTERM and SIGKILL, in which the process must stop.
 	Grace time.Duration
 	// Memory is the memory limit of the process in bytes.
@@ -51,10 +54,18 @@
 }
 
 const (
-	acceptsSeconds   = "a number of seconds above 0"
-	acceptsMegabytes = "a number of megabytes above 0"
+	acceptsSeconds      = "a number of seconds above 0"
+	acceptsMilliseconds = "a number of milliseconds above 0"
+	acceptsMegabytes    = "a number of megabytes above 0"
 )
 
+// setPositive sets d to the number in v, in the unit, and reports whether it is above 0.
+func setPositive(d *time.Duration, v string, unit time.Duration) bool {
+	n, err := strconv.ParseFloat(v, 64)
+	*d = time.Duration(n * float64(unit))
+	return err == nil && n > 0
+}
+
 var entryKeys = []entryKey{
 	{"VM", "ID", "", acceptsName, "Name of this entry VM, unique in the deployment.", func(e *Entry, v string) bool { return setName((*string)(&e.VM.ID), v) }},
 	{"VM", "FailureDomain", "", acceptsName, "Failure domain of this entry VM.", func(e *Entry, v string) bool { return setName((*string)(&e.VM.FailureDomain), v) }},
@@ -66,10 +77,14 @@
 	{"Listen", "Control", "", acceptsAddress, "Address for control calls of other entry VMs.", func(e *Entry, v string) bool { return setAddress(&e.Listen.Control, v) }},
 	{"Store", "Address", "", acceptsAddress, "Address of the platform's metadata store.", func(e *Entry, v string) bool { return setAddress(&e.Store, v) }},
 	{"Promotion", "Address", "", acceptsAddress, "Address of the platform's promotion call.", func(e *Entry, v string) bool { return setAddress(&e.Promotion, v) }},
+	{"Targets", "ConfigurationMilliseconds", "3000", acceptsMilliseconds, "Time after which an acknowledged configuration must be in force.", func(e *Entry, v string) bool {
+		return setPositive(&e.ConfigTarget, v, time.Millisecond)
+	}},
+	{"Targets", "DrainMilliseconds", "7000", acceptsMilliseconds, "Time after which an upstream that announced its stop must not be used.", func(e *Entry, v string) bool {
+		return setPositive(&e.DrainTarget, v, time.Millisecond)
+	}},
 	{"Stop", "GraceSeconds", "6", acceptsSeconds, "Time between SIGTERM and SIGKILL.", func(e *Entry, v string) bool {
-		n, err := strconv.ParseFloat(v, 64)
-		e.Grace = time.Duration(n * float64(time.Second))
-		return err == nil && n > 0
+		return setPositive(&e.Grace, v, time.Second)
 	}},
 	{"Limits", "MemoryMegabytes", "256", acceptsMegabytes, "Memory limit of the process.", func(e *Entry, v string) bool {
 		n, err := strconv.ParseFloat(v, 64)
--- a/conf/entry_test.go
+++ b/conf/entry_test.go
@@ -26,6 +26,8 @@
 Address = 10.0.0.2:1
 [Promotion]
 Address = 10.0.0.3:1
+[Targets]
+ConfigurationMilliseconds = 5000
 [Stop]
 GraceSeconds = 4.5
 [Regions]
@@ -41,6 +43,8 @@
 	assert.Equal(t, e.VM.ID, core.VMID("vm-1"))
 	assert.Equal(t, e.Listen.Relay, "10.0.0.1:4")
 	assert.Equal(t, e.Grace, 4500*time.Millisecond)
+	assert.Equal(t, e.ConfigTarget, 5*time.Second)
+	assert.Equal(t, e.DrainTarget, 7*time.Second)
 	assert.Equal(t, e.Memory, int64(256<<20))
 	assert.DeepEqual(t, e.Regions, map[core.FailureDomain]core.Region{"there": "away", "here": "home"})
 }
@@ -49,8 +53,10 @@
 func TestParseEntryProblems(t *testing.T) {
 	text := strings.Replace(validEntry, "10.0.0.2:1", "nowhere", 1)
 	text = strings.Replace(text, "GraceSeconds = 4.5", "GraceSeconds = -1", 1)
+	text = strings.Replace(text, "= 5000", "= 0", 1)
 	_, err := ParseEntry("test", []byte(text))
 	assert.ErrorContains(t, err, "section [Store], key Address")
+	assert.ErrorContains(t, err, "section [Targets], key ConfigurationMilliseconds")
 	assert.ErrorContains(t, err, "section [Stop], key GraceSeconds")
 }
 
--- a/core/mirror/fleet_test.go
+++ b/core/mirror/fleet_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -46,6 +47,8 @@
 	mirrors map[core.VMID]*Mirror
 	links   map[core.VMID]*link
 	group   sync.WaitGroup
+	// calls counts the calls between VMs.
+	calls atomic.Int64
 
 	mu sync.Mutex
 	// knownAt is when each VM learned of the version.
@@ -57,8 +60,9 @@
 	mu sync.Mutex
 	// storeSilent makes the store not answer the VM, storeRefuses makes it refuse the VM's calls.
 	storeSilent, storeRefuses bool
-	// deaf makes the VM not receive calls of other VMs, mute drops its answers to them.
-	deaf, mute bool
+	// deaf makes the VM not receive calls of other VMs, mute drops its answers to them. isolated keeps it
+	// from calling other VMs.
+	deaf, mute, isolated bool
 	// changed is closed when the state changes.
 	changed chan struct{}
 }
@@ -74,7 +78,7 @@
 func (l *link) get() link {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return link{storeSilent: l.storeSilent, storeRefuses: l.storeRefuses, deaf: l.deaf, mute: l.mute, changed: l.changed}
+	return link{storeSilent: l.storeSilent, storeRefuses: l.storeRefuses, deaf: l.deaf, mute: l.mute, isolated: l.isolated, changed: l.changed}
 }
 
 // linkedStore is the store as one VM reaches it.
@@ -168,6 +172,7 @@
 			}
 		})
 	}
+	t.Logf("latest VM: %v after the change", worst)
 	return worst
 }
 
@@ -187,12 +192,15 @@
 	for _, vm := range s.vms {
 		s.mirrors[vm.ID] = New(Config{
 			Store: linkedStore{s.store, s.links[vm.ID]}, Members: members{s, vm.ID}, Self: vm, Log: log.NewNopLogger(),
-			Call: s.call,
+			Call: s.callFrom(vm.ID), Now: now,
 		})
 	}
 	return s
 }
 
+// now is the clock of the fake store and VMs, which are never suspended.
+func now() core.Instant { return core.Instant(time.Now().UnixNano()) }
+
 // run runs the VM's feed until ctx ends.
 func (s *simulation) run(ctx context.Context, id core.VMID) {
 	learn := func(v core.Version) {
@@ -217,8 +225,20 @@
 	return at, ok
 }
 
+// callFrom returns the control calls that the VM makes.
+func (s *simulation) callFrom(id core.VMID) func(ctx context.Context, address, method string, req, answer any) error {
+	return func(ctx context.Context, address, method string, req, answer any) error {
+		if s.links[id].get().isolated {
+			<-ctx.Done()
+			return ctx.Err()
+		}
+		return s.call(ctx, address, method, req, answer)
+	}
+}
+
 // call is the control call between VMs. A VM that is deaf or mute leaves the caller without an answer.
 func (s *simulation) call(ctx context.Context, address, _ string, req, answer any) error {
+	s.calls.Add(1)
 	id := core.VMID(address)
 	l := s.links[id]
 	time.Sleep(messageTime)
@@ -345,3 +365,25 @@
 	worst := simulate(t, nil, disturbWatchers(func(l *link) { l.storeSilent = true }), nil)
 	assert.Assert(t, worst <= applyTime, "latest VM: %v", worst)
 }
+
+// Guards against a VM that is cut off for so long that its back-off is at its maximum, and that still lacks
+// changes when it counts as undisturbed again, 5 s after the end.
+func TestLateChangeAfterLongCut(t *testing.T) {
+	const (
+		cutTime   = 25 * time.Second
+		stableAge = 5 * time.Second
+	)
+	worst := simulate(t, nil, func(s *simulation) {
+		id := s.watchers()[0]
+		isolate := func(silent bool) {
+			s.links[id].set(func(l *link) { l.storeSilent, l.deaf, l.isolated = silent, silent, silent })
+		}
+		isolate(true)
+		s.group.Go(func() {
+			time.Sleep(cutTime)
+			isolate(false)
+		})
+		time.Sleep(cutTime - 100*time.Millisecond)
+	}, nil)
+	assert.Assert(t, worst <= stableAge, "latest VM: %v", worst)
+}
--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -1,14 +1,22 @@
 // Package mirror shares watches of the store between entry VMs, so that the number of calls to the store
 // doesn't grow with the number of VMs.
 //
-// Two VMs in each failure domain, the watchers, watch the store itself. Their Mirrors keep the latest
-// changes, and the other VMs of the domain watch one of these mirrors instead of the store. Mirrors and
-// the store use the same versions, so that a VM can continue any watch at the store. It does so when no
-// mirror answers, or when the mirror has lost the store.
+// Two VMs in each failure domain, the watchers, watch the store itself, and the other VMs of the domain
+// watch the mirror of one of them. Each VM's mirror keeps the latest changes that the VM knows, whatever
+// their source. Mirrors and the store use the same versions, so that a VM can continue any watch at the
+// store or at another mirror.
+//
+// # Confirmations
+//
+// A mirror without news may be paused, cut off from the store, or no longer a watcher. Its silence therefore
+// proves nothing. Each VM keeps the time at which the store last confirmed that there are no other
+// changes than those known, directly or through a chain of mirrors, each of which adds the age of its own
+// confirmation to the answer. A watch accepts a confirmation that is as old as its wait time plus a small
+// margin. When it gets older, the VM asks the store itself, whatever the mirrors do.
 //
 // # Usage
 //
-//	m := mirror.New(mirror.Config{Store: store, Members: roster, Self: vm, Call: client.Call})
+//	m := mirror.New(mirror.Config{Store: store, Members: roster, Self: vm, Call: client.Call, Log: logger})
 //	err := server.Register("Mirror", m.Service())
 //	feed := topo.NewFeed(topo.FeedConfig{Store: m, ...})
 package mirror
@@ -32,24 +40,30 @@
 	// watchers is the number of VMs in each failure domain that watch the store itself. With two, the
 	// failure of one has no effect.
 	watchers = 2
-	// maxEvents is the number of changes that are kept for other VMs. A VM that is further behind must
-	// list the entries again.
-	maxEvents = 1024
-	// staleAfter is the time without an answer from the store after which a mirror isn't used. It is longer
-	// than a watch without changes, which takes 4 s.
-	staleAfter = 5 * time.Second
-	// callMargin is the part of a call's timeout that exceeds the wait time of the watch.
-	callMargin = 300 * time.Millisecond
-	// mirrorRetryDelay is how long a mirror that failed to answer isn't called again.
-	mirrorRetryDelay = 10 * time.Second
+	// callMargin is how much longer than the wait time of a watch a mirror's answer may take, and how much
+	// older a confirmation may be: two round trips to a slow store.
+	callMargin = 600 * time.Millisecond
+	// storeMargin is how much longer than its wait time a watch of the store may take: about three round
+	// trips to a slow store.
+	storeMargin = 700 * time.Millisecond
+	// minStoreWait is the shortest wait time of a watch of the store.
+	minStoreWait = 10 * time.Millisecond
+	// mirrorRetryDelay is how long a mirror that didn't answer isn't called again, since each attempt can
+	// delay changes by a whole watch. A mirror that answers but has no recent confirmation costs little.
+	mirrorRetryDelay     = 10 * time.Second
+	notCurrentRetryDelay = time.Second
 	// watchMethod is the name of the RPC method.
 	watchMethod = "Mirror.Watch"
 )
 
-// errNotCurrent is the answer of a mirror that isn't receiving the store's changes at present.
-var errNotCurrent = errors.New("mirror has no current view of the store")
+var (
+	// errNotCurrent is the failure of a mirror without a recent confirmation of the store.
+	errNotCurrent = errors.New("mirror has no current view of the store")
+	// errNoHistory says that a mirror lacks the changes that a watch needs. The store may have them.
+	errNoHistory = errors.New("mirror lacks older changes")
+)
 
-// Config configures a Mirror. Metrics may be nil.
+// Config configures a Mirror. Metrics and Now may be nil.
 type Config struct {
 	Store   core.PrefixStore
 	Members Members
@@ -58,6 +72,8 @@
 	Call    func(ctx context.Context, address, method string, req, answer any) error
 	Log     log.Logger
 	Metrics tally.Scope
+	// Now reads a clock that advances while the VM is suspended; nil stands for core.Now.
+	Now func() core.Instant
 }
 
 // Members provides the live entry VMs.
@@ -65,35 +81,25 @@
 	Alive() []core.VM
 }
 
-// Mirror is a core.PrefixStore with shared watches. It is safe for concurrent use.
+// Mirror is a core.PrefixStore with shared watches. It is safe for concurrent use, with one watch of each
+// prefix at a time.
 type Mirror struct {
 	cfg     Config
 	metrics metrics
 
-	mu      sync.Mutex
-	changes map[string]*changes
-	// sources holds the VM whose mirror the last watch of each prefix used, empty for the store.
-	sources map[string]core.VMID
-	// failedAt is when a VM's mirror last failed to answer.
-	failedAt map[core.VMID]time.Time
-}
-
-// changes holds the latest changes of the keys with one prefix.
-type changes struct {
-	events []core.Event
-	// events are complete for the versions above minVersion and up to maxVersion.
-	minVersion, maxVersion core.Version
-	// answeredAt is when the store last answered, or zero after an error.
-	answeredAt time.Time
-	// changed is closed after the next answer or error of the store.
-	changed chan struct{}
+	mu    sync.Mutex
+	views map[string]*view
+	// retryAt is until when the mirror of a VM isn't called, after it has failed.
+	retryAt map[core.VMID]time.Time
 }
 
 // New returns a mirror without any changes.
 func New(cfg Config) *Mirror {
+	if cfg.Now == nil {
+		cfg.Now = core.Now
+	}
 	return &Mirror{
-		cfg: cfg, metrics: newMetrics(cfg.Metrics), changes: make(map[string]*changes),
-		sources: make(map[string]core.VMID), failedAt: make(map[core.VMID]time.Time),
+		cfg: cfg, metrics: newMetrics(cfg.Metrics), views: make(map[string]*view), retryAt: make(map[core.VMID]time.Time),
 	}
 }
 
@@ -107,165 +113,178 @@
 	return m.cfg.Store.ListStale(ctx, prefix)
 }
 
-// WatchPrefix implements core.PrefixStore. It watches the store if this VM is a watcher, and otherwise the
-// mirror of a watcher. If that fails, it watches the store without trying another mirror, so that a
-// change is delayed by one watch at most.
+// watch holds the arguments of a call of WatchPrefix.
+type watch struct {
+	prefix string
+	after  core.Version
+	// wait is how long the caller relies on what it knows.
+	wait time.Duration
+}
+
+// maxAge is the age up to which a confirmation suffices.
+func (w watch) maxAge() time.Duration { return w.wait + callMargin }
+
+// WatchPrefix implements core.PrefixStore. It watches a mirror only while the last confirmation is recent
+// enough, so that a change is known after wait and callMargin at the latest if the store answers.
 func (m *Mirror) WatchPrefix(ctx context.Context, prefix string, after core.Version, wait time.Duration) ([]core.Event, core.Version, error) {
-	if vm, ok := m.watcher(); ok {
+	w := watch{prefix: prefix, after: after, wait: wait}
+	left := w.maxAge() - m.confirmationAge(prefix)
+	if vm, ok := m.watcher(); ok && left > 0 {
 		m.noteSource(prefix, vm.ID)
-		began := time.Now()
-		events, at, err := m.watchMirror(ctx, vm, prefix, after, wait)
-		if err == nil || errors.Is(err, core.ErrCompacted) || ctx.Err() != nil {
+		events, at, err := m.watchMirror(ctx, vm, w, min(wait, left), left)
+		if isFinal(ctx, err) {
 			return events, at, err
 		}
-		m.metrics.mirrorFailures.Inc(1)
-		level.Info(m.cfg.Log).Log("Msg", "mirror failed", "Prefix", prefix, "Mirror", vm.ID, "After", after,
-			"WaitedMs", time.Since(began).Milliseconds(), "Err", err)
-		m.mu.Lock()
-		m.failedAt[vm.ID] = time.Now()
-		m.mu.Unlock()
 	}
-	m.noteSource(prefix, "")
-	m.metrics.storeWatches.Inc(1)
-	events, at, err := m.cfg.Store.WatchPrefix(ctx, prefix, after, wait)
-	m.record(prefix, after, events, at, err)
-	return events, at, err
+	return m.watchStore(ctx, w)
 }
 
-// noteSource logs when the source of the prefix changes.
-func (m *Mirror) noteSource(prefix string, vm core.VMID) {
+// isFinal reports whether a watch ends with this result of a source instead of trying another one.
+func isFinal(ctx context.Context, err error) bool {
+	return err == nil || errors.Is(err, core.ErrCompacted) || ctx.Err() != nil
+}
+
+// confirmationAge returns how long ago the store confirmed what is known.
+func (m *Mirror) confirmationAge(prefix string) time.Duration {
 	m.mu.Lock()
-	old, ok := m.sources[prefix]
-	m.sources[prefix] = vm
-	m.mu.Unlock()
-	if !ok || old != vm {
-		level.Info(m.cfg.Log).Log("Msg", "watch source changed", "Prefix", prefix, "Mirror", vm, "Old", old)
-	}
+	defer m.mu.Unlock()
+	return m.view(prefix).age(m.cfg.Now())
 }
 
-// watcher returns the VM whose mirror this VM must watch, or false if it must watch the store itself.
+// watcher returns the watcher that this VM must follow, or false if it must watch the store itself.
 func (m *Mirror) watcher() (core.VM, bool) {
 	domain := m.cfg.Self.FailureDomain
 	alive := slices.DeleteFunc(m.cfg.Members.Alive(), func(vm core.VM) bool { return vm.FailureDomain != domain })
-	chosen := place.Owners(core.UpstreamInfo{ID: "watch", FailureDomain: domain}, alive, watchers)
+	chosen := place.Owners(watchTask(domain), alive, watchers)
 	if slices.ContainsFunc(chosen, func(vm core.VM) bool { return vm.ID == m.cfg.Self.ID }) {
 		return core.VM{}, false
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, vm := range chosen {
-		if at, ok := m.failedAt[vm.ID]; vm.Control != "" && (!ok || time.Since(at) >= mirrorRetryDelay) {
-			return vm, true
-		}
+	if chosen = m.usable(chosen); len(chosen) == 0 {
+		return core.VM{}, false
 	}
-	return core.VM{}, false
+	return chosen[0], true
 }
 
-// WatchRequest asks another VM's mirror for the changes after a version.
-type WatchRequest struct {
-	Prefix string
-	After  core.Version
-	Wait   time.Duration
+// watchTask identifies the watches of a failure domain for the choice of the VMs that make them.
+func watchTask(domain core.FailureDomain) core.UpstreamInfo {
+	return core.UpstreamInfo{ID: "watch", FailureDomain: domain}
 }
 
-// WatchAnswer holds the changes. Compacted is set if the mirror no longer has all of them.
-type WatchAnswer struct {
-	Events    []core.Event
-	At        core.Version
-	Compacted bool
+// usable returns the other VMs whose mirrors haven't failed recently.
+func (m *Mirror) usable(vms []core.VM) []core.VM {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.DeleteFunc(vms, func(vm core.VM) bool {
+		return vm.ID == m.cfg.Self.ID || vm.Control == "" || time.Now().Before(m.retryAt[vm.ID])
+	})
 }
 
-func (m *Mirror) watchMirror(ctx context.Context, vm core.VM, prefix string, after core.Version, wait time.Duration) ([]core.Event, core.Version, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+callMargin)
+// watchStore watches the store itself. The wait is shortened so that the confirmation, which other VMs rely
+// on, doesn't get older than w.wait.
+func (m *Mirror) watchStore(ctx context.Context, w watch) ([]core.Event, core.Version, error) {
+	m.noteSource(w.prefix, "")
+	m.metrics.storeWatches.Inc(1)
+	wait := max(minStoreWait, w.wait-m.confirmationAge(w.prefix))
+	ctx, cancel := context.WithTimeout(ctx, wait+storeMargin)
 	defer cancel()
+	began := m.cfg.Now()
+	events, at, err := m.cfg.Store.WatchPrefix(ctx, w.prefix, w.after, wait)
+	if err != nil {
+		if !errors.Is(err, core.ErrCompacted) {
+			m.lose(w.prefix)
+		}
+		return nil, 0, err
+	}
+	confirmedAt := began
+	if len(events) == 0 && m.cfg.Now().Sub(began) >= wait {
+		// The store answers without events only after the wait.
+		confirmedAt = began.Add(wait)
+	}
+	m.record(w, events, at, confirmedAt)
+	return events, at, nil
+}
+
+// watchMirror watches another VM's mirror, which may hold the request for the given time, for at most
+// timeout. Without events it fails unless the mirror has a recent confirmation.
+func (m *Mirror) watchMirror(ctx context.Context, vm core.VM, w watch, hold, timeout time.Duration) ([]core.Event, core.Version, error) {
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	began := m.cfg.Now()
 	var out WatchAnswer
-	if err := m.cfg.Call(ctx, vm.Control, watchMethod, &WatchRequest{Prefix: prefix, After: after, Wait: wait}, &out); err != nil {
+	err := m.cfg.Call(callCtx, vm.Control, watchMethod, &WatchRequest{Prefix: w.prefix, After: w.after, Wait: hold}, &out)
+	if err == nil && !out.Compacted && len(out.Events) == 0 && (!out.HasAge || out.Lost || out.Age > w.maxAge()) {
+		err = errNotCurrent
+	}
+	if err != nil {
+		if ctx.Err() == nil {
+			m.noteFailure(w, vm.ID, m.cfg.Now().Sub(began), out.Age, err)
+		}
 		return nil, 0, err
 	}
 	m.metrics.mirrorWatches.Inc(1)
 	if out.Compacted {
-		return nil, 0, core.ErrCompacted
+		return nil, 0, errNoHistory
 	}
 	for i := range out.Events {
 		out.Events[i].Source = vm.ID
 	}
-	return out.Events, out.At, nil
+	var confirmedAt core.Instant
+	if out.HasAge {
+		// The answer left the mirror at least Held after the request left this VM.
+		confirmedAt = began.Add(out.Held - out.Age)
+	}
+	at := max(out.At, w.after)
+	m.record(w, out.Events, at, confirmedAt)
+	return out.Events, at, nil
 }
 
-// record keeps the result of a watch at the store for other VMs.
-func (m *Mirror) record(prefix string, after core.Version, events []core.Event, at core.Version, err error) {
+// record keeps the result of a watch for other VMs, and confirms that there was nothing else at the given
+// time.
+func (m *Mirror) record(w watch, events []core.Event, at core.Version, confirmedAt core.Instant) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	c, ok := m.changes[prefix]
-	if !ok {
-		c = &changes{changed: make(chan struct{}), minVersion: after, maxVersion: after}
-		m.changes[prefix] = c
-	}
-	close(c.changed)
-	c.changed = make(chan struct{})
-	if err != nil {
-		c.answeredAt = time.Time{}
-		return
-	}
-	c.answeredAt = time.Now()
-	if after != c.maxVersion {
-		// This VM has listed the entries since: the changes in between are unknown.
-		c.events, c.minVersion = nil, after
-	}
-	c.events = append(c.events, events...)
-	c.maxVersion = max(at, after)
-	if n := len(c.events) - maxEvents; n > 0 {
-		c.minVersion = c.events[n-1].Version
-		c.events = slices.Clone(c.events[n:])
-	}
+	m.view(w.prefix).add(w.after, events, at, confirmedAt)
 }
 
-// serveWatch waits for changes after the version, at most for the given time.
-func (m *Mirror) serveWatch(prefix string, after core.Version, wait time.Duration) (WatchAnswer, error) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	for {
-		out, changed, err := m.changesAfter(prefix, after)
-		if err != nil || out.Compacted || len(out.Events) > 0 {
-			return out, err
-		}
-		select {
-		case <-changed:
-		case <-timer.C:
-			return out, nil
-		}
+// noteSource logs when the source of the prefix changes.
+func (m *Mirror) noteSource(prefix string, vm core.VMID) {
+	m.mu.Lock()
+	v := m.view(prefix)
+	old, changed := v.source, !v.hasSource || v.source != vm
+	v.source, v.hasSource = vm, true
+	m.mu.Unlock()
+	if changed {
+		level.Info(m.cfg.Log).Log("Msg", "watch source changed", "Prefix", prefix, "Mirror", vm, "Old", old)
 	}
 }
 
-// changesAfter returns the changes after the version, and a channel that is closed when there may be more.
-func (m *Mirror) changesAfter(prefix string, after core.Version) (WatchAnswer, <-chan struct{}, error) {
+// noteFailure logs that a mirror failed, and keeps this VM from using it for a while.
+func (m *Mirror) noteFailure(w watch, vm core.VMID, waited, age time.Duration, err error) {
+	m.metrics.mirrorFailures.Inc(1)
+	level.Info(m.cfg.Log).Log("Msg", "mirror failed", "Prefix", w.prefix, "Mirror", vm, "After", w.after,
+		"WaitedMs", waited.Milliseconds(), "AgeMs", age.Milliseconds(), "Err", err)
+	delay := mirrorRetryDelay
+	if errors.Is(err, errNotCurrent) {
+		delay = notCurrentRetryDelay
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	c, ok := m.changes[prefix]
-	if !ok || time.Since(c.answeredAt) > staleAfter {
-		return WatchAnswer{}, nil, errNotCurrent
-	}
-	if after < c.minVersion {
-		return WatchAnswer{Compacted: true}, nil, nil
-	}
-	out := WatchAnswer{At: max(after, c.maxVersion)}
-	for _, e := range c.events {
-		if e.Version > after {
-			out.Events = append(out.Events, e)
-		}
-	}
-	return out, c.changed, nil
+	m.retryAt[vm] = time.Now().Add(delay)
 }
 
-// Service serves watches of other VMs over RPC.
-type Service struct{ m *Mirror }
-
-// Service returns the RPC service, which must be registered as "Mirror".
-func (m *Mirror) Service() *Service { return &Service{m} }
+// lose notes a failure of the store.
+func (m *Mirror) lose(prefix string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.view(prefix).lose()
+}
 
-// Watch returns the changes that req asks for. It waits for one, at most for staleAfter.
-func (s *Service) Watch(req *WatchRequest, out *WatchAnswer) error {
-	answer, err := s.m.serveWatch(req.Prefix, req.After, min(req.Wait, staleAfter))
-	*out = answer
-	return err
+// view returns the view of the prefix. The caller holds mu.
+func (m *Mirror) view(prefix string) *view {
+	v, ok := m.views[prefix]
+	if !ok {
+		v = newView()
+		m.views[prefix] = v
+	}
+	return v
 }
--- a/core/mirror/mirror_test.go
+++ b/core/mirror/mirror_test.go
@@ -111,13 +111,13 @@
 		f.vms = append(f.vms, core.VM{ID: core.VMID(name), FailureDomain: "here", Control: name})
 	}
 	for _, vm := range f.vms {
-		f.mirrors[vm.Control] = New(Config{Store: f.store, Members: f, Self: vm, Call: f.call, Log: log.NewNopLogger()})
+		f.mirrors[vm.Control] = New(Config{Store: f.store, Members: f, Self: vm, Call: f.call, Log: log.NewNopLogger(), Now: now})
 	}
 	return f
 }
 
-// watchAll runs a watch on each VM and returns the last version that each VM has seen.
-func (f *fleet) watchAll(t *testing.T) *sync.Map {
+// watchAll runs watches with the given wait on each VM and returns the last version that each VM has seen.
+func (f *fleet) watchAll(t *testing.T, wait time.Duration) *sync.Map {
 	t.Helper()
 	known := &sync.Map{}
 	ctx, cancel := context.WithCancel(t.Context())
@@ -126,7 +126,7 @@
 		wg.Go(func() {
 			at := core.Version(5)
 			for ctx.Err() == nil {
-				_, next, err := m.WatchPrefix(ctx, "p", at, 4*time.Second)
+				_, next, err := m.WatchPrefix(ctx, "p", at, wait)
 				if err != nil {
 					time.Sleep(100 * time.Millisecond)
 					continue
@@ -158,7 +158,7 @@
 func TestSharedWatch(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(12)
-		known := f.watchAll(t)
+		known := f.watchAll(t, 4*time.Second)
 		time.Sleep(10 * time.Second)
 		f.store.mu.Lock()
 		f.store.calls = 0
@@ -174,11 +174,11 @@
 }
 
 // Guards against VMs that miss changes while the watchers don't answer: a change must reach them within
-// 5 s.
+// the 3 s of the target.
 func TestWatchersUnreachable(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(6)
-		known := f.watchAll(t)
+		known := f.watchAll(t, applyTime/2)
 		time.Sleep(10 * time.Second)
 		for _, vm := range f.vms {
 			if _, watchesMirror := f.mirrors[vm.Control].watcher(); !watchesMirror {
@@ -186,7 +186,7 @@
 			}
 		}
 		f.store.change()
-		time.Sleep(5 * time.Second)
+		time.Sleep(applyTime)
 		assert.Equal(t, f.countBehind(known, 6), 0)
 	})
 }
@@ -195,7 +195,7 @@
 func TestMirrorLosesStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(6)
-		known := f.watchAll(t)
+		known := f.watchAll(t, 4*time.Second)
 		time.Sleep(10 * time.Second)
 		f.store.setDown(true)
 		time.Sleep(20 * time.Second)
--- /dev/null
+++ b/core/mirror/service.go
@@ -0,0 +1,74 @@
+package mirror
+
+import (
+	"time"
+
+	"snipewall/core"
+)
+
+// maxHold limits how long a request of another VM is held, whatever it asks for.
+const maxHold = 5 * time.Second
+
+// WatchRequest asks another VM's mirror for the changes after a version. The mirror holds it for Wait at
+// most, until it has a change or a new confirmation of the store.
+type WatchRequest struct {
+	Prefix string
+	After  core.Version
+	Wait   time.Duration
+}
+
+// WatchAnswer holds the changes. Compacted is set if the mirror no longer has all of them.
+type WatchAnswer struct {
+	Events    []core.Event
+	At        core.Version
+	Compacted bool
+	// Lost is set if the mirror's last call to the store failed and no other mirror has confirmed its view.
+	Lost bool
+	// HasAge is set if Held and Age are valid. Builds whose answers confirm nothing don't set it.
+	HasAge bool
+	// Held is how long the mirror held the request, Age how old the store's confirmation was after that.
+	Held, Age time.Duration
+}
+
+// Service serves watches of other VMs over RPC.
+type Service struct{ m *Mirror }
+
+// Service returns the RPC service, which must be registered as "Mirror".
+func (m *Mirror) Service() *Service { return &Service{m} }
+
+// Watch returns the changes that req asks for.
+func (s *Service) Watch(req *WatchRequest, out *WatchAnswer) error {
+	*out = s.m.serveWatch(req)
+	return nil
+}
+
+func (m *Mirror) serveWatch(req *WatchRequest) WatchAnswer {
+	began := m.cfg.Now()
+	out, updated := m.answer(req, began)
+	if out.Compacted || out.Lost || len(out.Events) > 0 || req.Wait <= 0 {
+		return out
+	}
+	timer := time.NewTimer(min(req.Wait, maxHold))
+	defer timer.Stop()
+	select {
+	case <-updated:
+	case <-timer.C:
+	}
+	out, _ = m.answer(req, began)
+	return out
+}
+
+// answer returns what is known now, and a channel that is closed when there is more.
+func (m *Mirror) answer(req *WatchRequest, began core.Instant) (WatchAnswer, <-chan struct{}) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	v := m.view(req.Prefix)
+	events, complete := v.eventsAfter(req.After)
+	if !complete {
+		return WatchAnswer{Compacted: true}, nil
+	}
+	now := m.cfg.Now()
+	return WatchAnswer{
+		Events: events, At: max(req.After, v.maxVersion), Lost: v.isLost, HasAge: true, Held: now.Sub(began), Age: v.age(now),
+	}, v.updated
+}
--- /dev/null
+++ b/core/mirror/view.go
@@ -0,0 +1,96 @@
+package mirror
+
+import (
+	"slices"
+	"time"
+
+	"snipewall/core"
+)
+
+const (
+	// maxEvents is the number of changed keys that are kept for other VMs. A VM that is further behind must
+	// list the entries again.
+	maxEvents = 1024
+	// unconfirmedAge is the age of a confirmation that there never was.
+	unconfirmedAge = time.Hour
+)
+
+// view is what a VM knows of the keys with one prefix.
+type view struct {
+	// events holds the newest change of each key above minVersion, sorted by version. They are complete up
+	// to maxVersion.
+	events                 []core.Event
+	minVersion, maxVersion core.Version
+	// isConfirmed is set if the store had no other changes at confirmedAt.
+	isConfirmed bool
+	confirmedAt core.Instant
+	// isLost is set after a failure of the store, until there is a newer confirmation.
+	isLost bool
+	// updated is closed at the next change, newer confirmation or failure of the store.
+	updated chan struct{}
+	// source is the VM whose mirror the last watch used, empty for the store.
+	source    core.VMID
+	hasSource bool
+}
+
+func newView() *view { return &view{updated: make(chan struct{})} }
+
+// age returns how long ago the store confirmed the view.
+func (v *view) age(now core.Instant) time.Duration {
+	if !v.isConfirmed {
+		return unconfirmedAge
+	}
+	return now.Sub(v.confirmedAt)
+}
+
+// add adds the changes after a version, which are complete up to at. A zero confirmedAt confirms nothing.
+func (v *view) add(after core.Version, events []core.Event, at core.Version, confirmedAt core.Instant) {
+	if after != v.maxVersion {
+		// The VM has listed the entries since: the changes in between are unknown.
+		v.events, v.minVersion = nil, after
+	}
+	for _, e := range events {
+		// Older values of a key are of no use, and a configuration can be large.
+		v.events = slices.DeleteFunc(v.events, func(old core.Event) bool { return old.Key == e.Key })
+		v.events = append(v.events, e)
+	}
+	v.maxVersion = max(at, after)
+	if n := len(v.events) - maxEvents; n > 0 {
+		v.minVersion = v.events[n-1].Version
+		v.events = slices.Clone(v.events[n:])
+	}
+	isNewer := confirmedAt != 0 && (!v.isConfirmed || confirmedAt > v.confirmedAt)
+	if isNewer {
+		v.isConfirmed, v.confirmedAt, v.isLost = true, confirmedAt, false
+	}
+	if len(events) == 0 && !isNewer {
+		// Waking other VMs without news would make two that follow each other call without end.
+		return
+	}
+	v.wake()
+}
+
+// lose notes a failure of the store, so that other VMs don't wait for this one.
+func (v *view) lose() {
+	if !v.isLost {
+		v.isLost = true
+		v.wake()
+	}
+}
+
+func (v *view) wake() {
+	close(v.updated)
+	v.updated = make(chan struct{})
+}
+
+// eventsAfter returns the newest changes after the version, and false if some are no longer known.
+func (v *view) eventsAfter(after core.Version) ([]core.Event, bool) {
+	if after < v.minVersion {
+		return nil, false
+	}
+	i := slices.IndexFunc(v.events, func(e core.Event) bool { return e.Version > after })
+	if i < 0 {
+		return nil, true
+	}
+	return slices.Clone(v.events[i:]), true
+}
--- a/core/topo/feed.go
+++ b/core/topo/feed.go
@@ -13,16 +13,14 @@
 )
 
 const (
-	// watchTime is how long one watch waits. If the store drops its history or the connection hangs, a
-	// watch can miss changes until it ends. After such a disruption the platform allows 5 s before
-	// configurations must be in force in time again.
-	watchTime   = 4 * time.Second
-	listTimeout = 3 * time.Second
-	// watchMargin is the part of a watch's timeout that exceeds watchTime: about three round trips to a
-	// slow store.
-	watchMargin = 700 * time.Millisecond
-	// minBackoff and maxBackoff limit the backoff after failed calls. maxBackoff is well below the 3 s
-	// within which a configuration must be in force.
+	// defaultTarget is the time in which a change must be known if no other is set.
+	defaultTarget = 3 * time.Second
+	// maxWatchTime limits one watch. If the store drops its history or the connection hangs, a watch misses
+	// changes until it ends. After a disruption the platform allows 5 s before changes must be known in
+	// time again, which also has to cover a failed watch's backoff.
+	maxWatchTime = 3 * time.Second
+	listTimeout  = 3 * time.Second
+	// minBackoff and maxBackoff limit the backoff after failed calls. maxBackoff is well below the target.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 800 * time.Millisecond
 )
@@ -34,6 +32,9 @@
 	Store core.PrefixStore
 	// Prefix selects the keys.
 	Prefix string
+	// Target is the time within which a change must be known after the store has acknowledged it; 0 means
+	// 3 s.
+	Target time.Duration
 	// Reset is called with a complete listing, Event with each change after it.
 	Reset func(entries []core.Entry)
 	Event func(e core.Event)
@@ -49,7 +50,12 @@
 }
 
 // NewFeed returns a feed. It makes no calls until Run is called.
-func NewFeed(cfg FeedConfig) *Feed { return &Feed{cfg: cfg} }
+func NewFeed(cfg FeedConfig) *Feed {
+	if cfg.Target <= 0 {
+		cfg.Target = defaultTarget
+	}
+	return &Feed{cfg: cfg}
+}
 
 // Name implements core.Service.
 func (f *Feed) Name() string { return "feed/" + f.cfg.Title }
@@ -89,10 +95,11 @@
 	return at, nil
 }
 
+// watchTime is how long one watch waits. Half of the target is left for a watch that fails and the next one.
+func (f *Feed) watchTime() time.Duration { return min(f.cfg.Target/2, maxWatchTime) }
+
 func (f *Feed) watch(ctx context.Context, after core.Version) (core.Version, error) {
-	ctx, cancel := context.WithTimeout(ctx, watchTime+watchMargin)
-	defer cancel()
-	events, at, err := f.cfg.Store.WatchPrefix(ctx, f.cfg.Prefix, after, watchTime)
+	events, at, err := f.cfg.Store.WatchPrefix(ctx, f.cfg.Prefix, after, f.watchTime())
 	if err != nil {
 		return after, err
 	}
--- a/core/watch.go
+++ b/core/watch.go
@@ -31,6 +31,7 @@
 	// ListStale is a cheaper List whose entries may be seconds old.
 	ListStale(ctx context.Context, prefix string) ([]Entry, error)
 	// WatchPrefix waits up to the given time for changes after the version, and returns them with the
-	// version to continue from. It returns ErrCompacted if the history is no longer available.
+	// version to continue from. Of several changes of a key it may return only the newest. It returns
+	// ErrCompacted if the history is no longer available.
 	WatchPrefix(ctx context.Context, prefix string, after Version, wait time.Duration) ([]Event, Version, error)
 }
