Let VMs that the store turns away use any current mirror

Cause: a watcher had no source but the store.

Change: after a failure of the store, a VM asks two other mirrors, those of its failure domain first, and uses one with a recent confirmation as its source, trying the store again after each watch. VMs without a confirmation answer at once, so that an outage for all costs two calls a retry.

Before: TestLateChangeStoreRefusesWatchers and StoreSilentToWatchers never got the change.

Left open: a VM that starts while the store turns it away has no listing and isn't ready until the store serves it.

--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -12,7 +12,8 @@
 // proves nothing. Each VM keeps the time at which the store last confirmed that there are no other
 // changes than those known, directly or through a chain of mirrors, each of which adds the age of its own
 // confirmation to the answer. A watch accepts a confirmation that is as old as its wait time plus a small
-// margin. When it gets older, the VM asks the store itself, whatever the mirrors do.
+// margin. When it gets older, the VM asks the store itself, whatever the mirrors do. A VM that the store
+// turns away uses the mirror of any VM that has a confirmation.
 //
 // # Usage
 //
@@ -48,6 +49,10 @@
 	storeMargin = 700 * time.Millisecond
 	// minStoreWait is the shortest wait time of a watch of the store.
 	minStoreWait = 10 * time.Millisecond
+	// standbyTries is the number of mirrors that are asked after a failure of the store, standbyTimeout
+	// limits each of these calls, which are answered without waiting.
+	standbyTries   = 2
+	standbyTimeout = 400 * time.Millisecond
 	// mirrorRetryDelay is how long a mirror that didn't answer isn't called again, since each attempt can
 	// delay changes by a whole watch. A mirror that answers but has no recent confirmation costs little.
 	mirrorRetryDelay     = 10 * time.Second
@@ -125,18 +130,46 @@
 func (w watch) maxAge() time.Duration { return w.wait + callMargin }
 
 // WatchPrefix implements core.PrefixStore. It watches a mirror only while the last confirmation is recent
-// enough, so that a change is known after wait and callMargin at the latest if the store answers.
+// enough, so that a change is known after wait and callMargin at the latest if the store answers. If the
+// store fails, it asks other mirrors.
 func (m *Mirror) WatchPrefix(ctx context.Context, prefix string, after core.Version, wait time.Duration) ([]core.Event, core.Version, error) {
 	w := watch{prefix: prefix, after: after, wait: wait}
 	left := w.maxAge() - m.confirmationAge(prefix)
-	if vm, ok := m.watcher(); ok && left > 0 {
+	if vm, ok := m.source(prefix); ok && left > 0 {
 		m.noteSource(prefix, vm.ID)
-		events, at, err := m.watchMirror(ctx, vm, w, min(wait, left), left)
+		events, at, _, err := m.watchMirror(ctx, vm, w, min(wait, left), left)
 		if isFinal(ctx, err) {
 			return events, at, err
 		}
 	}
-	return m.watchStore(ctx, w)
+	events, at, err := m.watchStore(ctx, w)
+	if isFinal(ctx, err) {
+		return events, at, err
+	}
+	if events, at, ok := m.watchStandby(ctx, w); ok {
+		return events, at, nil
+	}
+	return nil, 0, err
+}
+
+// watchStandby asks the mirrors of other VMs after a failure of the store. It returns false if none of them
+// has news. A mirror with a recent confirmation is used by the next watches.
+func (m *Mirror) watchStandby(ctx context.Context, w watch) ([]core.Event, core.Version, bool) {
+	for range standbyTries {
+		vm, ok := m.nextStandby(w.prefix)
+		if !ok {
+			return nil, 0, false
+		}
+		events, at, hasNews, err := m.watchMirror(ctx, vm, w, 0, standbyTimeout)
+		if err == nil {
+			m.useStandby(vm, w)
+			return events, at, hasNews
+		}
+		if ctx.Err() != nil {
+			return nil, 0, false
+		}
+	}
+	return nil, 0, false
 }
 
 // isFinal reports whether a watch ends with this result of a source instead of trying another one.
@@ -151,6 +184,17 @@
 	return m.view(prefix).age(m.cfg.Now())
 }
 
+// source returns the VM whose mirror this VM must watch, or false if it must watch the store itself.
+func (m *Mirror) source(prefix string) (core.VM, bool) {
+	if vm, ok := m.watcher(); ok {
+		return vm, true
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	v := m.view(prefix)
+	return v.standby, v.standby.ID != "" && time.Now().Before(v.storeRetryAt)
+}
+
 // watcher returns the watcher that this VM must follow, or false if it must watch the store itself.
 func (m *Mirror) watcher() (core.VM, bool) {
 	domain := m.cfg.Self.FailureDomain
@@ -165,6 +209,25 @@
 	return chosen[0], true
 }
 
+// nextStandby returns a VM whose mirror this VM can try while the store fails: the last one that had a recent
+// confirmation, or each in turn, those of its failure domain first.
+func (m *Mirror) nextStandby(prefix string) (core.VM, bool) {
+	alive := m.cfg.Members.Alive()
+	vms := m.usable(place.Owners(watchTask(m.cfg.Self.FailureDomain), alive, len(alive)))
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	v := m.view(prefix)
+	if slices.ContainsFunc(vms, func(vm core.VM) bool { return vm.ID == v.standby.ID }) {
+		return v.standby, true
+	}
+	if len(vms) == 0 {
+		return core.VM{}, false
+	}
+	vm := vms[v.standbyTurn%len(vms)]
+	v.standbyTurn++
+	return vm, true
+}
+
 // watchTask identifies the watches of a failure domain for the choice of the VMs that make them.
 func watchTask(domain core.FailureDomain) core.UpstreamInfo {
 	return core.UpstreamInfo{ID: "watch", FailureDomain: domain}
@@ -179,6 +242,14 @@
 	})
 }
 
+// useStandby makes the next watches use the VM's mirror until it is time to try the store again.
+func (m *Mirror) useStandby(vm core.VM, w watch) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	v := m.view(w.prefix)
+	v.standby, v.storeRetryAt = vm, time.Now().Add(w.wait)
+}
+
 // watchStore watches the store itself. The wait is shortened so that the confirmation, which other VMs rely
 // on, doesn't get older than w.wait.
 func (m *Mirror) watchStore(ctx context.Context, w watch) ([]core.Event, core.Version, error) {
@@ -205,13 +276,14 @@
 }
 
 // watchMirror watches another VM's mirror, which may hold the request for the given time, for at most
-// timeout. Without events it fails unless the mirror has a recent confirmation.
-func (m *Mirror) watchMirror(ctx context.Context, vm core.VM, w watch, hold, timeout time.Duration) ([]core.Event, core.Version, error) {
+// timeout. Without events it fails unless the mirror has a recent confirmation. It reports whether it has
+// brought events or a newer confirmation.
+func (m *Mirror) watchMirror(ctx context.Context, vm core.VM, w watch, hold, timeout time.Duration) (events []core.Event, at core.Version, hasNews bool, err error) {
 	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	began := m.cfg.Now()
 	var out WatchAnswer
-	err := m.cfg.Call(callCtx, vm.Control, watchMethod, &WatchRequest{Prefix: w.prefix, After: w.after, Wait: hold}, &out)
+	err = m.cfg.Call(callCtx, vm.Control, watchMethod, &WatchRequest{Prefix: w.prefix, After: w.after, Wait: hold}, &out)
 	if err == nil && !out.Compacted && len(out.Events) == 0 && (!out.HasAge || out.Lost || out.Age > w.maxAge()) {
 		err = errNotCurrent
 	}
@@ -219,11 +291,11 @@
 		if ctx.Err() == nil {
 			m.noteFailure(w, vm.ID, m.cfg.Now().Sub(began), out.Age, err)
 		}
-		return nil, 0, err
+		return nil, 0, false, err
 	}
 	m.metrics.mirrorWatches.Inc(1)
 	if out.Compacted {
-		return nil, 0, errNoHistory
+		return nil, 0, false, errNoHistory
 	}
 	for i := range out.Events {
 		out.Events[i].Source = vm.ID
@@ -233,17 +305,16 @@
 		// The answer left the mirror at least Held after the request left this VM.
 		confirmedAt = began.Add(out.Held - out.Age)
 	}
-	at := max(out.At, w.after)
-	m.record(w, out.Events, at, confirmedAt)
-	return out.Events, at, nil
+	at = max(out.At, w.after)
+	return out.Events, at, m.record(w, out.Events, at, confirmedAt), nil
 }
 
 // record keeps the result of a watch for other VMs, and confirms that there was nothing else at the given
-// time.
-func (m *Mirror) record(w watch, events []core.Event, at core.Version, confirmedAt core.Instant) {
+// time. It reports whether there is news.
+func (m *Mirror) record(w watch, events []core.Event, at core.Version, confirmedAt core.Instant) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.view(w.prefix).add(w.after, events, at, confirmedAt)
+	return m.view(w.prefix).add(w.after, events, at, confirmedAt)
 }
 
 // noteSource logs when the source of the prefix changes.
--- a/core/mirror/view.go
+++ b/core/mirror/view.go
@@ -31,6 +31,11 @@
 	// source is the VM whose mirror the last watch used, empty for the store.
 	source    core.VMID
 	hasSource bool
+	// standby replaces the store until storeRetryAt.
+	standby      core.VM
+	storeRetryAt time.Time
+	// standbyTurn counts the attempts to find a standby.
+	standbyTurn int
 }
 
 func newView() *view { return &view{updated: make(chan struct{})} }
@@ -43,8 +48,9 @@
 	return now.Sub(v.confirmedAt)
 }
 
-// add adds the changes after a version, which are complete up to at. A zero confirmedAt confirms nothing.
-func (v *view) add(after core.Version, events []core.Event, at core.Version, confirmedAt core.Instant) {
+// add adds the changes after a version, which are complete up to at. A zero confirmedAt confirms nothing. It
+// reports whether there are changes or a newer confirmation.
+func (v *view) add(after core.Version, events []core.Event, at core.Version, confirmedAt core.Instant) bool {
 	if after != v.maxVersion {
 		// The VM has listed the entries since: the changes in between are unknown.
 		v.events, v.minVersion = nil, after
@@ -65,9 +71,10 @@
 	}
 	if len(events) == 0 && !isNewer {
 		// Waking other VMs without news would make two that follow each other call without end.
-		return
+		return false
 	}
 	v.wake()
+	return true
 }
 
 // lose notes a failure of the store, so that other VMs don't wait for this one.
