Stop pgconn's background reader before taking its connection over

A caller's request on such a connection would hang without a deadline.

Cause: when a write takes longer than 15 ms, pgconn reads in the background until the write returns. If the answer has arrived by then, the reader is already in its next read, which goes on after ConnectConfig, and Hijack does not end it; its documentation asks for SyncConn before. Under load, a goroutine that is descheduled after the write is enough.

Change: SyncConn before Hijack. It pings the upstream only if the reader still runs.

TestRequestAfterSlowStartup (the first write returns 50 ms late) hung on the code before ("the request hangs, although its context ended after 1 s") and passes now, for the connection of requests and that of the control function.

--- a/io/dbconn/upstream.go
+++ b/io/dbconn/upstream.go
@@ -52,6 +52,11 @@
 	if err != nil {
 		return nil, u.dialError(err)
 	}
+	// A slow write of the start-up makes pgconn read in the background, and that read may still go on.
+	if err := pc.SyncConn(ctx); err != nil {
+		_ = pc.Close(ctx)
+		return nil, u.dialError(err)
+	}
 	hc, err := pc.Hijack()
 	if err != nil {
 		return nil, core.ErrUpstream.Wrap(err)
