Check idle connections without the descriptor's read lock

Change: RawConn.Control, which takes no lock. TestIsOpenDuringRead hung on the code before ("the check waits for the reader") and passes now.

--- a/io/dbconn/alive.go
+++ b/io/dbconn/alive.go
@@ -22,11 +22,11 @@
 		return false
 	}
 	open := false
-	err = raw.Read(func(fd uintptr) bool {
+	// RawConn.Read would wait for another reader, and fail after a read deadline that has passed.
+	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
 		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		open = err == syscall.EAGAIN || n > 0 && (encrypted || b[0] != errorMessage)
-		return true
 	})
 	return err == nil && open
 }
--- a/io/dbconn/hijack_test.go
+++ b/io/dbconn/hijack_test.go
@@ -69,3 +69,28 @@
 	assert.NilError(t, err, "the control connection")
 	assert.NilError(t, slow.Close())
 }
+
+// Guards against a check of an idle connection that waits for another reader of it.
+func TestIsOpenDuringRead(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = lis.Close() }()
+	c, err := net.Dial("tcp", lis.Addr().String())
+	assert.NilError(t, err)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_, _ = c.Read(make([]byte, 1))
+	}()
+	time.Sleep(20 * time.Millisecond)
+	checked := make(chan bool, 1)
+	go func() { checked <- isOpen(c, false) }()
+	select {
+	case open := <-checked:
+		assert.Assert(t, open)
+	case <-time.After(5 * time.Second):
+		t.Error("the check waits for the reader")
+	}
+	assert.NilError(t, c.Close())
+	<-ended
+}
