Give large answers of the store their own time

A watch that ends too early is repeated with the same result. So is one whose answer exceeds the 4 MB that a response may have, until the store drops the history.

Change: the store must begin to answer in time (wait time and 0.7 s), and the answer may then take up to 2 s more. An answer that is too large counts as dropped history, so that the newest version is listed.

--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -44,9 +44,9 @@
 	// callMargin is how much longer than the wait time of a watch a mirror's answer may take, and how much
 	// older a confirmation may be: two round trips to a slow store.
 	callMargin = 600 * time.Millisecond
-	// storeMargin is how much longer than its wait time a watch of the store may take: about three round
-	// trips to a slow store.
-	storeMargin = 700 * time.Millisecond
+	// transferTime is how long an answer of the store may take to arrive after its beginning: that of a VM
+	// with a slow link, which lacks many versions of a large configuration.
+	transferTime = 2 * time.Second
 	// minStoreWait is the shortest wait time of a watch of the store.
 	minStoreWait = 10 * time.Millisecond
 	// standbyTries is the number of mirrors that are asked after a failure of the store, standbyTimeout
@@ -256,7 +256,7 @@
 	m.noteSource(w.prefix, "")
 	m.metrics.storeWatches.Inc(1)
 	wait := max(minStoreWait, w.wait-m.confirmationAge(w.prefix))
-	ctx, cancel := context.WithTimeout(ctx, wait+storeMargin)
+	ctx, cancel := context.WithTimeout(ctx, wait+core.WatchMargin+transferTime)
 	defer cancel()
 	began := m.cfg.Now()
 	events, at, err := m.cfg.Store.WatchPrefix(ctx, w.prefix, w.after, wait)
--- a/core/mirror/view.go
+++ b/core/mirror/view.go
@@ -70,7 +70,7 @@
 		v.isConfirmed, v.confirmedAt, v.isLost = true, confirmedAt, false
 	}
 	if len(events) == 0 && !isNewer {
-		// Waking other VMs without news would make two that follow each other call without end.
+		// Waking other VMs without news would make two that watch each other call without a pause.
 		return false
 	}
 	v.wake()
--- a/core/watch.go
+++ b/core/watch.go
@@ -14,6 +14,10 @@
 	ErrFenced = errors.New("fenced")
 )
 
+// WatchMargin is how long after the wait time of a watch the store must have begun to answer: about three
+// round trips to a slow store.
+const WatchMargin = 700 * time.Millisecond
+
 // Event is one change of a key.
 type Event struct {
 	Entry
@@ -31,7 +35,8 @@
 	// ListStale is a cheaper List whose entries may be seconds old.
 	ListStale(ctx context.Context, prefix string) ([]Entry, error)
 	// WatchPrefix waits up to the given time for changes after the version, and returns them with the
-	// version to continue from. Of several changes of a key it may return only the newest. It returns
-	// ErrCompacted if the history is no longer available.
+	// version to continue from. Of several changes of a key it may return only the newest. It fails if the
+	// store hasn't begun to answer WatchMargin after the wait time, and reads a large answer until ctx
+	// ends. It returns ErrCompacted if the history is no longer available, or too large for one answer.
 	WatchPrefix(ctx context.Context, prefix string, after Version, wait time.Duration) ([]Event, Version, error)
 }
