Ignore listings that are older than what is known of an upstream

Cause: a change of primary lists the discovery entries beside the feed's watch. A change that the watch delivers between the store's answer and the arrival of the listing was overwritten by the listing: an upstream that leaves got work again until its next change, one that had just been added was taken for missing.

Change: upstreams keep the revision of their entry, or of its deletion; Put and Sync ignore older ones, and Sync keeps upstreams that are newer than the listing.

TestLateListingChangesNothingNewer fails without the comparisons (upstreams["a"].Leaving is false) and passes now.

--- a/core/mirror/fleet_test.go
+++ b/core/mirror/fleet_test.go
@@ -226,7 +226,7 @@
 	}
 	feed := topo.NewFeed(topo.FeedConfig{
 		Title: "test", Store: s.mirrors[id], Prefix: prefix, Log: log.NewNopLogger(),
-		Reset: func([]core.Entry) {},
+		Reset: func([]core.Entry, core.Version) {},
 		Event: func(e core.Event) { learn(e.Version) },
 	})
 	s.group.Go(func() { _ = feed.Run(ctx) })
--- a/core/topo/feed.go
+++ b/core/topo/feed.go
@@ -35,8 +35,8 @@
 	// Target is the time within which a change must be known after the store has acknowledged it; 0 means
 	// 3 s.
 	Target time.Duration
-	// Reset is called with a complete listing, Event with each change after it.
-	Reset func(entries []core.Entry)
+	// Reset is called with a complete listing and its version, Event with each change after it.
+	Reset func(entries []core.Entry, at core.Version)
 	Event func(e core.Event)
 	Log   log.Logger
 }
@@ -91,7 +91,7 @@
 	if err != nil {
 		return 0, err
 	}
-	f.cfg.Reset(entries)
+	f.cfg.Reset(entries, at)
 	return at, nil
 }
 
--- a/core/topo/topo.go
+++ b/core/topo/topo.go
@@ -77,6 +77,8 @@
 	Leaving bool
 	// Born distinguishes successive upstreams with the same id.
 	Born int64
+	// Revision is the version of the entry, or of its deletion.
+	Revision core.Version
 	// MissingSince is when the upstream's entry disappeared, or zero.
 	MissingSince time.Time
 }
@@ -144,37 +146,50 @@
 	return true
 }
 
-// Put adds or replaces an upstream.
+// Put adds or replaces an upstream, unless a later revision of it is known.
 func (d *Directory) Put(u Upstream) {
-	d.update(func(m map[core.UpstreamID]Upstream) { m[u.ID] = u })
+	d.update(func(m map[core.UpstreamID]Upstream) { put(m, u) })
 }
 
-// Remove handles the disappearance of an upstream's entry.
-func (d *Directory) Remove(id core.UpstreamID) {
-	d.update(func(m map[core.UpstreamID]Upstream) { markMissing(m, id) })
+// Remove handles the disappearance of an upstream's entry at the given version.
+func (d *Directory) Remove(id core.UpstreamID, at core.Version) {
+	d.update(func(m map[core.UpstreamID]Upstream) {
+		markMissing(m, id, at)
+		if u, ok := m[id]; ok && u.Revision < at {
+			u.Revision = at
+			m[id] = u
+		}
+	})
 }
 
-// Sync updates all upstreams from a complete listing.
-func (d *Directory) Sync(all []Upstream) {
+// Sync updates all upstreams from a complete listing at the given version. Changes may have arrived since the
+// listing was made, and those are kept.
+func (d *Directory) Sync(all []Upstream, at core.Version) {
 	d.update(func(m map[core.UpstreamID]Upstream) {
 		listed := make(map[core.UpstreamID]bool, len(all))
 		for _, u := range all {
 			listed[u.ID] = true
-			m[u.ID] = u
+			put(m, u)
 		}
 		for id := range m {
 			if !listed[id] {
-				markMissing(m, id)
+				markMissing(m, id, at)
 			}
 		}
 	})
 }
 
+func put(m map[core.UpstreamID]Upstream, u Upstream) {
+	if u.Revision >= m[u.ID].Revision {
+		m[u.ID] = u
+	}
+}
+
 // markMissing starts the grace period of an upstream whose entry disappeared. An upstream that was leaving
 // is removed at once, since its entry won't be restored.
-func markMissing(m map[core.UpstreamID]Upstream, id core.UpstreamID) {
+func markMissing(m map[core.UpstreamID]Upstream, id core.UpstreamID, at core.Version) {
 	u, ok := m[id]
-	if !ok || !u.MissingSince.IsZero() {
+	if !ok || u.Revision > at || !u.MissingSince.IsZero() {
 		return
 	}
 	if u.Leaving {
--- a/core/topo/topo_test.go
+++ b/core/topo/topo_test.go
@@ -35,19 +35,48 @@
 		d := NewDirectory()
 		leaving := upstream("b")
 		leaving.Leaving = true
-		d.Sync([]Upstream{upstream("a"), leaving})
-		d.Sync(nil)
+		d.Sync([]Upstream{upstream("a"), leaving}, 1)
+		d.Sync(nil, 2)
 		assert.Equal(t, len(d.Snapshot().Group("g")), 1, "one that was leaving is gone at once")
 		time.Sleep(2 * time.Second)
 		d.Put(upstream("a"))
 		time.Sleep(missingGracePeriod)
 		assert.Equal(t, len(d.Snapshot().Group("g")), 1, "its entry is back")
-		d.Remove("a")
+		d.Remove("a", 3)
 		time.Sleep(missingGracePeriod + time.Millisecond)
 		assert.Equal(t, len(d.Snapshot().Group("g")), 0)
 	})
 }
 
+// Guards against a listing that was made before a change and arrives after it, as one that a change of primary
+// asks for beside the watch: an upstream that leaves must not get work again, and one that is new must stay.
+func TestLateListingChangesNothingNewer(t *testing.T) {
+	d := NewDirectory()
+	before, after := upstream("a"), upstream("a")
+	before.Revision, after.Revision, after.Leaving = 5, 8, true
+	added := upstream("b")
+	added.Revision = 9
+	gone := upstream("c")
+	gone.Revision = 4
+	listing := []Upstream{before, gone}
+	d.Sync(listing, 7)
+	d.Put(after)
+	d.Put(added)
+	d.Remove("c", 10)
+	d.Sync(listing, 7)
+	upstreams := d.Snapshot().Upstreams
+	assert.Assert(t, upstreams["a"].Leaving)
+	assert.Assert(t, upstreams["b"].MissingSince.IsZero())
+	assert.Assert(t, !upstreams["c"].MissingSince.IsZero())
+	added.Revision = 12
+	d.Put(added)
+	gone.Revision = 13
+	d.Sync([]Upstream{gone}, 13)
+	upstreams = d.Snapshot().Upstreams
+	assert.Assert(t, upstreams["c"].MissingSince.IsZero(), "its entry is back")
+	assert.Assert(t, !upstreams["b"].MissingSince.IsZero(), "a later listing lacks it")
+}
+
 // fakeStore is a store whose watches deliver no events.
 type fakeStore struct {
 	mu      sync.Mutex
@@ -98,7 +127,7 @@
 	var resets [][]core.Entry
 	f := NewFeed(FeedConfig{
 		Title: "test", Store: s, Prefix: "p", Log: log.NewNopLogger(),
-		Reset: func(entries []core.Entry) { resets = append(resets, entries) },
+		Reset: func(entries []core.Entry, _ core.Version) { resets = append(resets, entries) },
 		Event: func(core.Event) {},
 	})
 	ctx, cancel := context.WithCancel(t.Context())
