List a late edit of the table behind watchers without the store

In deployments with several failure domains the watchers of the others spread an edit by pings, so that one domain's watchers don't matter. With a single failure domain, or if the store fails for the watchers of all, nobody who reaches the store learns of an edit until its regular poll after 0.5 to 1.5 min. The target is 7 s.

--- a/core/table/cache_test.go
+++ b/core/table/cache_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -234,6 +235,72 @@
 	})
 }
 
+// unreachableStore is the store as a VM reaches it that can be cut off from it.
+type unreachableStore struct {
+	core.Store
+	isCut *atomic.Bool
+}
+
+var errCut = errors.New("store is cut off")
+
+func (s unreachableStore) Get(ctx context.Context, key string) (core.Entry, error) {
+	if s.isCut.Load() {
+		return core.Entry{}, errCut
+	}
+	return s.Store.Get(ctx, key)
+}
+
+func (s unreachableStore) Watch(ctx context.Context, key string, after core.Version) (core.Entry, error) {
+	if s.isCut.Load() {
+		return core.Entry{}, errCut
+	}
+	e, err := s.Store.Watch(ctx, key, after)
+	if s.isCut.Load() {
+		return core.Entry{}, errCut
+	}
+	return e, err
+}
+
+// Guards against an edit that is late at VMs that reach the store, since those that watch it for them don't.
+func TestLateEditWatchersLoseStore(t *testing.T) {
+	const applyTime = 7 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlatform(t)
+		_, err := p.editor().Apply(t.Context(), Edit{ID: "1", Table: mustParse(t, startTable)})
+		assert.NilError(t, err)
+		f := &cacheFleet{platform: p, membership: &fakeMembership{}}
+		for i := range 6 {
+			f.membership.alive = append(f.membership.alive, core.VM{ID: core.VMID(fmt.Sprintf("vm-%d", i)), FailureDomain: "here"})
+		}
+		cut := map[*Cache]*atomic.Bool{}
+		for _, vm := range f.membership.alive {
+			isCut := &atomic.Bool{}
+			c := NewCache(CacheConfig{Store: unreachableStore{p.store, isCut}})
+			c.SetPeers(fakePeers{fakeMembership: f.membership, self: vm})
+			ctx, cancel := context.WithCancel(context.Background())
+			end := make(chan error, 1)
+			go func() { end <- c.Run(ctx) }()
+			t.Cleanup(func() {
+				cancel()
+				assert.Check(t, <-end)
+			})
+			f.list, cut[c] = append(f.list, c), isCut
+		}
+		time.Sleep(70 * time.Second)
+		watchers := 0
+		for _, c := range f.list {
+			if c.Dump().(cacheDump).Watching {
+				cut[c].Store(true)
+				watchers++
+			}
+		}
+		_, err = p.editor().Apply(t.Context(), Edit{ID: "2", Base: 1, Table: mustParse(t, quote2)})
+		assert.NilError(t, err)
+		time.Sleep(applyTime)
+		assert.Equal(t, f.count(2), len(f.list)-watchers)
+	})
+}
+
 // Guards against a version that decreases, for any order and source of arrival, and against callbacks
 // that see it decrease.
 func TestCacheVersionNeverDecreases(t *testing.T) {
