Fetch large changes from the store instead of a mirror

Cause: the watcher sends a change to each VM of its domain over its own link, twelve times 0.9 MB, and the VMs wait for it until their confirmation is too old. The time grows with the number of VMs and the size of the change. The class of fault: a bound that rests on a shared resource whose load grows with the fleet.

Ruled out: decoding (0.3 s), the store's link (66 VMs were served by it in 1.8 s).

Change: a mirror answers at once that the changes exceed 32 KiB, and the VM asks the store. Standbys of VMs that the store turns away still send them, with a longer timeout.

--- a/core/mirror/fleet_test.go
+++ b/core/mirror/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -33,6 +34,8 @@
 	startPhases   = 31
 	prefix        = "p"
 	fleetSize     = 6
+	// linkRate is the bytes per second of a link of 10 Mbit/s.
+	linkRate = 10e6 / 8
 )
 
 // simulation is a fleet of VMs in one failure domain that follow one key of the store with feeds.
@@ -62,6 +65,10 @@
 	storeSilent, storeRefuses bool
 	// transferTime is how long an answer of the store with changes takes to arrive.
 	transferTime time.Duration
+	// sendRate limits the bytes per second that the VM sends to other VMs; 0 means no limit. sentAt is when it
+	// will have sent the answers so far.
+	sendRate int
+	sentAt   time.Time
 	// deaf makes the VM not receive calls of other VMs, mute drops its answers to them. isolated keeps it
 	// from calling other VMs.
 	deaf, mute, isolated bool
@@ -85,6 +92,22 @@
 	}
 }
 
+// send waits until an answer of n bytes has been sent to another VM.
+func (l *link) send(n int) {
+	l.mu.Lock()
+	if l.sendRate == 0 {
+		l.mu.Unlock()
+		return
+	}
+	if now := time.Now(); l.sentAt.Before(now) {
+		l.sentAt = now
+	}
+	l.sentAt = l.sentAt.Add(time.Duration(n) * time.Second / time.Duration(l.sendRate))
+	sentAt := l.sentAt
+	l.mu.Unlock()
+	time.Sleep(time.Until(sentAt))
+}
+
 // linkedStore is the store as one VM reaches it.
 type linkedStore struct {
 	*fakeStore
@@ -268,6 +291,7 @@
 	s.group.Go(func() {
 		var out WatchAnswer
 		err := s.mirrors[id].Service().Watch(req.(*WatchRequest), &out)
+		l.send(size(out.Events))
 		results <- result{out, err}
 	})
 	for {
@@ -418,3 +442,18 @@
 	}, nil)
 	assert.Assert(t, worst <= 9*time.Second, "latest VM: %v", worst)
 }
+
+// Guards against a large configuration that is late because the watchers send it to all other VMs of their
+// domain over slow links.
+func TestLateChangeLargeConfiguration(t *testing.T) {
+	const size = 1 << 20
+	worst := simulate(t, func(s *simulation) {
+		s.store.value = make([]byte, size)
+		for _, l := range s.links {
+			l.set(func(l *link) {
+				l.sendRate, l.transferTime = linkRate, time.Duration(base64.StdEncoding.EncodedLen(size))*time.Second/linkRate
+			})
+		}
+	}, func(*simulation) {}, nil)
+	assert.Assert(t, worst <= applyTime, "latest VM: %v", worst)
+}
--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -47,6 +47,9 @@
 	// transferTime is how long an answer of the store may take to arrive after its beginning: that of a VM
 	// with a slow link, which lacks many versions of a large configuration.
 	transferTime = 2 * time.Second
+	// maxSharedBytes is the size up to which VMs send changes to each other. Larger ones come from the store,
+	// since a watcher with a slow link would take too long to send them to all VMs of its domain.
+	maxSharedBytes = 32 << 10
 	// minStoreWait is the shortest wait time of a watch of the store.
 	minStoreWait = 10 * time.Millisecond
 	// standbyTries is the number of mirrors that are asked after a failure of the store, standbyTimeout
@@ -66,6 +69,8 @@
 	errNotCurrent = errors.New("mirror has no current view of the store")
 	// errNoHistory says that a mirror lacks the changes that a watch needs. The store may have them.
 	errNoHistory = errors.New("mirror lacks older changes")
+	// errTooLarge says that the changes of a mirror exceed the limit.
+	errTooLarge = errors.New("changes are too large to share")
 )
 
 // Config configures a Mirror. Metrics and Now may be nil.
@@ -137,7 +142,7 @@
 	left := w.maxAge() - m.confirmationAge(prefix)
 	if vm, ok := m.source(prefix); ok && left > 0 {
 		m.noteSource(prefix, vm.ID)
-		events, at, _, err := m.watchMirror(ctx, vm, w, min(wait, left), left)
+		events, at, _, err := m.watchMirror(ctx, vm, w, mirrorCall{hold: min(wait, left), timeout: left, maxBytes: maxSharedBytes})
 		if isFinal(ctx, err) {
 			return events, at, err
 		}
@@ -160,7 +165,10 @@
 		if !ok {
 			return nil, 0, false
 		}
-		events, at, hasNews, err := m.watchMirror(ctx, vm, w, 0, standbyTimeout)
+		events, at, hasNews, err := m.watchMirror(ctx, vm, w, mirrorCall{timeout: standbyTimeout, maxBytes: maxSharedBytes})
+		if errors.Is(err, errTooLarge) {
+			events, at, hasNews, err = m.watchMirror(ctx, vm, w, mirrorCall{timeout: transferTime})
+		}
 		if err == nil {
 			m.useStandby(vm, w)
 			return events, at, hasNews
@@ -275,15 +283,25 @@
 	return events, at, nil
 }
 
-// watchMirror watches another VM's mirror, which may hold the request for the given time, for at most
-// timeout. Without events it fails unless the mirror has a recent confirmation. It reports whether it has
-// brought events or a newer confirmation.
-func (m *Mirror) watchMirror(ctx context.Context, vm core.VM, w watch, hold, timeout time.Duration) (events []core.Event, at core.Version, hasNews bool, err error) {
-	callCtx, cancel := context.WithTimeout(ctx, timeout)
+// mirrorCall holds the limits of a call of another VM's mirror, which may hold the request for some time.
+// maxBytes limits the size of the changes; 0 means no limit.
+type mirrorCall struct {
+	hold, timeout time.Duration
+	maxBytes      int
+}
+
+// watchMirror watches another VM's mirror. Without events it fails unless the mirror has a recent
+// confirmation. It reports whether it has brought events or a newer confirmation.
+func (m *Mirror) watchMirror(ctx context.Context, vm core.VM, w watch, call mirrorCall) (events []core.Event, at core.Version, hasNews bool, err error) {
+	callCtx, cancel := context.WithTimeout(ctx, call.timeout)
 	defer cancel()
 	began := m.cfg.Now()
 	var out WatchAnswer
-	err = m.cfg.Call(callCtx, vm.Control, watchMethod, &WatchRequest{Prefix: w.prefix, After: w.after, Wait: hold}, &out)
+	req := &WatchRequest{Prefix: w.prefix, After: w.after, Wait: call.hold, MaxBytes: call.maxBytes}
+	err = m.cfg.Call(callCtx, vm.Control, watchMethod, req, &out)
+	if err == nil && out.TooLarge {
+		return nil, 0, false, errTooLarge
+	}
 	if err == nil && !out.Compacted && len(out.Events) == 0 && (!out.HasAge || out.Lost || out.Age > w.maxAge()) {
 		err = errNotCurrent
 	}
--- a/core/mirror/mirror_test.go
+++ b/core/mirror/mirror_test.go
@@ -23,6 +23,8 @@
 	// hanging makes watches miss all changes and end with an error.
 	hanging bool
 	calls   int
+	// value is the value of the key after each change.
+	value []byte
 }
 
 var errDown = errors.New("store is down")
@@ -70,7 +72,7 @@
 		}
 		var events []core.Event
 		for v := after + 1; v <= version; v++ {
-			events = append(events, core.Event{Entry: core.Entry{Key: prefix, Version: v}})
+			events = append(events, core.Event{Entry: core.Entry{Key: prefix, Version: v, Value: s.value}})
 		}
 		if len(events) > 0 {
 			return events, version, nil
--- a/core/mirror/service.go
+++ b/core/mirror/service.go
@@ -15,13 +15,16 @@
 	Prefix string
 	After  core.Version
 	Wait   time.Duration
+	// MaxBytes limits the size of the changed values; 0 means no limit.
+	MaxBytes int
 }
 
-// WatchAnswer holds the changes. Compacted is set if the mirror no longer has all of them.
+// WatchAnswer holds the changes. Compacted is set if the mirror no longer has all of them, TooLarge if they
+// exceed the limit of the request and are left out.
 type WatchAnswer struct {
-	Events    []core.Event
-	At        core.Version
-	Compacted bool
+	Events              []core.Event
+	At                  core.Version
+	Compacted, TooLarge bool
 	// Lost is set if the mirror's last call to the store failed and no other mirror has confirmed its view.
 	Lost bool
 	// HasAge is set if Held and Age are valid. Builds whose answers confirm nothing don't set it.
@@ -45,7 +48,7 @@
 func (m *Mirror) serveWatch(req *WatchRequest) WatchAnswer {
 	began := m.cfg.Now()
 	out, updated := m.answer(req, began)
-	if out.Compacted || out.Lost || len(out.Events) > 0 || req.Wait <= 0 {
+	if out.Compacted || out.TooLarge || out.Lost || len(out.Events) > 0 || req.Wait <= 0 {
 		return out
 	}
 	timer := time.NewTimer(min(req.Wait, maxHold))
@@ -67,8 +70,20 @@
 	if !complete {
 		return WatchAnswer{Compacted: true}, nil
 	}
+	if req.MaxBytes > 0 && size(events) > req.MaxBytes {
+		return WatchAnswer{TooLarge: true}, nil
+	}
 	now := m.cfg.Now()
 	return WatchAnswer{
 		Events: events, At: max(req.After, v.maxVersion), Lost: v.isLost, HasAge: true, Held: now.Sub(began), Age: v.age(now),
 	}, v.updated
 }
+
+// size returns the size of the changed values in bytes.
+func size(events []core.Event) int {
+	n := 0
+	for _, e := range events {
+		n += len(e.Value)
+	}
+	return n
+}
