List the configuration when an answer with all versions takes too long

Change: an answer that has begun but isn't complete when the time is over counts as dropped history, so that the newest version is listed.

TestLateChangeManyVersionsSlowLink (ten versions of 0.4 s each, no other VM in reach) never has the newest version 5 s after the end of the cut if the watch fails instead, and has it now.

--- a/core/mirror/fleet_test.go
+++ b/core/mirror/fleet_test.go
@@ -23,6 +23,8 @@
 	// applyTime is the time within which an acknowledged change must be known to each VM that reaches
 	// the store.
 	applyTime = 3 * time.Second
+	// stableTime is how long after its last fault a VM counts as one without faults.
+	stableTime = 5 * time.Second
 	// phases is the number of runs of each scenario. They spread the disturbance over phaseTime, which
 	// is longer than a watch.
 	phases    = 240
@@ -54,8 +56,9 @@
 	calls atomic.Int64
 
 	mu sync.Mutex
-	// knownAt is when each VM learned of the version.
+	// knownAt is when each VM learned of the version, latest the newest version that it knows.
 	knownAt map[core.VMID]map[core.Version]time.Time
+	latest  map[core.VMID]core.Version
 }
 
 // link is the state of a VM's connections. The zero value works.
@@ -63,7 +66,7 @@
 	mu sync.Mutex
 	// storeSilent makes the store not answer the VM, storeRefuses makes it refuse the VM's calls.
 	storeSilent, storeRefuses bool
-	// transferTime is how long an answer of the store with changes takes to arrive.
+	// transferTime is how long each change in an answer of the store takes to arrive.
 	transferTime time.Duration
 	// sendRate limits the bytes per second that the VM sends to other VMs; 0 means no limit. sentAt is when it
 	// will have sent the answers so far.
@@ -118,7 +121,12 @@
 	if err := s.link.reachStore(ctx); err != nil {
 		return nil, 0, err
 	}
-	return s.fakeStore.List(ctx, prefix)
+	select {
+	case <-time.After(s.link.get().transferTime):
+		return s.fakeStore.List(ctx, prefix)
+	case <-ctx.Done():
+		return nil, 0, ctx.Err()
+	}
 }
 
 func (s linkedStore) WatchPrefix(ctx context.Context, prefix string, after core.Version, wait time.Duration) ([]core.Event, core.Version, error) {
@@ -136,9 +144,9 @@
 	}
 	if len(events) > 0 {
 		select {
-		case <-time.After(state.transferTime):
+		case <-time.After(time.Duration(len(events)) * state.transferTime):
 		case <-ctx.Done():
-			return nil, 0, ctx.Err()
+			return nil, 0, core.ErrCompacted
 		}
 	}
 	return events, at, err
@@ -217,7 +225,7 @@
 	s := &simulation{
 		t: t, store: &fakeStore{version: 5, changed: make(chan struct{})}, hidden: map[core.VMID]bool{},
 		lists: map[core.VMID][]core.VM{}, mirrors: map[core.VMID]*Mirror{}, links: map[core.VMID]*link{},
-		knownAt: map[core.VMID]map[core.Version]time.Time{},
+		knownAt: map[core.VMID]map[core.Version]time.Time{}, latest: map[core.VMID]core.Version{},
 	}
 	for i := range fleetSize {
 		id := core.VMID(fmt.Sprintf("vm-%d", i))
@@ -227,20 +235,51 @@
 		s.knownAt[id] = map[core.Version]time.Time{}
 	}
 	for _, vm := range s.vms {
-		s.mirrors[vm.ID] = New(Config{
-			Store: linkedStore{s.store, s.links[vm.ID]}, Members: members{s, vm.ID}, Self: vm, Log: log.NewNopLogger(),
-			Call: s.callFrom(vm.ID), Now: now,
-		})
+		s.startMirror(vm)
 	}
 	return s
 }
 
+// startMirror gives the VM a mirror that knows nothing, as after a restart.
+func (s *simulation) startMirror(vm core.VM) {
+	m := New(Config{
+		Store: linkedStore{s.store, s.links[vm.ID]}, Members: members{s, vm.ID}, Self: vm, Log: log.NewNopLogger(),
+		Call: s.callFrom(vm.ID), Now: now,
+	})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mirrors[vm.ID] = m
+	s.latest[vm.ID] = 0
+}
+
+// newest returns the newest version that the VM knows.
+func (s *simulation) newest(id core.VMID) core.Version {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.latest[id]
+}
+
+func (s *simulation) mirror(id core.VMID) *Mirror {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.mirrors[id]
+}
+
 // now is the clock of the fake store and VMs, which are never suspended.
 func now() core.Instant { return core.Instant(time.Now().UnixNano()) }
 
 // run runs the VM's feed until ctx ends.
 func (s *simulation) run(ctx context.Context, id core.VMID) {
+	m := s.mirror(id)
+	update := func(v core.Version) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.mirrors[id] == m {
+			s.latest[id] = max(s.latest[id], v)
+		}
+	}
 	learn := func(v core.Version) {
+		update(v)
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		if _, ok := s.knownAt[id][v]; !ok {
@@ -248,8 +287,8 @@
 		}
 	}
 	feed := topo.NewFeed(topo.FeedConfig{
-		Title: "test", Store: s.mirrors[id], Prefix: prefix, Log: log.NewNopLogger(),
-		Reset: func([]core.Entry, core.Version) {},
+		Title: "test", Store: m, Prefix: prefix, Log: log.NewNopLogger(),
+		Reset: func(_ []core.Entry, at core.Version) { update(at) },
 		Event: func(e core.Event) { learn(e.Version) },
 	})
 	s.group.Go(func() { _ = feed.Run(ctx) })
@@ -290,7 +329,7 @@
 	results := make(chan result, 1)
 	s.group.Go(func() {
 		var out WatchAnswer
-		err := s.mirrors[id].Service().Watch(req.(*WatchRequest), &out)
+		err := s.mirror(id).Service().Watch(req.(*WatchRequest), &out)
 		l.send(size(out.Events))
 		results <- result{out, err}
 	})
@@ -315,7 +354,7 @@
 func (s *simulation) watchers() []core.VMID {
 	var out []core.VMID
 	for _, vm := range s.vms {
-		if _, watchesMirror := s.mirrors[vm.ID].watcher(); !watchesMirror {
+		if _, watchesMirror := s.mirror(vm.ID).watcher(); !watchesMirror {
 			out = append(out, vm.ID)
 		}
 	}
@@ -457,3 +496,30 @@
 	}, func(*simulation) {}, nil)
 	assert.Assert(t, worst <= applyTime, "latest VM: %v", worst)
 }
+
+// Guards against a VM behind a slow link that reaches only the store and never gets the versions it lacks, since
+// the answer with all of them takes longer than a watch may take.
+func TestLateChangeManyVersionsSlowLink(t *testing.T) {
+	const versions = 10
+	synctest.Test(t, func(t *testing.T) {
+		s := newSimulation(t)
+		defer s.group.Wait()
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		for _, vm := range s.vms {
+			s.run(ctx, vm.ID)
+		}
+		time.Sleep(10 * time.Second)
+		late := s.watchers()[0]
+		s.links[late].set(func(l *link) {
+			l.storeSilent, l.deaf, l.isolated, l.transferTime = true, true, true, 2*transferTime/versions
+		})
+		for range versions {
+			time.Sleep(time.Second)
+			s.store.change()
+		}
+		s.links[late].set(func(l *link) { l.storeSilent = false })
+		time.Sleep(stableTime)
+		assert.Equal(t, s.newest(late), s.store.newest())
+	})
+}
--- a/core/mirror/mirror_test.go
+++ b/core/mirror/mirror_test.go
@@ -37,6 +37,12 @@
 	s.changed = make(chan struct{})
 }
 
+func (s *fakeStore) newest() core.Version {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version
+}
+
 func (s *fakeStore) setDown(down bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/core/watch.go
+++ b/core/watch.go
@@ -37,6 +37,7 @@
 	// WatchPrefix waits up to the given time for changes after the version, and returns them with the
 	// version to continue from. Of several changes of a key it may return only the newest. It fails if the
 	// store hasn't begun to answer WatchMargin after the wait time, and reads a large answer until ctx
-	// ends. It returns ErrCompacted if the history is no longer available, or too large for one answer.
+	// ends. It returns ErrCompacted if the history is no longer available, or too large for one answer or for
+	// the time until ctx ends.
 	WatchPrefix(ctx context.Context, prefix string, after Version, wait time.Duration) ([]Event, Version, error)
 }
