Try mirrors that failed again when there is no other source

What callers would see: a VM that the store turns away keeps an old configuration although another VM has the new one.

Cause: a mirror that didn't answer isn't called again for 10 s, so that it can't delay changes twice. That is right while the store or another mirror can be asked instead; a VM without either has nothing to lose.

Change: if all mirrors have failed recently, each is tried in turn. A standby that fails is no longer the standby, so that the next one has its turn.

--- a/core/mirror/fleet_test.go
+++ b/core/mirror/fleet_test.go
@@ -523,3 +523,27 @@
 		assert.Equal(t, s.newest(late), s.store.newest())
 	})
 }
+
+// Guards against a VM that the store refuses and that leaves out the only VM with the changes for a while, since
+// that VM once didn't answer.
+func TestLateChangeStandbyDidNotAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSimulation(t)
+		defer s.group.Wait()
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		s.vms = s.vms[:2]
+		for _, vm := range s.vms {
+			s.run(ctx, vm.ID)
+		}
+		time.Sleep(10 * time.Second)
+		refused, other := s.vms[0].ID, s.vms[1].ID
+		s.links[refused].set(func(l *link) { l.storeRefuses = true })
+		s.links[other].set(func(l *link) { l.deaf = true })
+		time.Sleep(3 * time.Second)
+		s.store.change()
+		s.links[other].set(func(l *link) { l.deaf = false })
+		time.Sleep(applyTime)
+		assert.Equal(t, s.newest(refused), s.store.newest())
+	})
+}
--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -211,17 +211,21 @@
 	if slices.ContainsFunc(chosen, func(vm core.VM) bool { return vm.ID == m.cfg.Self.ID }) {
 		return core.VM{}, false
 	}
-	if chosen = m.usable(chosen); len(chosen) == 0 {
+	if chosen = m.usable(m.others(chosen)); len(chosen) == 0 {
 		return core.VM{}, false
 	}
 	return chosen[0], true
 }
 
 // nextStandby returns a VM whose mirror this VM can try while the store fails: the last one that had a recent
-// confirmation, or each in turn, those of its failure domain first.
+// confirmation, or each in turn, those of its failure domain first. If all have failed recently, they are tried
+// again, since there is no other source.
 func (m *Mirror) nextStandby(prefix string) (core.VM, bool) {
 	alive := m.cfg.Members.Alive()
-	vms := m.usable(place.Owners(watchTask(m.cfg.Self.FailureDomain), alive, len(alive)))
+	vms := place.Owners(watchTask(m.cfg.Self.FailureDomain), m.others(alive), len(alive))
+	if usable := m.usable(slices.Clone(vms)); len(usable) > 0 {
+		vms = usable
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	v := m.view(prefix)
@@ -241,13 +245,16 @@
 	return core.UpstreamInfo{ID: "watch", FailureDomain: domain}
 }
 
-// usable returns the other VMs whose mirrors haven't failed recently.
+// others returns the VMs other than this one that have a mirror.
+func (m *Mirror) others(vms []core.VM) []core.VM {
+	return slices.DeleteFunc(vms, func(vm core.VM) bool { return vm.ID == m.cfg.Self.ID || vm.Control == "" })
+}
+
+// usable returns the VMs whose mirrors haven't failed recently.
 func (m *Mirror) usable(vms []core.VM) []core.VM {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return slices.DeleteFunc(vms, func(vm core.VM) bool {
-		return vm.ID == m.cfg.Self.ID || vm.Control == "" || time.Now().Before(m.retryAt[vm.ID])
-	})
+	return slices.DeleteFunc(vms, func(vm core.VM) bool { return time.Now().Before(m.retryAt[vm.ID]) })
 }
 
 // useStandby makes the next watches use the VM's mirror until it is time to try the store again.
@@ -359,6 +366,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.retryAt[vm] = time.Now().Add(delay)
+	if v := m.view(w.prefix); v.standby.ID == vm {
+		v.standby = core.VM{}
+	}
 }
 
 // lose notes a failure of the store.
