List from a mirror when the store fails and the history is gone

What callers would see: a VM that the store turns away keeps an old configuration until the store serves it again, however long that takes, although the VMs beside it have the new one.

Cause: a VM's mirror passes on changes, and has none from before its last listing. After the store has dropped its history, or the other VMs have restarted, none of them has the changes that the VM's watch needs. Listings were available from the store alone. The class is that of: knowledge that exists was tied to one source.

Change: each mirror keeps all entries of a prefix, not only the changes. After a failure of the store, a VM whose history is gone lists from another VM's mirror whose confirmation is at most 2 s old, if that isn't older than what the VM knows.

TestLateListingHidesNoChanges covers a listing that arrives after later changes.

--- a/core/mirror/confirm_test.go
+++ b/core/mirror/confirm_test.go
@@ -153,3 +153,20 @@
 	_, complete = v.eventsAfter(8)
 	assert.Assert(t, !complete, "changes between a view and a later listing")
 }
+
+// Guards against a listing that hides changes which arrived while it was made, or that makes the view claim to be
+// complete although it isn't.
+func TestLateListingHidesNoChanges(t *testing.T) {
+	listing := []core.Entry{event("a", 4).Entry, event("b", 5).Entry}
+	v := newView()
+	v.add(5, []core.Event{event("a", 7), {Entry: event("b", 8).Entry, Deleted: true}}, 8, 1)
+	v.reset(listing, 5)
+	assert.DeepEqual(t, v.entries, map[string]core.Entry{"a": event("a", 7).Entry})
+	assert.Equal(t, v.entriesAt, core.Version(8))
+	v.reset(listing, 5)
+	assert.Equal(t, v.entriesAt, core.Version(8), "an older listing")
+	v.add(12, []core.Event{event("a", 13)}, 13, 2)
+	assert.Assert(t, v.entries == nil, "changes between 8 and 12 are unknown")
+	v.reset(listing, 11)
+	assert.Assert(t, v.entries == nil, "changes between 11 and 12 are unknown")
+}
--- a/core/mirror/fleet_test.go
+++ b/core/mirror/fleet_test.go
@@ -322,27 +322,34 @@
 		<-ctx.Done()
 		return ctx.Err()
 	}
-	type result struct {
-		answer WatchAnswer
-		err    error
-	}
-	results := make(chan result, 1)
+	// results receives a function that copies the answer to the caller's.
+	results := make(chan func(), 1)
 	s.group.Go(func() {
-		var out WatchAnswer
-		err := s.mirror(id).Service().Watch(req.(*WatchRequest), &out)
-		l.send(size(out.Events))
-		results <- result{out, err}
+		switch req := req.(type) {
+		case *WatchRequest:
+			out := s.mirror(id).serveWatch(req)
+			l.send(size(out.Events))
+			results <- func() { *answer.(*WatchAnswer) = out }
+		case *ListRequest:
+			out := s.mirror(id).serveList(req)
+			n := 0
+			for _, e := range out.Entries {
+				n += len(e.Value)
+			}
+			l.send(n)
+			results <- func() { *answer.(*ListAnswer) = out }
+		}
 	})
 	for {
 		state := l.get()
 		select {
-		case r := <-results:
+		case deliver := <-results:
 			if state.mute || state.deaf {
 				<-ctx.Done()
 				return ctx.Err()
 			}
-			*answer.(*WatchAnswer) = r.answer
-			return r.err
+			deliver()
+			return nil
 		case <-state.changed:
 		case <-ctx.Done():
 			return ctx.Err()
@@ -547,3 +554,26 @@
 		assert.Equal(t, s.newest(refused), s.store.newest())
 	})
 }
+
+// Guards against a VM that the store refuses and that never learns of changes, since the other VMs no longer have
+// the history that its watch needs.
+func TestLateChangeHistoryGoneWhileRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSimulation(t)
+		defer s.group.Wait()
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		for _, vm := range s.vms {
+			s.run(ctx, vm.ID)
+		}
+		time.Sleep(10 * time.Second)
+		refused := s.watchers()[0]
+		s.links[refused].set(func(l *link) { l.storeRefuses, l.isolated = true, true })
+		s.store.change()
+		s.store.forget(time.Second)
+		time.Sleep(applyTime)
+		s.links[refused].set(func(l *link) { l.isolated = false })
+		time.Sleep(applyTime)
+		assert.Equal(t, s.newest(refused), s.store.newest())
+	})
+}
--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -56,12 +56,19 @@
 	// limits each of these calls, which are answered without waiting.
 	standbyTries   = 2
 	standbyTimeout = 400 * time.Millisecond
+	// storeListTimeout limits a listing of the store, standbyListTimeout one of each of standbyTries mirrors after
+	// a failure of the store.
+	storeListTimeout   = 3 * time.Second
+	standbyListTimeout = time.Second
+	// maxListAge is how old the confirmation of a mirror's listing may be.
+	maxListAge = 2 * time.Second
 	// mirrorRetryDelay is how long a mirror that didn't answer isn't called again, since each attempt can
 	// delay changes by a whole watch. A mirror that answers but has no recent confirmation costs little.
 	mirrorRetryDelay     = 10 * time.Second
 	notCurrentRetryDelay = time.Second
-	// watchMethod is the name of the RPC method.
+	// watchMethod and listMethod are the names of the RPC methods.
 	watchMethod = "Mirror.Watch"
+	listMethod  = "Mirror.List"
 )
 
 var (
@@ -113,11 +120,60 @@
 	}
 }
 
-// List implements core.PrefixStore.
+// List implements core.PrefixStore. If the store fails, it asks other mirrors for a listing that is not older
+// than what is known.
 func (m *Mirror) List(ctx context.Context, prefix string) ([]core.Entry, core.Version, error) {
+	entries, at, err := m.listStore(ctx, prefix)
+	for range standbyTries {
+		if err == nil || ctx.Err() != nil {
+			break
+		}
+		vm, ok := m.nextStandby(prefix)
+		if !ok {
+			break
+		}
+		if answer, ok := m.listMirror(ctx, vm, prefix); ok {
+			entries, at, err = answer.Entries, answer.At, nil
+		}
+	}
+	if err != nil {
+		return nil, 0, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.view(prefix).reset(entries, at)
+	return entries, at, nil
+}
+
+func (m *Mirror) listStore(ctx context.Context, prefix string) ([]core.Entry, core.Version, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeListTimeout)
+	defer cancel()
 	return m.cfg.Store.List(ctx, prefix)
 }
 
+// listMirror asks another VM's mirror for a listing. It returns false if there is none that is recent.
+func (m *Mirror) listMirror(ctx context.Context, vm core.VM, prefix string) (ListAnswer, bool) {
+	callCtx, cancel := context.WithTimeout(ctx, standbyListTimeout)
+	defer cancel()
+	m.mu.Lock()
+	known := m.view(prefix).maxVersion
+	m.mu.Unlock()
+	began := m.cfg.Now()
+	var out ListAnswer
+	err := m.cfg.Call(callCtx, vm.Control, listMethod, &ListRequest{Prefix: prefix, MinVersion: known, MaxAge: maxListAge}, &out)
+	if err == nil && !out.OK {
+		err = errNotCurrent
+	}
+	if err != nil {
+		if ctx.Err() == nil {
+			m.noteFailure(watch{prefix: prefix, after: known}, vm.ID, m.cfg.Now().Sub(began), 0, err)
+		}
+		return ListAnswer{}, false
+	}
+	level.Info(m.cfg.Log).Log("Msg", "listed by a mirror", "Prefix", prefix, "Mirror", vm.ID, "Revision", out.At)
+	return out, true
+}
+
 // ListStale implements core.PrefixStore.
 func (m *Mirror) ListStale(ctx context.Context, prefix string) ([]core.Entry, error) {
 	return m.cfg.Store.ListStale(ctx, prefix)
@@ -151,33 +207,39 @@
 	if isFinal(ctx, err) {
 		return events, at, err
 	}
-	if events, at, ok := m.watchStandby(ctx, w); ok {
-		return events, at, nil
+	if events, at, standbyErr := m.watchStandby(ctx, w); standbyErr == nil || errors.Is(standbyErr, core.ErrCompacted) {
+		return events, at, standbyErr
 	}
 	return nil, 0, err
 }
 
-// watchStandby asks the mirrors of other VMs after a failure of the store. It returns false if none of them
-// has news. A mirror with a recent confirmation is used by the next watches.
-func (m *Mirror) watchStandby(ctx context.Context, w watch) ([]core.Event, core.Version, bool) {
+// watchStandby asks the mirrors of other VMs after a failure of the store. A mirror with a recent confirmation
+// is used by the next watches. Without news it returns errNotCurrent.
+func (m *Mirror) watchStandby(ctx context.Context, w watch) ([]core.Event, core.Version, error) {
 	for range standbyTries {
 		vm, ok := m.nextStandby(w.prefix)
 		if !ok {
-			return nil, 0, false
+			break
 		}
 		events, at, hasNews, err := m.watchMirror(ctx, vm, w, mirrorCall{timeout: standbyTimeout, maxBytes: maxSharedBytes})
 		if errors.Is(err, errTooLarge) {
 			events, at, hasNews, err = m.watchMirror(ctx, vm, w, mirrorCall{timeout: transferTime})
 		}
-		if err == nil {
+		switch {
+		case errors.Is(err, errNoHistory):
 			m.useStandby(vm, w)
-			return events, at, hasNews
-		}
-		if ctx.Err() != nil {
-			return nil, 0, false
+			return nil, 0, core.ErrCompacted
+		case err == nil:
+			m.useStandby(vm, w)
+			if hasNews {
+				return events, at, nil
+			}
+			return nil, 0, errNotCurrent
+		case ctx.Err() != nil:
+			return nil, 0, ctx.Err()
 		}
 	}
-	return nil, 0, false
+	return nil, 0, errNotCurrent
 }
 
 // isFinal reports whether a watch ends with this result of a source instead of trying another one.
--- a/core/mirror/mirror_test.go
+++ b/core/mirror/mirror_test.go
@@ -25,6 +25,9 @@
 	calls   int
 	// value is the value of the key after each change.
 	value []byte
+	// muted makes watches miss all changes. compacted is the version up to which the history is gone.
+	muted     bool
+	compacted core.Version
 }
 
 var errDown = errors.New("store is down")
@@ -51,10 +54,23 @@
 	s.changed = make(chan struct{})
 }
 
-func (s *fakeStore) List(context.Context, string) ([]core.Entry, core.Version, error) {
+// forget drops the history after some time in which watches miss all changes.
+func (s *fakeStore) forget(mutedFor time.Duration) {
+	s.mu.Lock()
+	s.muted = true
+	s.mu.Unlock()
+	time.Sleep(mutedFor)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.muted, s.compacted = false, s.version
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *fakeStore) List(_ context.Context, prefix string) ([]core.Entry, core.Version, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return nil, s.version, nil
+	return []core.Entry{{Key: prefix, Version: s.version, Value: s.value}}, s.version, nil
 }
 
 func (s *fakeStore) ListStale(context.Context, string) ([]core.Entry, error) { return nil, nil }
@@ -67,8 +83,15 @@
 	defer timer.Stop()
 	for {
 		s.mu.Lock()
-		version, changed, down, hanging := s.version, s.changed, s.down, s.hanging
+		version, changed, down, hanging, compacted := s.version, s.changed, s.down, s.hanging, s.compacted
+		value := s.value
+		if s.muted {
+			version = after
+		}
 		s.mu.Unlock()
+		if after < compacted {
+			return nil, 0, core.ErrCompacted
+		}
 		if hanging {
 			<-timer.C
 			return nil, 0, errDown
@@ -78,7 +101,7 @@
 		}
 		var events []core.Event
 		for v := after + 1; v <= version; v++ {
-			events = append(events, core.Event{Entry: core.Entry{Key: prefix, Version: v, Value: s.value}})
+			events = append(events, core.Event{Entry: core.Entry{Key: prefix, Version: v, Value: value}})
 		}
 		if len(events) > 0 {
 			return events, version, nil
--- a/core/mirror/service.go
+++ b/core/mirror/service.go
@@ -1,6 +1,8 @@
 package mirror
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"snipewall/core"
@@ -33,7 +35,22 @@
 	Held, Age time.Duration
 }
 
-// Service serves watches of other VMs over RPC.
+// ListRequest asks another VM's mirror for all entries with a prefix, complete up to MinVersion at least and with
+// a confirmation of the store that is not older than MaxAge.
+type ListRequest struct {
+	Prefix     string
+	MinVersion core.Version
+	MaxAge     time.Duration
+}
+
+// ListAnswer holds the entries if OK is set. They are complete up to At.
+type ListAnswer struct {
+	OK      bool
+	Entries []core.Entry
+	At      core.Version
+}
+
+// Service serves watches and listings of other VMs over RPC.
 type Service struct{ m *Mirror }
 
 // Service returns the RPC service, which must be registered as "Mirror".
@@ -45,6 +62,22 @@
 	return nil
 }
 
+// List returns the entries that req asks for.
+func (s *Service) List(req *ListRequest, out *ListAnswer) error {
+	*out = s.m.serveList(req)
+	return nil
+}
+
+func (m *Mirror) serveList(req *ListRequest) ListAnswer {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	v := m.view(req.Prefix)
+	if v.entries == nil || v.entriesAt < req.MinVersion || v.age(m.cfg.Now()) > req.MaxAge {
+		return ListAnswer{}
+	}
+	return ListAnswer{OK: true, Entries: slices.Collect(maps.Values(v.entries)), At: v.entriesAt}
+}
+
 func (m *Mirror) serveWatch(req *WatchRequest) WatchAnswer {
 	began := m.cfg.Now()
 	out, updated := m.answer(req, began)
--- a/core/mirror/view.go
+++ b/core/mirror/view.go
@@ -21,6 +21,9 @@
 	// to maxVersion.
 	events                 []core.Event
 	minVersion, maxVersion core.Version
+	// entries holds all keys, complete up to entriesAt; nil if they are unknown.
+	entries   map[string]core.Entry
+	entriesAt core.Version
 	// isConfirmed is set if the store had no other changes at confirmedAt.
 	isConfirmed bool
 	confirmedAt core.Instant
@@ -48,9 +51,51 @@
 	return now.Sub(v.confirmedAt)
 }
 
+// reset sets the entries to a complete listing, to which later changes that are known are applied.
+func (v *view) reset(entries []core.Entry, at core.Version) {
+	if v.entries != nil && at < v.entriesAt {
+		return
+	}
+	v.entries, v.entriesAt = make(map[string]core.Entry, len(entries)), at
+	for _, e := range entries {
+		v.entries[e.Key] = e
+	}
+	if at >= v.maxVersion {
+		return
+	}
+	later, complete := v.eventsAfter(at)
+	if !complete {
+		v.entries = nil
+		return
+	}
+	v.apply(at, later, v.maxVersion)
+}
+
+// apply applies the changes after a version to the entries.
+func (v *view) apply(after core.Version, events []core.Event, at core.Version) {
+	if after > v.entriesAt {
+		// The changes in between are unknown.
+		v.entries = nil
+	}
+	if v.entries == nil {
+		return
+	}
+	for _, e := range events {
+		switch {
+		case e.Version < v.entries[e.Key].Version:
+		case e.Deleted:
+			delete(v.entries, e.Key)
+		default:
+			v.entries[e.Key] = e.Entry
+		}
+	}
+	v.entriesAt = max(v.entriesAt, at)
+}
+
 // add adds the changes after a version, which are complete up to at. A zero confirmedAt confirms nothing. It
 // reports whether there are changes or a newer confirmation.
 func (v *view) add(after core.Version, events []core.Event, at core.Version, confirmedAt core.Instant) bool {
+	v.apply(after, events, at)
 	if after != v.maxVersion {
 		// The VM has listed the entries since: the changes in between are unknown.
 		v.events, v.minVersion = nil, after
--- a/core/topo/feed.go
+++ b/core/topo/feed.go
@@ -19,7 +19,8 @@
 	// changes until it ends. After a disruption the platform allows 5 s before changes must be known in
 	// time again, which also has to cover a failed watch's backoff.
 	maxWatchTime = 3 * time.Second
-	listTimeout  = 3 * time.Second
+	// listTimeout limits a listing from the store and, if it fails, from other VMs.
+	listTimeout = 3500 * time.Millisecond
 	// minBackoff and maxBackoff limit the backoff after failed calls. maxBackoff is well below the target.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 800 * time.Millisecond
