--- a/Makefile
+++ b/Makefile
@@ -63,5 +63,5 @@
 SEED ?= 0
 FOR ?= 1m
 
-soak: ## Runs real processes under random faults (SEED=n FOR=2m; SEED=0 picks a random seed).
-	$(GO) test -count=1 -v -timeout 1h ./platform -run 'TestSoak$$' -soak.seed $(SEED) -soak.for $(FOR) | grep -v '"Msg"'
+soak: ## Runs the soaks of real processes under random faults (SEED=n FOR=2m; SEED=0 picks a random seed).
+	$(GO) test -count=1 -v -timeout 1h ./platform -run 'Soak$$' -soak.seed $(SEED) -soak.for $(FOR) | grep -v '"Msg"'
