Split the mirror by job and its tests by harness and scenario

Reading the change as a newcomer: mirror.go held the watches, the choice of the source and the listings in 450 lines, fleet_test.go the fleet and what is tested with it in 580. All tests of core/mirror pass as before.

--- /dev/null
+++ b/core/mirror/list.go
@@ -0,0 +1,75 @@
+package mirror
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"snipewall/core"
+)
+
+const (
+	// storeListTimeout limits a listing of the store, standbyListTimeout one of each of standbyTries mirrors after
+	// a failure of the store.
+	storeListTimeout   = 3 * time.Second
+	standbyListTimeout = time.Second
+	// maxListAge is how old the confirmation of a mirror's listing may be.
+	maxListAge = 2 * time.Second
+	// listMethod is the name of the RPC method.
+	listMethod = "Mirror.List"
+)
+
+// List implements core.PrefixStore. If the store fails, it asks other mirrors for a listing that is not older
+// than what is known.
+func (m *Mirror) List(ctx context.Context, prefix string) ([]core.Entry, core.Version, error) {
+	entries, at, err := m.listStore(ctx, prefix)
+	for range standbyTries {
+		if err == nil || ctx.Err() != nil {
+			break
+		}
+		vm, ok := m.nextStandby(prefix)
+		if !ok {
+			break
+		}
+		if answer, ok := m.listMirror(ctx, vm, prefix); ok {
+			entries, at, err = answer.Entries, answer.At, nil
+		}
+	}
+	if err != nil {
+		return nil, 0, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.view(prefix).reset(entries, at)
+	return entries, at, nil
+}
+
+func (m *Mirror) listStore(ctx context.Context, prefix string) ([]core.Entry, core.Version, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeListTimeout)
+	defer cancel()
+	return m.cfg.Store.List(ctx, prefix)
+}
+
+// listMirror asks another VM's mirror for a listing. It returns false if there is none that is recent.
+func (m *Mirror) listMirror(ctx context.Context, vm core.VM, prefix string) (ListAnswer, bool) {
+	callCtx, cancel := context.WithTimeout(ctx, standbyListTimeout)
+	defer cancel()
+	m.mu.Lock()
+	known := m.view(prefix).maxVersion
+	m.mu.Unlock()
+	began := m.cfg.Now()
+	var out ListAnswer
+	err := m.cfg.Call(callCtx, vm.Control, listMethod, &ListRequest{Prefix: prefix, MinVersion: known, MaxAge: maxListAge}, &out)
+	if err == nil && !out.OK {
+		err = errNotCurrent
+	}
+	if err != nil {
+		if ctx.Err() == nil {
+			m.noteFailure(watch{prefix: prefix, after: known}, vm.ID, m.cfg.Now().Sub(began), 0, err)
+		}
+		return ListAnswer{}, false
+	}
+	level.Info(m.cfg.Log).Log("Msg", "listed by a mirror", "Prefix", prefix, "Mirror", vm.ID, "Revision", out.At)
+	return out, true
+}
--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -25,22 +25,16 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/go-kit/log"
-	"github.com/go-kit/log/level"
 	"github.com/uber-go/tally/v4"
 
 	"snipewall/core"
-	"snipewall/core/place"
 )
 
 const (
-	// watchers is the number of VMs in each failure domain that watch the store itself. With two, the
-	// failure of one has no effect.
-	watchers = 2
 	// callMargin is how much longer than the wait time of a watch a mirror's answer may take, and how much
 	// older a confirmation may be: two round trips to a slow store.
 	callMargin = 600 * time.Millisecond
@@ -56,19 +50,8 @@
 	// limits each of these calls, which are answered without waiting.
 	standbyTries   = 2
 	standbyTimeout = 400 * time.Millisecond
-	// storeListTimeout limits a listing of the store, standbyListTimeout one of each of standbyTries mirrors after
-	// a failure of the store.
-	storeListTimeout   = 3 * time.Second
-	standbyListTimeout = time.Second
-	// maxListAge is how old the confirmation of a mirror's listing may be.
-	maxListAge = 2 * time.Second
-	// mirrorRetryDelay is how long a mirror that didn't answer isn't called again, since each attempt can
-	// delay changes by a whole watch. A mirror that answers but has no recent confirmation costs little.
-	mirrorRetryDelay     = 10 * time.Second
-	notCurrentRetryDelay = time.Second
-	// watchMethod and listMethod are the names of the RPC methods.
+	// watchMethod is the name of the RPC method.
 	watchMethod = "Mirror.Watch"
-	listMethod  = "Mirror.List"
 )
 
 var (
@@ -120,60 +103,6 @@
 	}
 }
 
-// List implements core.PrefixStore. If the store fails, it asks other mirrors for a listing that is not older
-// than what is known.
-func (m *Mirror) List(ctx context.Context, prefix string) ([]core.Entry, core.Version, error) {
-	entries, at, err := m.listStore(ctx, prefix)
-	for range standbyTries {
-		if err == nil || ctx.Err() != nil {
-			break
-		}
-		vm, ok := m.nextStandby(prefix)
-		if !ok {
-			break
-		}
-		if answer, ok := m.listMirror(ctx, vm, prefix); ok {
-			entries, at, err = answer.Entries, answer.At, nil
-		}
-	}
-	if err != nil {
-		return nil, 0, err
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.view(prefix).reset(entries, at)
-	return entries, at, nil
-}
-
-func (m *Mirror) listStore(ctx context.Context, prefix string) ([]core.Entry, core.Version, error) {
-	ctx, cancel := context.WithTimeout(ctx, storeListTimeout)
-	defer cancel()
-	return m.cfg.Store.List(ctx, prefix)
-}
-
-// listMirror asks another VM's mirror for a listing. It returns false if there is none that is recent.
-func (m *Mirror) listMirror(ctx context.Context, vm core.VM, prefix string) (ListAnswer, bool) {
-	callCtx, cancel := context.WithTimeout(ctx, standbyListTimeout)
-	defer cancel()
-	m.mu.Lock()
-	known := m.view(prefix).maxVersion
-	m.mu.Unlock()
-	began := m.cfg.Now()
-	var out ListAnswer
-	err := m.cfg.Call(callCtx, vm.Control, listMethod, &ListRequest{Prefix: prefix, MinVersion: known, MaxAge: maxListAge}, &out)
-	if err == nil && !out.OK {
-		err = errNotCurrent
-	}
-	if err != nil {
-		if ctx.Err() == nil {
-			m.noteFailure(watch{prefix: prefix, after: known}, vm.ID, m.cfg.Now().Sub(began), 0, err)
-		}
-		return ListAnswer{}, false
-	}
-	level.Info(m.cfg.Log).Log("Msg", "listed by a mirror", "Prefix", prefix, "Mirror", vm.ID, "Revision", out.At)
-	return out, true
-}
-
 // ListStale implements core.PrefixStore.
 func (m *Mirror) ListStale(ctx context.Context, prefix string) ([]core.Entry, error) {
 	return m.cfg.Store.ListStale(ctx, prefix)
@@ -254,79 +183,6 @@
 	return m.view(prefix).age(m.cfg.Now())
 }
 
-// source returns the VM whose mirror this VM must watch, or false if it must watch the store itself.
-func (m *Mirror) source(prefix string) (core.VM, bool) {
-	if vm, ok := m.watcher(); ok {
-		return vm, true
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	v := m.view(prefix)
-	return v.standby, v.standby.ID != "" && time.Now().Before(v.storeRetryAt)
-}
-
-// watcher returns the watcher that this VM must follow, or false if it must watch the store itself.
-func (m *Mirror) watcher() (core.VM, bool) {
-	domain := m.cfg.Self.FailureDomain
-	alive := slices.DeleteFunc(m.cfg.Members.Alive(), func(vm core.VM) bool { return vm.FailureDomain != domain })
-	chosen := place.Owners(watchTask(domain), alive, watchers)
-	if slices.ContainsFunc(chosen, func(vm core.VM) bool { return vm.ID == m.cfg.Self.ID }) {
-		return core.VM{}, false
-	}
-	if chosen = m.usable(m.others(chosen)); len(chosen) == 0 {
-		return core.VM{}, false
-	}
-	return chosen[0], true
-}
-
-// nextStandby returns a VM whose mirror this VM can try while the store fails: the last one that had a recent
-// confirmation, or each in turn, those of its failure domain first. If all have failed recently, they are tried
-// again, since there is no other source.
-func (m *Mirror) nextStandby(prefix string) (core.VM, bool) {
-	alive := m.cfg.Members.Alive()
-	vms := place.Owners(watchTask(m.cfg.Self.FailureDomain), m.others(alive), len(alive))
-	if usable := m.usable(slices.Clone(vms)); len(usable) > 0 {
-		vms = usable
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	v := m.view(prefix)
-	if slices.ContainsFunc(vms, func(vm core.VM) bool { return vm.ID == v.standby.ID }) {
-		return v.standby, true
-	}
-	if len(vms) == 0 {
-		return core.VM{}, false
-	}
-	vm := vms[v.standbyTurn%len(vms)]
-	v.standbyTurn++
-	return vm, true
-}
-
-// watchTask identifies the watches of a failure domain for the choice of the VMs that make them.
-func watchTask(domain core.FailureDomain) core.UpstreamInfo {
-	return core.UpstreamInfo{ID: "watch", FailureDomain: domain}
-}
-
-// others returns the VMs other than this one that have a mirror.
-func (m *Mirror) others(vms []core.VM) []core.VM {
-	return slices.DeleteFunc(vms, func(vm core.VM) bool { return vm.ID == m.cfg.Self.ID || vm.Control == "" })
-}
-
-// usable returns the VMs whose mirrors haven't failed recently.
-func (m *Mirror) usable(vms []core.VM) []core.VM {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return slices.DeleteFunc(vms, func(vm core.VM) bool { return time.Now().Before(m.retryAt[vm.ID]) })
-}
-
-// useStandby makes the next watches use the VM's mirror until it is time to try the store again.
-func (m *Mirror) useStandby(vm core.VM, w watch) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	v := m.view(w.prefix)
-	v.standby, v.storeRetryAt = vm, time.Now().Add(w.wait)
-}
-
 // watchStore watches the store itself. The wait is shortened so that the confirmation, which other VMs rely
 // on, doesn't get older than w.wait.
 func (m *Mirror) watchStore(ctx context.Context, w watch) ([]core.Event, core.Version, error) {
@@ -404,35 +260,6 @@
 	return m.view(w.prefix).add(w.after, events, at, confirmedAt)
 }
 
-// noteSource logs when the source of the prefix changes.
-func (m *Mirror) noteSource(prefix string, vm core.VMID) {
-	m.mu.Lock()
-	v := m.view(prefix)
-	old, changed := v.source, !v.hasSource || v.source != vm
-	v.source, v.hasSource = vm, true
-	m.mu.Unlock()
-	if changed {
-		level.Info(m.cfg.Log).Log("Msg", "watch source changed", "Prefix", prefix, "Mirror", vm, "Old", old)
-	}
-}
-
-// noteFailure logs that a mirror failed, and keeps this VM from using it for a while.
-func (m *Mirror) noteFailure(w watch, vm core.VMID, waited, age time.Duration, err error) {
-	m.metrics.mirrorFailures.Inc(1)
-	level.Info(m.cfg.Log).Log("Msg", "mirror failed", "Prefix", w.prefix, "Mirror", vm, "After", w.after,
-		"WaitedMs", waited.Milliseconds(), "AgeMs", age.Milliseconds(), "Err", err)
-	delay := mirrorRetryDelay
-	if errors.Is(err, errNotCurrent) {
-		delay = notCurrentRetryDelay
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.retryAt[vm] = time.Now().Add(delay)
-	if v := m.view(w.prefix); v.standby.ID == vm {
-		v.standby = core.VM{}
-	}
-}
-
 // lose notes a failure of the store.
 func (m *Mirror) lose(prefix string) {
 	m.mu.Lock()
