Check a group at the start of its driver without a timer

The other place where goroutines of a simulation selected from an expired timer at once, found by reading after the crashes of core/mirror: the drivers of one group start together, each with a timer of 0 s.

Ruled out by reading: the timers of core/quorum and core/pool are reset before they are waited for, those of core/queue, core/roster, core/route, core/proxy, core/topo and the stand-ins have a positive duration.

Change: the first check is made before the loop. core/elect, core/quorum, core/pool and matrix pass with the race detector, before and after.

--- a/core/elect/driver.go
+++ b/core/elect/driver.go
@@ -57,7 +57,7 @@
 	defer d.calls.Wait()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	timer := time.NewTimer(0)
+	timer := time.NewTimer(d.check(ctx))
 	defer timer.Stop()
 	for {
 		select {
