Keep log lines about requests from displacing the others

Cause: all lines of a VM share a limit of 200 a second, and several hundred statements a second fail while a VM is cut off.

Change: lines of the services proxy and front, which come with single requests, use three quarters of the rate at most. The rest is for the lines that explain them.

TestRequestLinesLeaveRoom: 25 other lines in a second with 1000 lines about requests are kept; all 25 were dropped before.

--- a/cmds/entry.go
+++ b/cmds/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -59,7 +60,7 @@
 		defer close(checksDone)
 		checkSettingsOnSIGHUP(ctx, sighups, path, logger)
 	}()
-	err = platform.Run(ctx, platform.Config{Settings: s, Log: logger})
+	err = platform.Run(ctx, platform.Config{Settings: s, Log: logger, RequestLog: entryLogger(out.Requests(), s)})
 	stop()
 	<-checksDone
 	endLog()
@@ -69,7 +70,7 @@
 	return err
 }
 
-func entryLogger(out *logbuf.Writer, s *conf.Entry) log.Logger {
+func entryLogger(out io.Writer, s *conf.Entry) log.Logger {
 	logger := log.With(log.NewJSONLogger(out), "Time", log.DefaultTimestampUTC, "VM", s.VM.ID)
 	return level.NewFilter(logger, level.Allow(level.ParseDefault(s.Log.Level, level.InfoValue())))
 }
--- a/io/logbuf/logbuf.go
+++ b/io/logbuf/logbuf.go
@@ -2,12 +2,14 @@
 //
 // Lines go through a bounded buffer to one goroutine that writes them in batches. If the buffer is full
 // because the output is slow, or if the rate limit is exceeded, lines are dropped and their number is
-// logged later.
+// logged later. Lines about single requests may use only a part of the rate, so that they leave room for those that
+// explain them, such as changes of the configuration.
 //
 // # Usage
 //
 //	w := logbuf.New(logbuf.Config{Out: os.Stdout})
 //	logger := log.NewJSONLogger(w)
+//	requestLogger := log.NewJSONLogger(w.Requests())
 //	go func() { ended <- w.Run(ctx) }()
 package logbuf
 
@@ -27,6 +29,9 @@
 	defaultBuffer   = 256 << 10
 )
 
+// requestShare is the part of the rate that lines about single requests may use.
+const requestShare = 0.75
+
 // Config configures a Writer.
 type Config struct {
 	Out io.Writer
@@ -66,13 +71,25 @@
 }
 
 // Write buffers the line, or drops it. It never returns an error.
-func (w *Writer) Write(line []byte) (int, error) {
+func (w *Writer) Write(line []byte) (int, error) { return w.write(line, w.cfg.Rate) }
+
+// Requests returns the writer for lines about single requests.
+func (w *Writer) Requests() io.Writer { return requestWriter{w} }
+
+type requestWriter struct{ w *Writer }
+
+func (r requestWriter) Write(line []byte) (int, error) {
+	return r.w.write(line, int(requestShare*float64(r.w.cfg.Rate)))
+}
+
+// write buffers the line unless the second has that many lines already.
+func (w *Writer) write(line []byte, rate int) (int, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if now := time.Now().Unix(); now != w.second {
 		w.second, w.lines = now, 0
 	}
-	if w.lines >= w.cfg.Rate || w.pending.Len()+len(line) > w.cfg.Buffer {
+	if w.lines >= rate || w.pending.Len()+len(line) > w.cfg.Buffer {
 		w.dropped++
 		return len(line), nil
 	}
--- a/io/logbuf/logbuf_test.go
+++ b/io/logbuf/logbuf_test.go
@@ -46,3 +46,23 @@
 		assert.Assert(t, strings.Contains(out.out.String(), `"last"`))
 	})
 }
+
+// Guards against lines about failed requests that displace those that explain them.
+func TestRequestLinesLeaveRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		w := New(Config{Out: &out, Rate: 100})
+		requests := w.Requests()
+		for range 1000 {
+			_, err := fmt.Fprintln(requests, `{"Msg":"statement failed"}`)
+			assert.NilError(t, err)
+		}
+		for i := range 25 {
+			_, err := fmt.Fprintf(w, "{\"Line\":%d}\n", i)
+			assert.NilError(t, err)
+		}
+		assert.NilError(t, w.flush())
+		assert.Equal(t, strings.Count(out.String(), "statement failed"), 75)
+		assert.Equal(t, strings.Count(out.String(), "Line\""), 25)
+	})
+}
