--- a/core/table/doc.go
+++ b/core/table/doc.go
@@ -25,6 +25,13 @@
 // lost can be found by its id, and the table on which an older edit was based can be restored for a
 // merge.
 //
+// # Confirmations
+//
+// The silence of the entry VMs that watch the store doesn't prove that the version in force is the newest. Each Cache
+// keeps the time at which the store is known to have had no higher version. One entry VM of the fleet reads the store
+// regularly, and the others ask each other in a tree whose root it is. Each answer carries the age of the confirmation.
+// An entry VM whose confirmation gets too old reads the store itself.
+//
 // # Usage
 //
 // An operator's command reads a checkout and later applies the edited table:
