Don't transfer a rejected table with each confirmation

Found by reading again. A VM whose build can't read the newest table doesn't fetch it again for a minute. The request for a confirmation named the version in force instead, so that its answer carried the rejected table, up to 256 KiB, every 2 s, with a warning each time.

Change: one function tells above which version a table is wanted, for fetches and for confirmations.

--- a/core/peers/fetch.go
+++ b/core/peers/fetch.go
@@ -19,13 +19,12 @@
 // fetch starts fetching the table from the member if its version is higher than the one in force. Only one
 // fetch runs at a time. A failed fetch is repeated when another ping reports the version.
 func (p *Peers) fetch(vm core.VM, version core.Version) {
-	if p.cfg.Table == nil || version <= p.cfg.Table.Version() {
+	if p.cfg.Table == nil {
 		return
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	isRejected := version <= p.rejected && time.Since(p.rejectedAt) < rejectedRetryDelay
-	if p.fetching || isRejected {
+	if p.fetching || version <= p.have() {
 		return
 	}
 	p.fetching = true
@@ -40,6 +39,16 @@
 	})
 }
 
+// have returns the version above which a table is wanted: that in force, or one that couldn't be adopted lately. The
+// caller holds mu.
+func (p *Peers) have() core.Version {
+	v := p.cfg.Table.Version()
+	if time.Since(p.rejectedAt) < rejectedRetryDelay {
+		v = max(v, p.rejected)
+	}
+	return v
+}
+
 func (p *Peers) fetchFrom(ctx context.Context, vm core.VM) {
 	p.stats.fetches.Add(1)
 	answer, err := p.cfg.Transport.Table(ctx, vm.Control, &TableRequest{Have: p.cfg.Table.Version()})
@@ -83,7 +92,9 @@
 // AskConfirmation asks the entry VM for a confirmation of its table that is newer than the one of this VM, which has
 // the given age, and waits for it for at most wait. It adopts the table if its version is higher.
 func (p *Peers) AskConfirmation(ctx context.Context, vm core.VM, age, wait time.Duration) (core.Confirmation, error) {
-	req := &TableRequest{Have: p.cfg.Table.Version(), Wait: wait, Age: age}
+	p.mu.Lock()
+	req := &TableRequest{Have: p.have(), Wait: wait, Age: age}
+	p.mu.Unlock()
 	answer, err := p.cfg.Transport.Table(ctx, vm.Control, req)
 	if err != nil {
 		return core.Confirmation{}, core.ErrPeer.Wrap(err)
--- a/core/peers/fetch_test.go
+++ b/core/peers/fetch_test.go
@@ -33,3 +33,23 @@
 		assert.Assert(t, !answer.Confirmation.OK, "an entry VM without a table")
 	})
 }
+
+// Guards against a table that can't be adopted and is transferred again with each confirmation.
+func TestAskConfirmationAfterRejectedTable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2, 1)
+		asking, asked := f.nodes[0], f.nodes[1]
+		asking.table.rejects.Store(true)
+		_, err := asked.table.Adopt([]byte("7"), "test")
+		assert.NilError(t, err)
+		transfers := func() int64 { return asking.table.adoptions.Load() }
+		for range 20 {
+			time.Sleep(2 * time.Second)
+			_, err := asking.AskConfirmation(t.Context(), asked.Self(), time.Second, 2*time.Second)
+			assert.NilError(t, err)
+		}
+		assert.Equal(t, transfers(), int64(1))
+		time.Sleep(rejectedRetryDelay)
+		assert.Assert(t, transfers() > 1, "it is tried again later")
+	})
+}
--- a/core/peers/fleet_test.go
+++ b/core/peers/fleet_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -96,6 +97,9 @@
 type fakeTable struct {
 	mu      sync.Mutex
 	version core.Version
+	// rejects makes Adopt fail, adoptions counts its calls.
+	rejects   atomic.Bool
+	adoptions atomic.Int64
 }
 
 func (f *fakeTable) AwaitConfirmation(_ context.Context, age, wait time.Duration) core.Confirmation {
@@ -117,6 +121,10 @@
 }
 
 func (f *fakeTable) Adopt(encoded []byte, _ string) (core.Version, error) {
+	f.adoptions.Add(1)
+	if f.rejects.Load() {
+		return 0, errors.New("table is invalid")
+	}
 	var v core.Version
 	if _, err := fmt.Sscan(string(encoded), &v); err != nil {
 		return 0, err
