Derive an unknown confirmation from its age in core/table

As core/mirror does: a confirmation that there never was is an hour old, so that the steps compare ages only and need no second flag. The two waits of the package share one function.

--- a/core/table/confirm.go
+++ b/core/table/confirm.go
@@ -36,6 +36,8 @@
 	// with the number of VMs, so that an outage doesn't cause more calls in a larger fleet.
 	minRetryInterval   = 2 * time.Second
 	retryIntervalPerVM = 20 * time.Millisecond
+	// unconfirmedAge is the age of a confirmation that there never was.
+	unconfirmedAge = time.Hour
 	// confirmTask identifies the choice of the VMs that confirm the table to others.
 	confirmTask = "confirm-table"
 )
@@ -54,12 +56,15 @@
 	return true
 }
 
-// confirmedAge returns how long ago the store is known to have had no version above the one in force, or false
-// if that isn't known. The channel is closed at the next confirmation.
+// confirmedAge returns how long ago the store is known to have had no version above the one in force, or
+// unconfirmedAge and false if that isn't known. The channel is closed at the next confirmation.
 func (c *Cache) confirmedAge() (time.Duration, bool, <-chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.cfg.Now().Sub(c.confirmedAt), c.isConfirmed, c.confirmed
+	if !c.isConfirmed {
+		return unconfirmedAge, false, c.confirmed
+	}
+	return c.cfg.Now().Sub(c.confirmedAt), true, c.confirmed
 }
 
 // AwaitConfirmation waits until there is a confirmation that is newer than that of a caller whose confirmation has
@@ -151,14 +156,14 @@
 
 // step makes the next call to the store or another VM.
 func (f *confirmer) step(ctx context.Context) {
-	age, ok, _ := f.cache.confirmedAge()
-	isDue := !ok || age >= f.role.maxAge
+	age, _, _ := f.cache.confirmedAge()
+	isDue := age >= f.role.maxAge
 	if isDue && !time.Now().Before(f.readAt) {
 		f.read(ctx, age)
 		return
 	}
 	if len(f.role.sources) > 0 {
-		f.ask(ctx, age, ok)
+		f.ask(ctx, age)
 		return
 	}
 	wait := f.role.maxAge - age
@@ -175,7 +180,7 @@
 		level.Info(f.cache.cfg.Logger).Log("Msg", "table not confirmed by other VMs, reading the store", "AgeMs", age.Milliseconds())
 	}
 	f.reader.poll(ctx)
-	if age, ok, _ := f.cache.confirmedAge(); ok && age < f.role.maxAge {
+	if age, _, _ := f.cache.confirmedAge(); age < f.role.maxAge {
 		return
 	}
 	d := f.cache.retryInterval()
@@ -183,13 +188,13 @@
 }
 
 // ask requests a newer confirmation from another VM. If it has none, another VM is asked next.
-func (f *confirmer) ask(ctx context.Context, age time.Duration, isConfirmed bool) {
+func (f *confirmer) ask(ctx context.Context, age time.Duration) {
 	if !time.Now().Before(f.nearestAt) {
 		f.turn = 0
 	}
 	vm := f.role.sources[f.turn%len(f.role.sources)]
 	left := f.role.maxAge - age
-	if !isConfirmed || left <= 0 {
+	if left <= 0 {
 		left = max(time.Until(f.readAt), minAskInterval)
 	}
 	timeout := min(left, askWait+askMargin)
@@ -218,16 +223,3 @@
 	}
 	return d
 }
-
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/core/table/editor.go
+++ b/core/table/editor.go
@@ -247,7 +247,15 @@
 	if d <= 0 || d > maxBackoff {
 		d = maxBackoff
 	}
-	timer := time.NewTimer(d/2 + mathrand.N(d/2+1))
+	return sleep(ctx, d/2+mathrand.N(d/2+1))
+}
+
+// sleep waits for d. It returns false if ctx ends first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
