Add permits for the use of a primary

core/permit holds the decisions apart from input and output: how long a VM may use a group's primary (state.go), and when a promotion may follow a hold (Tally, Progress). The store arbitrates: permits are renewed by the confirmations of the watch that each VM makes already, so that they cost no calls of their own. While the store is down, a majority of the VMs renews them.

Designs weighed: permits by a majority of the VMs alone are lost when most VMs are killed at once; proofs by the answers cost a round trip to a replica for each write; one store call each costs too many calls.

--- /dev/null
+++ b/core/permit/doc.go
@@ -0,0 +1,30 @@
+// Package permit keeps entry VMs from using the primary of a group after another upstream was promoted, on
+// platforms where a promotion doesn't stop the old primary.
+//
+// The store holds one Record for each group: either a hold, written before a promotion, or the upstream
+// that was promoted last. A VM may use a primary only while its permit lasts: there is no hold, and the
+// store has confirmed within the last TTL that the VM knows all records. The confirmations come with the
+// watch of the upstreams' entries and cost no calls of their own.
+//
+// A VM that promotes writes a hold first and sends it to all VMs. VMs that acknowledge it have ended their
+// permits. The permits of the others run out a TTL after the hold was written, since no later confirmation
+// of the store can miss it. See Tally.
+//
+// # Outages of the store
+//
+// While the store is down nobody new can promote, but a confirmation isn't available either. Permits are then
+// renewed by a majority of the VMs, each of which reports the records that it knows. A VM that promotes
+// therefore needs the acknowledgments of so many VMs that the others are no majority.
+//
+// # Clock
+//
+// Instants come from a clock that advances while the VM is suspended. A VM that was suspended finds its
+// permit expired. An answer of a primary counts only if the permit covers a moment after the answer arrived.
+//
+// # Usage
+//
+//	g := permit.New(permit.Config{Store: store, Members: roster, Self: vm, Call: client.Call, Log: logger})
+//	err := server.Register("Permit", g.Service())
+//	feed := topo.NewFeed(topo.FeedConfig{Event: g.Event, Applied: func() { g.Confirm(mirror.ConfirmedAt(prefix)) }})
+//	if g.Admits(group) { ... }
+package permit
--- /dev/null
+++ b/core/permit/state.go
@@ -0,0 +1,134 @@
+package permit
+
+import (
+	"time"
+
+	"snipewall/core"
+)
+
+// state is what a VM knows about the leadership of all groups, and decides how long its permits last. It does
+// no input or output.
+type state struct {
+	life   life
+	groups map[core.GroupID]groupState
+}
+
+// life is how long the permits of all groups last if there is no hold.
+type life struct {
+	// ttl is how long a confirmation lasts.
+	ttl time.Duration
+	// confirmedAt is when the store confirmed that all records are known, votedAt when a majority of the VMs
+	// did; zero if never.
+	confirmedAt, votedAt core.Instant
+}
+
+// groupState is the last known record of a group.
+type groupState struct {
+	record  Record
+	version core.Version
+	// heldAt is when this VM heard of the hold, closeAt when its permit ends because of it.
+	heldAt, closeAt core.Instant
+}
+
+func newState(ttl time.Duration) *state {
+	return &state{life: life{ttl: ttl}, groups: make(map[core.GroupID]groupState)}
+}
+
+// expiresAt returns when the permits end without a further confirmation.
+func (l life) expiresAt() core.Instant {
+	at := l.confirmedAt
+	if l.votedAt > at && l.votedAt.Sub(l.confirmedAt) <= maxVotedTime {
+		at = l.votedAt
+	}
+	if at == 0 {
+		return 0
+	}
+	return at.Add(l.ttl)
+}
+
+// admits reports whether new work may start on the group's primary.
+func (g groupState) admits(now core.Instant, l life) bool {
+	return !g.record.Held && now < l.expiresAt()
+}
+
+// covers reports whether no other upstream can have begun to lead before now.
+func (g groupState) covers(now core.Instant, l life) bool {
+	if g.record.Held {
+		return now < g.closeAt
+	}
+	return now < l.expiresAt()
+}
+
+// apply returns the state with the record, unless a later one is known. After a planned hold, work that is in
+// progress may end within a short time, but not after the permit's end.
+func (g groupState) apply(now core.Instant, l life, r Record, v core.Version) groupState {
+	if v <= g.version {
+		return g
+	}
+	next := groupState{record: r, version: v}
+	if r.Held {
+		next.heldAt, next.closeAt = now, min(now.Add(r.drain()), l.expiresAt())
+		if g.record.Held {
+			next.closeAt = min(next.closeAt, g.closeAt)
+		}
+	}
+	return next
+}
+
+// revoke returns the state without a permit if the group is held.
+func (g groupState) revoke() groupState {
+	if g.record.Held {
+		g.closeAt = 0
+	}
+	return g
+}
+
+// Tally counts the VMs that have ended their permits for a group.
+type Tally struct {
+	// Members is the number of VMs, and Held the number of those that acknowledged the hold, including the one
+	// that counts.
+	Members, Held int
+}
+
+// majority is the number of VMs that can renew permits without the store.
+func majority(members int) int { return members/2 + 1 }
+
+// Progress decides when a promotion may follow a hold. The zero value starts with the first tally.
+type Progress struct {
+	// TTL is the lifetime of a permit.
+	TTL time.Duration
+	// ExpiringSince is since when enough VMs have acknowledged, so that the permits of the others run out;
+	// zero if they don't.
+	ExpiringSince core.Instant
+}
+
+// Note records a tally that was complete at the given time. It reports whether no VM can use the old primary any
+// more.
+func (p *Progress) Note(now core.Instant, t Tally) bool {
+	switch {
+	case t.IsComplete():
+		return true
+	case !t.CanExpire():
+		p.ExpiringSince = 0
+	case p.ExpiringSince == 0:
+		p.ExpiringSince = now
+	}
+	return p.ExpiringSince != 0 && now >= p.expiresAt()
+}
+
+// NextAt returns when the next tally is due, delay after the last one or when the last permits have run out.
+func (p *Progress) NextAt(now core.Instant, delay time.Duration) core.Instant {
+	if p.ExpiringSince == 0 {
+		return now.Add(delay)
+	}
+	return min(now.Add(delay), p.expiresAt())
+}
+
+func (p *Progress) expiresAt() core.Instant { return p.ExpiringSince.Add(p.TTL + expiryMargin) }
+
+// IsComplete reports whether all VMs have ended their permits.
+func (t Tally) IsComplete() bool { return t.Held >= t.Members }
+
+// CanExpire reports whether the permits of the other VMs run out: they are too few to renew them while they
+// don't reach the store.
+func (t Tally) CanExpire() bool { return t.Members-t.Held < majority(t.Members) }
--- /dev/null
+++ b/core/permits.go
@@ -0,0 +1,25 @@
+package core
+
+// Permits tells whether the primary of a group may be used. A promotion doesn't stop the old primary on
+// every platform: it can go on to accept statements, so that its own answers don't prove that no other
+// upstream leads. Implementations are safe for concurrent use.
+type Permits interface {
+	// Admits reports whether new work that needs the primary may start.
+	Admits(group GroupID) bool
+	// Covers reports whether no other upstream of the group can have begun to lead before this call. What
+	// the primary answered before is valid then.
+	Covers(group GroupID) bool
+	// Leader returns the upstream that was promoted last, or false if no promotion is known.
+	Leader(group GroupID) (UpstreamID, bool)
+	// Hold returns the promotion in progress, or false if there is none.
+	Hold(group GroupID) (Hold, bool)
+}
+
+// Hold is a promotion in progress, during which the old primary must not be used.
+type Hold struct {
+	// Old is the primary that is being replaced, and Holder the VM that replaces it.
+	Old    UpstreamID
+	Holder VMID
+	// Since is when this VM heard of it.
+	Since Instant
+}
