Tell when a VM can be found and when a watch was last confirmed

The permits need three things: the time from which on a listing of the VMs contains this one, a listing that isn't stale, and the store's confirmation of the last watch after its changes have been adopted.

--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -183,6 +183,17 @@
 	return m.view(prefix).age(m.cfg.Now())
 }
 
+// ConfirmedAt returns when the store last confirmed that the last watch of the prefix missed no change, or 0 if
+// it never did.
+func (m *Mirror) ConfirmedAt(prefix string) core.Instant {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if v := m.view(prefix); v.isConfirmed {
+		return v.confirmedAt
+	}
+	return 0
+}
+
 // watchStore watches the store itself. The wait is shortened so that the confirmation, which other VMs rely
 // on, doesn't get older than w.wait.
 func (m *Mirror) watchStore(ctx context.Context, w watch) ([]core.Event, core.Version, error) {
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -52,6 +52,7 @@
 // Store is the part of the platform's store that a Roster uses.
 type Store interface {
 	core.Store
+	List(ctx context.Context, prefix string) ([]core.Entry, core.Version, error)
 	ListStale(ctx context.Context, prefix string) ([]core.Entry, error)
 }
 
@@ -73,7 +74,10 @@
 	vms     map[core.VMID]member
 	leaving bool
 	changed chan struct{}
-	lease   core.LeaseID
+	// enlisted is closed when the entry is first written, at enlistedAt.
+	enlisted   chan struct{}
+	enlistedAt core.Instant
+	lease      core.LeaseID
 	// written is set if the entry in the store is up to date, and writtenAt is when it was written.
 	written   bool
 	writtenAt time.Time
@@ -87,7 +91,7 @@
 // New returns a roster that lists only this entry VM until Run is called.
 func New(cfg Config) *Roster {
 	return &Roster{
-		cfg: cfg, wake: make(chan struct{}, 1), changed: make(chan struct{}),
+		cfg: cfg, wake: make(chan struct{}, 1), changed: make(chan struct{}), enlisted: make(chan struct{}),
 		vms: map[core.VMID]member{cfg.Self.ID: {vm: cfg.Self}},
 	}
 }
@@ -116,11 +120,33 @@
 	return r.changed
 }
 
+// Enlisted returns a channel that is closed once this VM has an entry, so that listings by other VMs have it.
+func (r *Roster) Enlisted() <-chan struct{} { return r.enlisted }
+
+// EnlistedAt returns when this VM got its entry, or false if it has none yet.
+func (r *Roster) EnlistedAt() (core.Instant, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.enlistedAt, r.enlistedAt != 0
+}
+
+// Refresh updates the list with all VMs that have an entry at the time of the call.
+func (r *Roster) Refresh(ctx context.Context) error {
+	return r.updateFrom(ctx, func(ctx context.Context) ([]core.Entry, error) {
+		entries, _, err := r.cfg.Store.List(ctx, Prefix)
+		return entries, err
+	})
+}
+
 // list reads the entries and updates the list.
 func (r *Roster) list(ctx context.Context) error {
+	return r.updateFrom(ctx, func(ctx context.Context) ([]core.Entry, error) { return r.cfg.Store.ListStale(ctx, Prefix) })
+}
+
+func (r *Roster) updateFrom(ctx context.Context, read func(ctx context.Context) ([]core.Entry, error)) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	entries, err := r.cfg.Store.ListStale(ctx, Prefix)
+	entries, err := read(ctx)
 	if err != nil {
 		return err
 	}
@@ -269,6 +295,10 @@
 		return err
 	}
 	r.mu.Lock()
+	if r.enlistedAt == 0 {
+		r.enlistedAt = core.Now()
+		close(r.enlisted)
+	}
 	r.lease, r.written, r.writtenAt = id, r.leaving == leaving, time.Now()
 	r.mu.Unlock()
 	return nil
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -53,6 +53,11 @@
 	return s.version, nil
 }
 
+func (s *fakeStore) List(ctx context.Context, prefix string) ([]core.Entry, core.Version, error) {
+	entries, err := s.ListStale(ctx, prefix)
+	return entries, 0, err
+}
+
 func (s *fakeStore) ListStale(context.Context, string) ([]core.Entry, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/core/topo/feed.go
+++ b/core/topo/feed.go
@@ -24,6 +24,8 @@
 	// minBackoff and maxBackoff limit the backoff after failed calls. maxBackoff is well below the target.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 800 * time.Millisecond
+	// readyTimeout limits the delay of the first watch.
+	readyTimeout = time.Second
 )
 
 // FeedConfig configures a Feed.
@@ -39,7 +41,11 @@
 	// Reset is called with a complete listing and its version, Event with each change after it.
 	Reset func(entries []core.Entry, at core.Version)
 	Event func(e core.Event)
-	Log   log.Logger
+	// Ready delays the first watch until it is closed, for readyTimeout at most; nil means no delay.
+	Ready <-chan struct{}
+	// Applied is called after the changes of each watch have been delivered; it may be nil.
+	Applied func()
+	Log     log.Logger
 }
 
 // Feed lists the keys with a prefix and then watches them. It implements core.Service.
@@ -72,6 +78,9 @@
 		if !listed {
 			version, err = f.list(ctx)
 			listed = err == nil
+			if listed {
+				f.awaitReady(ctx)
+			}
 		} else {
 			version, err = f.watch(ctx, version)
 			if errors.Is(err, core.ErrCompacted) {
@@ -85,6 +94,19 @@
 	return nil
 }
 
+func (f *Feed) awaitReady(ctx context.Context) {
+	if f.cfg.Ready == nil {
+		return
+	}
+	timer := time.NewTimer(readyTimeout)
+	defer timer.Stop()
+	select {
+	case <-f.cfg.Ready:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 func (f *Feed) list(ctx context.Context) (core.Version, error) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
@@ -107,6 +129,9 @@
 	for _, e := range events {
 		f.cfg.Event(e)
 	}
+	if f.cfg.Applied != nil {
+		f.cfg.Applied()
+	}
 	return max(at, after), nil
 }
 
