Hold a group before its primary is replaced where the old one goes on

The primary is partitioned together with half of the VMs; a VM of the other half promotes at 9.0 s, and those that reach the old primary go on committing there.

Cause: a change of the primary was one VM's belief and the platform's call. No VM was asked or told, and nothing bounded what others sent to the old primary. The platform's fence had hidden it. Ruled out: relays to the primary (the halves don't reach each other), late knowledge of the new entry (half of the VMs can't get it before the partition ends).

Change, only where the setting Promotion/Fenced is false: - core/lead asks the other VMs first; a primary that any of them reaches is kept, and the VM relays through those. It then writes a hold, waits until no VM can use the old primary, and records the new one. Interrupted promotions are finished with the same target, since no fence stops a late call. - A leaving primary's statements in progress get 100 ms, the replica the time to receive them. If a VM doesn't answer, the primary is stepped down instead of waiting for that VM's permit. - core/proxy starts writes, strict reads and transactions only with a permit. A commit whose answer arrives without one is in doubt; a COMMIT that wasn't sent yet is refused.

--- a/conf/entry.go
+++ b/conf/entry.go
@@ -21,6 +21,9 @@
 	Listen EntryListen
 	// Store is the address of the platform's metadata store, Promotion that of its promotion call.
 	Store, Promotion string
+	// Fenced is set if the platform checks the fencing token of a promotion, and ends the leadership of the
+	// old primary in the same moment.
+	Fenced bool
 	// Regions maps each failure domain to its region.
 	Regions map[core.FailureDomain]core.Region
 	// ConfigTarget is the time after which an acknowledged configuration must be in force, DrainTarget the
@@ -77,6 +80,10 @@
 	{"Listen", "Control", "", acceptsAddress, "Address for control calls of other entry VMs.", func(e *Entry, v string) bool { return setAddress(&e.Listen.Control, v) }},
 	{"Store", "Address", "", acceptsAddress, "Address of the platform's metadata store.", func(e *Entry, v string) bool { return setAddress(&e.Store, v) }},
 	{"Promotion", "Address", "", acceptsAddress, "Address of the platform's promotion call.", func(e *Entry, v string) bool { return setAddress(&e.Promotion, v) }},
+	{"Promotion", "Fenced", "true", acceptsBool, "Whether the platform checks fencing tokens, and a promotion ends the old primary's leadership.", func(e *Entry, v string) bool {
+		e.Fenced = v == "true"
+		return e.Fenced || v == "false"
+	}},
 	{"Targets", "ConfigurationMilliseconds", "3000", acceptsMilliseconds, "Time after which an acknowledged configuration must be in force.", func(e *Entry, v string) bool {
 		return setPositive(&e.ConfigTarget, v, time.Millisecond)
 	}},
--- a/core/lead/detect.go
+++ b/core/lead/detect.go
@@ -16,6 +16,9 @@
 	// noPrimaryTimeout is how long a group may be without a known primary. A newly promoted primary
 	// reports itself within this time.
 	noPrimaryTimeout = 900 * time.Millisecond
+	// promotionTime replaces noPrimaryTimeout after a recorded promotion: the platform executes it up to 1 s
+	// after its answer.
+	promotionTime = 2500 * time.Millisecond
 	// startupPeriod is the time after the start of this VM during which startupFailureTime replaces
 	// minFailureTime. If all VMs start at once, connections from before the start count against the
 	// primary's limit for 3 s, and setting up the new ones keeps it busy.
@@ -53,6 +56,12 @@
 	PrimaryConfirmedAt time.Time
 	// Replicas are the candidates for promotion, nearest first.
 	Replicas []core.UpstreamID
+	// IsHeld is set during a promotion on a platform where it doesn't stop the old primary, IsHeldBySelf if
+	// this VM promotes. HoldAge is how long this VM has known of it.
+	IsHeld, IsHeldBySelf bool
+	HoldAge              time.Duration
+	// IsPromoted is set if the primary must be the upstream that was promoted last.
+	IsPromoted bool
 	// Members is the number of upstreams in the group, leaving ones included.
 	Members int
 }
@@ -74,6 +83,13 @@
 
 // Decide returns what to do now. After it returned Probe, the caller must call Probed with the result.
 func (d *Detector) Decide(now time.Time, g Group) Action {
+	if g.IsHeld {
+		if !g.IsHeldBySelf && g.HoldAge < holdTakeover {
+			return Wait
+		}
+		d.reason = "a promotion was interrupted"
+		return Replace
+	}
 	if g.Primary != d.primary {
 		d.primary, d.failures = g.Primary, 0
 	}
@@ -81,6 +97,9 @@
 	if !g.IsMonitor {
 		wait = nonMonitorDelay
 	}
+	if g.Primary == "" && g.IsPromoted {
+		return d.decideNoPrimary(now, promotionTime+wait)
+	}
 	if g.Primary == "" {
 		return d.decideNoPrimary(now, noPrimaryTimeout+wait)
 	}
--- a/core/lead/driver.go
+++ b/core/lead/driver.go
@@ -49,6 +49,11 @@
 	// Probe asks the upstream whether it is the primary and for the end of its log. It returns
 	// ErrProbeNotSent if there was no connection; any other error means that the upstream didn't answer.
 	Probe(ctx context.Context, id core.UpstreamID) (ProbeResult, error)
+	// StepDown makes a primary a replica, through another VM if necessary. It returns nil once the upstream has
+	// refused to act as a primary.
+	StepDown(ctx context.Context, id core.UpstreamID) error
+	// RelayThrough makes statements for the upstream use the given VMs if it can't be reached directly.
+	RelayThrough(id core.UpstreamID, vms []core.VMID)
 }
 
 // ProbeResult is an upstream's answer to a probe.
@@ -68,8 +73,10 @@
 	Cluster  Cluster
 	Store    core.Store
 	Promoter core.Promoter
-	Self     core.VMID
-	Log      log.Logger
+	// Permits are needed where a promotion doesn't stop the old primary; nil means that it does.
+	Permits Permits
+	Self    core.VMID
+	Log     log.Logger
 	// StartedAt is when this VM started, if all other VMs may have started at the same time; zero
 	// otherwise.
 	StartedAt time.Time
@@ -228,7 +235,7 @@
 		d.findLeader(ctx, g)
 	}(g)
 	defer func() { <-searched }()
-	held, err := d.acquire(ctx, g.ID, req.held)
+	held, err := d.acquireUnlessReached(ctx, g, req.held)
 	if err != nil {
 		return held, err
 	}
@@ -239,6 +246,9 @@
 		return held, err
 	}
 	target, best, err := d.selectCandidate(ctx, g, req.allowMinority)
+	if err == nil && d.cfg.Permits != nil {
+		target, best, err = d.prepareHeld(ctx, g, target, best, req, &held)
+	}
 	if err != nil || best.Leads {
 		return held, err
 	}
@@ -257,9 +267,13 @@
 		}
 		return held, err
 	}
+	d.finish(ctx, g, target)
 	if err := d.waitForPrimary(ctx, g.ID, target); err != nil {
 		return held, err
 	}
+	if d.cfg.Permits != nil {
+		held.unansweredTarget = ""
+	}
 	level.Info(d.cfg.Log).Log("Msg", "primary replaced", "Group", g.ID, "Upstream", target, "Token", held.token)
 	return held, nil
 }
--- a/core/lead/driver_test.go
+++ b/core/lead/driver_test.go
@@ -34,7 +34,15 @@
 	// unansweredCalls is the number of promotions that will get no answer.
 	unansweredCalls int
 	promotions      []promotion
-	released        int
+	steppedDown     []core.UpstreamID
+	relayedThrough  []core.VMID
+	// permits are nil if a promotion stops the old primary.
+	permits Permits
+	// onProbe and onPromote are called with mu held; leaseAt is when the lease was taken, promotedAt when a
+	// promotion took effect.
+	onProbe, onPromote  func()
+	leaseAt, promotedAt time.Time
+	released            int
 }
 
 type promotion struct {
@@ -62,6 +70,9 @@
 
 func (f *fakeCluster) Probe(ctx context.Context, id core.UpstreamID) (ProbeResult, error) {
 	f.mu.Lock()
+	if f.onProbe != nil {
+		f.onProbe()
+	}
 	silent, probe := f.unresponsive[id], f.probes[id]
 	if probe.Leads && !silent && id != f.view.Primary && f.leaderProbedAt.IsZero() {
 		f.leaderProbedAt = time.Now()
@@ -74,14 +85,35 @@
 	return probe, nil
 }
 
+func (f *fakeCluster) StepDown(_ context.Context, id core.UpstreamID) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.unresponsive[id] {
+		return errDown
+	}
+	f.steppedDown = append(f.steppedDown, id)
+	f.probes[id] = ProbeResult{Log: f.probes[id].Log}
+	return nil
+}
+
+func (f *fakeCluster) RelayThrough(_ core.UpstreamID, vms []core.VMID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.relayedThrough = vms
+}
+
 func (f *fakeCluster) Promote(_ context.Context, _ core.GroupID, id core.UpstreamID, _ core.VMID, token core.Version) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.promotions = append(f.promotions, promotion{id, token})
+	if f.onPromote != nil {
+		f.onPromote()
+	}
 	if f.unansweredCalls > 0 {
 		f.unansweredCalls--
 		return errors.New("no answer")
 	}
+	f.promotedAt = time.Now()
 	f.setPrimary(id)
 	return nil
 }
@@ -115,6 +147,7 @@
 		return 0, core.ErrVersionConflict
 	}
 	f.version++
+	f.leaseAt = time.Now()
 	return f.version, nil
 }
 
@@ -163,7 +196,7 @@
 	defer cancel()
 	start := time.Now()
 	driver := New(Config{
-		Cluster: f, Store: f, Promoter: f, Self: "vm", Log: log.NewNopLogger(), StartedAt: f.startedAt,
+		Cluster: f, Store: f, Promoter: f, Permits: f.permits, Self: "vm", Log: log.NewNopLogger(), StartedAt: f.startedAt,
 		Now: func() core.Instant { return core.Instant(time.Since(start)) + core.Instant(time.Hour) },
 	})
 	assert.NilError(t, driver.Run(ctx))
--- /dev/null
+++ b/core/lead/hold_test.go
@@ -0,0 +1,207 @@
+package lead
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"snipewall/core"
+	"snipewall/core/permit"
+)
+
+// fakePermits are the permits of a fleet of three VMs.
+type fakePermits struct {
+	f *fakeCluster
+	// silent is the number of VMs that acknowledge nothing; reaches holds the VMs that reach the old primary.
+	silent  int
+	reaches []core.VMID
+	// The fields below are guarded by the cluster's mu.
+	record  permit.Record
+	isKnown bool
+	records []permit.Record
+	heldAt  time.Time
+}
+
+func (p *fakePermits) Record(core.GroupID) (permit.Record, bool) {
+	p.f.mu.Lock()
+	defer p.f.mu.Unlock()
+	return p.record, p.isKnown
+}
+
+func (p *fakePermits) Write(_ context.Context, _ core.GroupID, r permit.Record) error {
+	p.f.mu.Lock()
+	defer p.f.mu.Unlock()
+	if r.Held {
+		p.heldAt = time.Now()
+	}
+	p.record, p.isKnown = r, true
+	p.records = append(p.records, r)
+	return nil
+}
+
+func (p *fakePermits) Refresh(context.Context) error { return nil }
+
+func (p *fakePermits) Spread(context.Context, core.GroupID) permit.Tally {
+	p.f.mu.Lock()
+	defer p.f.mu.Unlock()
+	return permit.Tally{Members: 3, Held: 3 - p.silent}
+}
+
+func (p *fakePermits) Reachable(context.Context, core.UpstreamID) []core.VMID { return p.reaches }
+
+func newFakePermits(f *fakeCluster) *fakePermits {
+	p := &fakePermits{f: f}
+	f.permits = p
+	return p
+}
+
+// lastRecord returns the last record that was written.
+func (p *fakePermits) lastRecord(t *testing.T) permit.Record {
+	t.Helper()
+	assert.Assert(t, len(p.records) > 0, "no record was written")
+	return p.records[len(p.records)-1]
+}
+
+// Guards against a promotion while VMs still use the old primary: it follows a hold, and its result is recorded.
+func TestHoldBeforePromotion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeCluster()
+		p := newFakePermits(f)
+		f.unresponsive["a"] = true
+		promotions := f.run(t, 3*time.Second)
+		assert.Equal(t, len(promotions), 1)
+		assert.Equal(t, promotions[0].ID, core.UpstreamID("c"))
+		assert.DeepEqual(t, p.records, []permit.Record{
+			{Held: true, Old: "a", Target: "c", Holder: "vm"}, {Old: "a", Target: "c", Holder: "vm"},
+		})
+		assert.Assert(t, f.promotedAt.Sub(p.heldAt) < 100*time.Millisecond, "the promotion took %v", f.promotedAt.Sub(p.heldAt))
+	})
+}
+
+// Guards against a promotion before the permits of a VM that doesn't answer have run out.
+func TestPromotionWaitsForSilentVM(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeCluster()
+		p := newFakePermits(f)
+		p.silent = 1
+		f.unresponsive["a"] = true
+		assert.Equal(t, len(f.run(t, 8*time.Second)), 1)
+		waited := f.promotedAt.Sub(p.heldAt)
+		assert.Assert(t, waited >= permit.TTL && waited < permit.TTL+500*time.Millisecond, "waited %v", waited)
+	})
+}
+
+// Guards against a promotion while a majority of the VMs could renew permits for the old primary without the store.
+func TestNoPromotionWithSilentMajority(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeCluster()
+		p := newFakePermits(f)
+		p.silent = 2
+		f.unresponsive["a"] = true
+		assert.Equal(t, len(f.run(t, 20*time.Second)), 0)
+		// A driver that is stopped gives the group back.
+		assert.DeepEqual(t, p.records, []permit.Record{{Held: true, Old: "a", Target: "c", Holder: "vm"}, {Target: "a", Holder: "vm"}})
+	})
+}
+
+// Guards against replacing a primary that other VMs reach.
+func TestReachablePrimaryKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeCluster()
+		p := newFakePermits(f)
+		p.reaches = []core.VMID{"vm-2"}
+		f.unresponsive["a"] = true
+		assert.Equal(t, len(f.run(t, 3*time.Second)), 0)
+		assert.Equal(t, len(p.records), 0)
+		assert.DeepEqual(t, f.relayedThrough, []core.VMID{"vm-2"})
+	})
+}
+
+// Guards against a group that stays held when the primary answers again.
+func TestHoldEndsWhenPrimaryReturns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeCluster()
+		p := newFakePermits(f)
+		p.silent = 1
+		f.unresponsive["a"] = true
+		timer := time.AfterFunc(2*time.Second, func() {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.unresponsive["a"] = false
+		})
+		defer timer.Stop()
+		assert.Equal(t, len(f.run(t, 4*time.Second)), 0)
+		assert.Equal(t, p.lastRecord(t), permit.Record{Target: "a", Holder: "vm"})
+	})
+}
+
+// Guards against commits of a leaving primary that a VM which doesn't answer makes after the promotion, and against
+// waiting for that VM: the primary steps down first.
+func TestLeavingPrimaryStepsDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeCluster()
+		p := newFakePermits(f)
+		p.silent = 1
+		f.view.Leaving, f.stored.Leaving = true, true
+		began := time.Now()
+		assert.Equal(t, len(f.run(t, 2*time.Second)), 1)
+		assert.DeepEqual(t, f.steppedDown, []core.UpstreamID{"a"})
+		assert.Assert(t, f.promotedAt.Sub(began) < time.Second, "the promotion took %v", f.promotedAt.Sub(began))
+	})
+}
+
+// Guards against promoting a replica that hasn't received what a leaving primary has committed.
+func TestLeavingPrimaryIsCaughtUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeCluster()
+		newFakePermits(f)
+		f.view.Leaving, f.stored.Leaving = true, true
+		received := time.Time{}
+		f.onProbe = func() {
+			if received.IsZero() && !f.leaseAt.IsZero() && time.Since(f.leaseAt) > 100*time.Millisecond {
+				received = time.Now()
+				f.probes["b"] = ProbeResult{Log: f.probes["a"].Log}
+			}
+		}
+		promotions := f.run(t, 2*time.Second)
+		assert.Equal(t, len(promotions), 1)
+		assert.Equal(t, promotions[0].ID, core.UpstreamID("b"))
+		assert.Assert(t, !f.promotedAt.Before(received))
+	})
+}
+
+// Guards against promoting another upstream than a VM that failed, whose call may be executed later.
+func TestInterruptedPromotionIsFinished(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeCluster()
+		p := newFakePermits(f)
+		p.record, p.isKnown = permit.Record{Held: true, Old: "a", Target: "b", Holder: "vm-2"}, true
+		f.view.IsHeld, f.stored.IsHeld = true, true
+		f.unresponsive["a"] = true
+		assert.Equal(t, len(f.run(t, time.Second)), 0)
+		f.view.HoldAge, f.stored.HoldAge = holdTakeover, holdTakeover
+		promotions := f.run(t, time.Second)
+		assert.Equal(t, len(promotions), 1)
+		assert.Equal(t, promotions[0].ID, core.UpstreamID("b"))
+		assert.Equal(t, p.lastRecord(t), permit.Record{Old: "a", Target: "b", Holder: "vm"})
+	})
+}
+
+// Guards against another target after a promotion without an answer, which no fence stops if it is executed late.
+func TestUnansweredTargetIsKeptWithoutFence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeCluster()
+		newFakePermits(f)
+		f.unresponsive["a"] = true
+		f.unansweredCalls = promoteAttempts
+		f.onPromote = func() { f.probes["b"] = ProbeResult{Log: core.Position{Term: 1, Offset: 99}} }
+		promotions := f.run(t, 12*time.Second)
+		assert.Assert(t, len(promotions) > promoteAttempts)
+		for _, promo := range promotions {
+			assert.Equal(t, promo.ID, core.UpstreamID("c"))
+		}
+	})
+}
--- a/core/line.go
+++ b/core/line.go
@@ -73,6 +73,8 @@
 	OpReset
 	// OpSet sets the session value Name to Text.
 	OpSet
+	// OpStepDown makes a primary whose term is lower than Term a replica.
+	OpStepDown
 	// OpPrepare prepares the statement Name with the parameterized statement in Text.
 	OpPrepare
 )
@@ -84,6 +86,8 @@
 	ID RequestID
 	// Name and Text are the operands; their meaning depends on Op.
 	Name, Text string
+	// Term is the operand of OpStepDown.
+	Term Term
 	// Write is set if the prepared statement writes, Commit if the caller's statement ends its
 	// transaction.
 	Write, Commit bool
--- a/core/proxy/cluster.go
+++ b/core/proxy/cluster.go
@@ -38,7 +38,13 @@
 
 func (p *Proxy) state(now time.Time, g *group, nodes []*node) lead.Group {
 	st := lead.Group{ID: g.id, Members: len(nodes), IsMonitor: p.isMonitor(g.id)}
-	if n := g.primary(now); n != nil {
+	if g.permits != nil {
+		if hold, ok := g.permits.Hold(g.id); ok {
+			st.IsHeld, st.IsHeldBySelf, st.HoldAge = true, hold.Holder == p.cfg.Self.ID, p.cfg.Now().Sub(hold.Since)
+		}
+		_, st.IsPromoted = g.permits.Leader(g.id)
+	}
+	if n := g.believedPrimary(now); n != nil {
 		u := n.info.Load()
 		st.Primary, st.Leaving = u.ID, u.Leaving
 		g.mu.Lock()
@@ -216,6 +222,10 @@
 	n.notePosition(ans.Position)
 	switch ans.Fault {
 	case core.FaultNone:
+		if n.group.isDeposed(n.id()) {
+			n.p.logDecision("upstream still acts as primary after another was promoted", "Upstream", n.id(), "Position", ans.Position)
+			return lead.ProbeResult{Log: ans.Position}, nil
+		}
 		n.noteLeads(requestedAt, ans.Position)
 		return lead.ProbeResult{Leads: true, Log: ans.Position}, nil
 	case core.FaultReadOnly:
--- a/core/proxy/connect.go
+++ b/core/proxy/connect.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"snipewall/core"
@@ -38,6 +39,8 @@
 	// maxRelayPeers is the maximum number of VMs that are asked to relay before the statement is
 	// refused: owners first, since they have the most connections.
 	maxRelayPeers = 4
+	// maxLenders is the number of VMs known to reach an upstream that one which doesn't relays through.
+	maxLenders = 2
 	// reservedConns is the number of connections of an entry VM that are kept free of open transactions
 	// for single statements.
 	reservedConns = 2
@@ -108,7 +111,7 @@
 		owners = place.Owners(u.UpstreamInfo, n.p.cfg.Members.Alive(), maxRelayPeers+1)
 	}
 	refused := false
-	for _, owner := range owners {
+	for _, owner := range n.lendersFirst(owners) {
 		if owner.ID == n.p.cfg.Self.ID || owner.Relay == "" || n.p.suspects.has(owner.ID) {
 			continue
 		}
@@ -138,6 +141,47 @@
 	return nil, errNoOwner
 }
 
+// lendersFirst puts the VMs that are known to reach the upstream before the others.
+func (n *node) lendersFirst(vms []core.VM) []core.VM {
+	n.mu.Lock()
+	lenders := n.lenders
+	n.mu.Unlock()
+	if len(lenders) == 0 {
+		return vms
+	}
+	var first []core.VM
+	for _, vm := range n.p.cfg.Members.Alive() {
+		if slices.Contains(lenders, vm.ID) {
+			first = append(first, vm)
+		}
+	}
+	return append(first, slices.DeleteFunc(slices.Clone(vms), func(vm core.VM) bool { return slices.Contains(lenders, vm.ID) })...)
+}
+
+// RelayThrough implements lead.Cluster. Each VM uses maxLenders of the given ones, chosen by their hash, so that
+// the load is spread over them.
+func (p *Proxy) RelayThrough(id core.UpstreamID, vms []core.VMID) {
+	p.mu.Lock()
+	n, ok := p.nodes[id]
+	p.mu.Unlock()
+	if !ok {
+		return
+	}
+	alive := slices.DeleteFunc(p.cfg.Members.Alive(), func(vm core.VM) bool { return !slices.Contains(vms, vm.ID) })
+	seed := core.UpstreamInfo{ID: id + "/" + core.UpstreamID(p.cfg.Self.ID), FailureDomain: p.cfg.Self.FailureDomain}
+	var lenders []core.VMID
+	for _, vm := range place.Owners(seed, alive, maxLenders) {
+		lenders = append(lenders, vm.ID)
+	}
+	if len(lenders) == 0 {
+		return
+	}
+	p.logDecision("relaying through VMs that reach the upstream", "Upstream", id, "Reached", len(vms), "First", lenders[0])
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.lenders = lenders
+}
+
 func (n *node) newConn(lc core.LineConn, owner core.VMID) *conn {
 	n.notePosition(lc.InitialPosition())
 	return &conn{LineConn: lc, owner: owner, lastUsed: time.Now()}
--- a/core/proxy/fake_test.go
+++ b/core/proxy/fake_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -14,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"snipewall/core"
+	"snipewall/core/place"
 	"snipewall/core/topo"
 )
 
@@ -201,6 +203,22 @@
 	unreachable map[core.UpstreamID]bool
 	// owner connects to an upstream's owner; nil means that no owner answers.
 	owner func(id core.UpstreamID) (core.LineConn, error)
+	// ownerOf replaces owner if it isn't nil, and depends on the VM.
+	ownerOf func(vm core.VM, id core.UpstreamID) (core.LineConn, error)
+}
+
+// probeContext returns a context for one probe.
+func probeContext(t *testing.T) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// relayOrder returns the other VMs in the order in which this one asks them to relay.
+func (p *Proxy) relayOrder(id core.UpstreamID) []core.VM {
+	vms := place.Owners(p.nodes[id].info.Load().UpstreamInfo, p.cfg.Members.Alive(), len(p.cfg.Members.Alive()))
+	return slices.DeleteFunc(vms, func(vm core.VM) bool { return vm.ID == p.cfg.Self.ID })
 }
 
 const (
@@ -214,6 +232,12 @@
 }
 
 func newHarness(t *testing.T, others ...core.VM) *harness {
+	t.Helper()
+	return newHarnessWithPermits(t, nil, others...)
+}
+
+// newHarnessWithPermits returns a harness whose proxy needs permits.
+func newHarnessWithPermits(t *testing.T, permits core.Permits, others ...core.VM) *harness {
 	t.Helper()
 	r := &harness{t: t, servers: map[core.UpstreamID]*server{}, dir: topo.NewDirectory(), start: time.Now()}
 	r.dir.Apply(topo.Config{
@@ -242,7 +266,7 @@
 	self := core.VM{ID: "vm-1", FailureDomain: "here", Region: "home"}
 	r.alive = append([]core.VM{self}, others...)
 	r.proxy = New(Config{
-		Directory: r.dir, Dialer: r, Self: self, Members: r, DialOwner: r.dialOwner,
+		Directory: r.dir, Dialer: r, Self: self, Members: r, DialOwner: r.dialOwner, Permits: permits,
 		Regions: map[core.FailureDomain]core.Region{"here": "home", "there": "away"},
 		Log:     log.NewNopLogger(),
 		Now: func() core.Instant {
@@ -264,7 +288,10 @@
 func (r *harness) Changed() <-chan struct{} { return nil }
 
 // dialOwner connects to an upstream's owner. Without an owner it blocks until the dial times out.
-func (r *harness) dialOwner(ctx context.Context, _ core.VM, id core.UpstreamID) (core.LineConn, error) {
+func (r *harness) dialOwner(ctx context.Context, vm core.VM, id core.UpstreamID) (core.LineConn, error) {
+	if r.ownerOf != nil {
+		return r.ownerOf(vm, id)
+	}
 	if r.owner == nil {
 		<-ctx.Done()
 		return nil, ctx.Err()
--- a/core/proxy/group.go
+++ b/core/proxy/group.go
@@ -20,9 +20,11 @@
 
 // group is one database group with its nodes.
 type group struct {
-	id    core.GroupID
-	fresh fresh.Tracker
-	nodes atomic.Pointer[[]*node]
+	id core.GroupID
+	// permits limits the use of the primary; it may be nil.
+	permits core.Permits
+	fresh   fresh.Tracker
+	nodes   atomic.Pointer[[]*node]
 
 	mu sync.Mutex
 	// provedAt is when a primary last proved its leadership, and provedBy is that primary.
@@ -32,17 +34,40 @@
 	missingSince time.Time
 }
 
-func newGroup(id core.GroupID) *group {
-	g := &group{id: id}
+func newGroup(id core.GroupID, permits core.Permits) *group {
+	g := &group{id: id, permits: permits}
 	g.nodes.Store(&[]*node{})
 	return g
 }
 
-// primary returns the node that is believed to be the primary, or nil: of the nodes that claim or have
+// primary returns the node that new work may use as the primary, or nil.
+func (g *group) primary(now time.Time) *node {
+	if g.permits != nil && !g.permits.Admits(g.id) {
+		return nil
+	}
+	return g.believedPrimary(now)
+}
+
+// mayStart reports whether work on a connection to the primary may start now.
+func (g *group) mayStart() bool { return g.permits == nil || g.permits.Admits(g.id) }
+
+// covers reports whether what a primary answered before this call is valid: no other one can have begun to lead.
+func (g *group) covers() bool { return g.permits == nil || g.permits.Covers(g.id) }
+
+// isDeposed reports whether another upstream was promoted after this one led. It may still answer as a primary.
+func (g *group) isDeposed(id core.UpstreamID) bool {
+	if g.permits == nil {
+		return false
+	}
+	leader, ok := g.permits.Leader(g.id)
+	return ok && leader != id
+}
+
+// believedPrimary returns the node that is believed to be the primary, or nil: of the nodes that claim or have
 // proved leadership and have not denied it since, the one with the newest evidence. Positions can't
 // decide: the term of a new primary shows only with its first commit, and the log of the old one may be
-// longer.
-func (g *group) primary(now time.Time) *node {
+// longer. A node that a recorded promotion has deposed isn't one of them.
+func (g *group) believedPrimary(now time.Time) *node {
 	var best *node
 	var bestAt time.Time
 	var bestLog core.Position
@@ -50,7 +75,7 @@
 		n.mu.Lock()
 		claimant, at, log, leavingAt := n.isPrimaryClaimant(), n.evidenceAt, n.position, n.leavingAt
 		n.mu.Unlock()
-		if !claimant || (!leavingAt.IsZero() && now.Sub(leavingAt) > leavingGrace) {
+		if !claimant || g.isDeposed(n.id()) || (!leavingAt.IsZero() && now.Sub(leavingAt) > leavingGrace) {
 			continue
 		}
 		if best == nil || at.After(bestAt) || (at.Equal(bestAt) && bestLog.Less(log)) {
@@ -62,7 +87,9 @@
 
 // recordProof records that the upstream proved its leadership after requestedAt and held p then.
 func (g *group) recordProof(id core.UpstreamID, requestedAt core.Instant, p core.Position) {
-	g.fresh.Add(requestedAt, p)
+	if g.covers() {
+		g.fresh.Add(requestedAt, p)
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.provedAt, g.provedBy = time.Now(), id
--- a/core/proxy/node.go
+++ b/core/proxy/node.go
@@ -69,6 +69,8 @@
 	position   core.Position
 	// ownersRefuseSince is when the owners began to refuse connections; zero if they accept them.
 	ownersRefuseSince time.Time
+	// lenders are VMs that are known to reach the upstream.
+	lenders []core.VMID
 	// leavingAt is when the upstream was first seen leaving.
 	leavingAt time.Time
 }
@@ -166,6 +168,9 @@
 
 // noteLeads records that the upstream proved its leadership after requestedAt and held p then.
 func (n *node) noteLeads(requestedAt core.Instant, p core.Position) {
+	if n.group.isDeposed(n.id()) {
+		return
+	}
 	n.mu.Lock()
 	changed := !n.proved
 	n.denied, n.proved = false, true
--- a/core/proxy/proxy.go
+++ b/core/proxy/proxy.go
@@ -32,6 +32,8 @@
 	DialOwner func(ctx context.Context, owner core.VM, id core.UpstreamID) (core.LineConn, error)
 	// Refresh updates the directory from the store.
 	Refresh func(ctx context.Context) error
+	// Permits limits the use of primaries where a promotion doesn't stop the old one; nil means no limit.
+	Permits core.Permits
 	Log     log.Logger
 	Metrics tally.Scope
 	// Now reads a clock that advances while the VM is suspended; nil stands for core.Now.
@@ -199,6 +201,23 @@
 	}
 }
 
+// PermitsChanged wakes the statements that wait for a primary, after a change of Config.Permits.
+func (p *Proxy) PermitsChanged() { p.notifyChanged() }
+
+// ProvedAgo returns how long ago the upstream proved to this VM that it leads its group, or false if another one
+// did later or none ever did.
+func (p *Proxy) ProvedAgo(id core.UpstreamID) (time.Duration, bool) {
+	p.mu.Lock()
+	n, ok := p.nodes[id]
+	p.mu.Unlock()
+	if !ok {
+		return 0, false
+	}
+	n.group.mu.Lock()
+	defer n.group.mu.Unlock()
+	return time.Since(n.group.provedAt), n.group.provedBy == id
+}
+
 // notifyChanged wakes the statements that wait for a change.
 func (p *Proxy) notifyChanged() {
 	p.mu.Lock()
@@ -213,7 +232,7 @@
 	defer p.mu.Unlock()
 	g, ok := p.groups[id]
 	if !ok {
-		g = newGroup(id)
+		g = newGroup(id, p.cfg.Permits)
 		p.groups[id] = g
 	}
 	return g
--- a/core/proxy/relay.go
+++ b/core/proxy/relay.go
@@ -85,6 +85,8 @@
 		r.beginRefused = false
 	case core.OpBegin, core.OpBeginRead:
 		return r.begin(ctx, cmd, deadline)
+	case core.OpStepDown:
+		return r.stepDown(ctx, cmd, deadline)
 	default:
 		if r.beginRefused {
 			return core.Answer{Fault: core.FaultMalformed, Text: "the transaction wasn't opened", Status: core.TxFailed}
@@ -135,6 +137,24 @@
 	return r.copyBody(ans)
 }
 
+// stepDown asks the upstream to stop leading, on a connection without a transaction.
+func (r *Relay) stepDown(ctx context.Context, cmd core.Command, deadline time.Time) core.Answer {
+	r.rollback()
+	handle, err := r.n.getDirect(ctx, deadline)
+	if err != nil {
+		return core.Answer{Fault: core.FaultOverload, Text: "no connection to the upstream in time", Status: core.TxIdle}
+	}
+	h := &heldConn{node: r.n, handle: handle}
+	ans, err := h.roundTrip([]core.Command{cmd}, deadline)
+	if err != nil {
+		h.discard()
+		return core.Answer{Fault: core.FaultTimeout, Text: "the upstream doesn't answer", Status: core.TxIdle}
+	}
+	h.free(false)
+	ans.Body = nil
+	return ans
+}
+
 // connect takes a connection for a transaction, with a slot unless the transaction is only a leadership
 // probe, which takes no slot of the upstream.
 func (r *Relay) connect(ctx context.Context, cmd core.Command, deadline time.Time) (*heldConn, *Reply) {
--- a/core/proxy/single.go
+++ b/core/proxy/single.go
@@ -58,6 +58,10 @@
 	if refused != nil {
 		return w.handleNotAdmitted(t, refused)
 	}
+	if (w.write || t.strict) && !t.node.group.mayStart() {
+		h.free(false)
+		return Reply{Fault: core.FaultBusy, Text: "the primary is being replaced"}, retryOnChange
+	}
 	requestedAt := s.sampleInstant(w, t)
 	c := h.handle.Value
 	cmds := c.setUpCommands(s, w.prepared)
@@ -70,6 +74,10 @@
 			return s.handleSetUpFailure(h, ans, err)
 		}
 		t.node.noteLeads(requestedAt, ans.Position)
+		if !t.node.group.covers() {
+			h.rollbackAndFree(ans.Status, core.FaultNone)
+			return Reply{Fault: core.FaultBusy, Text: "the primary is being replaced"}, retryOnChange
+		}
 		cmds = nil
 	}
 	return s.send(w, t, h, cmds, requestedAt)
@@ -229,6 +237,9 @@
 	}
 	n.noteAnswer(now, max(0, now.Sub(sent)-s.p.distance(n.info.Load())), ans.Position)
 	if ans.Fault == core.FaultNone {
+		if w.write && !n.group.covers() {
+			return Reply{Fault: core.FaultInDoubt, Text: "another upstream may lead since"}, done
+		}
 		if w.write {
 			s.noteCommit(ans.Position)
 			if requestedAt != 0 {
--- a/core/proxy/tx.go
+++ b/core/proxy/tx.go
@@ -122,6 +122,10 @@
 	if refused != nil {
 		return refused
 	}
+	if t.strict && !t.node.group.mayStart() {
+		h.free(false)
+		return &Reply{Fault: core.FaultBusy, Text: "the primary is being replaced"}
+	}
 	requestedAt := s.p.cfg.Now()
 	cmds := h.handle.Value.setUpCommands(s, nil)
 	if t.strict {
@@ -147,6 +151,10 @@
 	}
 	if t.strict {
 		t.node.noteLeads(requestedAt, ans.Position)
+		if !t.node.group.covers() {
+			h.rollbackAndFree(ans.Status, core.FaultNone)
+			return &Reply{Fault: core.FaultBusy, Text: "the primary is being replaced"}
+		}
 	}
 	s.tx.held = h
 	return nil
@@ -156,6 +164,10 @@
 // busy and the statement may be sent again.
 func (s *Session) sendInTx(w *work) (Reply, bool) {
 	h := s.tx.held
+	commitsWrites := w.st.Verb == VerbCommit && s.tx.wrote
+	if commitsWrites && !h.node.group.covers() {
+		return Reply{Fault: core.FaultAborted, Text: "the primary is being replaced"}, false
+	}
 	c := h.handle.Value
 	cmds := append(c.setUpCommands(s, w.prepared), w.command(core.Position{}))
 	sent := time.Now()
@@ -184,7 +196,9 @@
 		s.tx.wrote = true
 	}
 	if w.st.Verb == VerbCommit {
-		if s.tx.wrote {
+		if commitsWrites && !h.node.group.covers() {
+			reply = Reply{Fault: core.FaultInDoubt, Text: "another upstream may lead since"}
+		} else if commitsWrites {
 			s.noteCommit(ans.Position)
 		}
 		s.tx = nil
