--- a/io/sock/server.go
+++ b/io/sock/server.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -97,7 +99,7 @@
 		s.conns[state] = c
 		s.mu.Unlock()
 		go func() {
-			s.cfg.Serve(ctx, state)
+			s.serve(ctx, state)
 			_ = c.Close()
 			s.mu.Lock()
 			delete(s.conns, state)
@@ -107,6 +109,17 @@
 	}
 }
 
+// serve serves one connection. A panic ends this connection only: a message that the code isn't prepared for must not
+// end the connections of all other callers.
+func (s *Server[T]) serve(ctx context.Context, state T) {
+	defer func() {
+		if v := recover(); v != nil {
+			level.Error(s.cfg.Log).Log("Msg", "connection ended by a panic", "Panic", fmt.Sprint(v), "Stack", string(debug.Stack()))
+		}
+	}()
+	s.cfg.Serve(ctx, state)
+}
+
 func (s *Server[T]) closeAll() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/io/sock/server_test.go
+++ b/io/sock/server_test.go
@@ -1,9 +1,11 @@
 package sock
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -49,3 +51,48 @@
 	assert.Assert(t, err != nil, "the connection is open")
 	assert.Assert(t, !IsIdle(c))
 }
+
+// Guards against a connection whose handling panics and that ends the process, or isn't closed.
+func TestPanicEndsItsConnectionOnly(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	var logged bytes.Buffer
+	s := NewServer(ServerConfig[*net.TCPConn]{
+		Listener: ln, Log: log.NewJSONLogger(log.NewSyncWriter(&logged)),
+		Open: func(c net.Conn) *net.TCPConn { return c.(*net.TCPConn) },
+		Serve: func(_ context.Context, c *net.TCPConn) {
+			b := make([]byte, 1)
+			for {
+				if _, err := c.Read(b); err != nil {
+					return
+				}
+				if b[0] == '!' {
+					panic("unexpected")
+				}
+				if _, err := c.Write(b); err != nil {
+					return
+				}
+			}
+		},
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- s.Run(ctx) }()
+	good, err := net.Dial("tcp", ln.Addr().String())
+	assert.NilError(t, err)
+	bad, err := net.Dial("tcp", ln.Addr().String())
+	assert.NilError(t, err)
+	_, err = bad.Write([]byte("!"))
+	assert.NilError(t, err)
+	_, err = bad.Read(make([]byte, 1))
+	assert.ErrorIs(t, err, io.EOF)
+	_, err = good.Write([]byte("x"))
+	assert.NilError(t, err)
+	_, err = good.Read(make([]byte, 1))
+	assert.NilError(t, err)
+	cancel()
+	assert.NilError(t, <-ended)
+	assert.Assert(t, strings.Contains(logged.String(), "server_test.go"), "no stack in %s", logged.String())
+	assert.NilError(t, bad.Close())
+	assert.NilError(t, good.Close())
+}
