--- a/core/lead/hold.go
+++ b/core/lead/hold.go
@@ -76,13 +76,15 @@
 		return err
 	}
 	progress := permit.Progress{TTL: permit.TTL}
+	warned := false
 	for ctx.Err() == nil {
 		tally := d.cfg.Permits.Spread(ctx, g.ID)
 		now := d.cfg.Now()
 		if progress.Note(now, tally) || (g.Leaving && d.stepDown(ctx, g)) {
 			return nil
 		}
-		if !tally.CanExpire() {
+		if !tally.CanExpire() && !warned {
+			warned = true
 			level.Warn(d.cfg.Log).Log("Msg", "too many VMs don't answer, which may still use the primary", "Group", g.ID, "Members", tally.Members, "Held", tally.Held)
 		}
 		if !takesOver && !g.Leaving && d.leads(ctx, g.Primary) {
