Accept faults and roles of other builds

A relayed answer of another build with a fault that this one doesn't know ended the process: its name was looked up by index when the failed statement was logged (by reading; TestNamesOfUnknownValues panics on the code before). The caller would have got an error without a code. Such a fault now counts as an unknown outcome. Role and Class had the same lookup.

--- a/core/core_test.go
+++ b/core/core_test.go
@@ -29,6 +29,17 @@
 	}
 }
 
+// Guards against values of other builds that end the process when they are logged.
+func TestNamesOfUnknownValues(t *testing.T) {
+	for v := range 256 {
+		for _, name := range []string{Fault(v).String(), Role(v).String(), Class(v).String(), Rank(v).String()} {
+			assert.Assert(t, name != "")
+		}
+	}
+	assert.Equal(t, Fault(200).String(), "Fault(200)")
+	assert.Assert(t, FaultTooLarge.IsKnown() && !Fault(200).IsKnown())
+}
+
 func TestParsePosition(t *testing.T) {
 	p, err := ParsePosition("3/41")
 	assert.NilError(t, err)
--- a/core/ids.go
+++ b/core/ids.go
@@ -1,7 +1,6 @@
 package core
 
 import (
-	"fmt"
 	"time"
 )
 
@@ -48,10 +47,7 @@
 
 // String returns the name of the rank as used in the operators' table.
 func (r Rank) String() string {
-	if int(r) >= len(rankNames) {
-		return fmt.Sprintf("Rank(%d)", uint8(r))
-	}
-	return rankNames[r]
+	return nameOf(r, "Rank", rankNames[:])
 }
 
 // ParseRank returns the rank with the name, or false if the name is unknown.
--- a/core/line.go
+++ b/core/line.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 )
 
@@ -45,8 +46,20 @@
 	"in-doubt", "no-database", "malformed", "too-large",
 }
 
-// String returns the name of the fault as used in logs and metrics.
-func (f Fault) String() string { return faultNames[f] }
+// String returns the name of the fault as used in logs and metrics. Other builds may send faults that this one
+// doesn't know.
+func (f Fault) String() string { return nameOf(f, "Fault", faultNames[:]) }
+
+// IsKnown reports whether this build knows the fault.
+func (f Fault) IsKnown() bool { return int(f) < len(faultNames) }
+
+// nameOf returns the name of a value, or the type with the value's number if it has none.
+func nameOf[T ~uint8](v T, kind string, names []string) string {
+	if int(v) >= len(names) {
+		return fmt.Sprintf("%s(%d)", kind, uint8(v))
+	}
+	return names[v]
+}
 
 // IsNotRun reports whether the fault guarantees that the upstream has not run the statement.
 func (f Fault) IsNotRun() bool {
@@ -73,10 +86,11 @@
 	OpReset
 	// OpSet sets the session value Name to Text.
 	OpSet
-	// OpStepDown makes a primary whose term is lower than Term a replica.
-	OpStepDown
 	// OpPrepare prepares the statement Name with the parameterized statement in Text.
 	OpPrepare
+	// OpStepDown makes a primary whose term is lower than Term a replica. It stands last, since VMs of older builds
+	// know the others by their numbers.
+	OpStepDown
 )
 
 // Command is one statement for a LineConn.
--- a/core/request.go
+++ b/core/request.go
@@ -25,7 +25,7 @@
 
 // String returns the name of the class.
 func (c Class) String() string {
-	return [...]string{"read", "write", "begin", "begin-read", "end"}[c]
+	return nameOf(c, "Class", []string{"read", "write", "begin", "begin-read", "end"})
 }
 
 // Request is one unit of work of a caller: a simple query, or the messages of the extended query
--- a/core/upstream.go
+++ b/core/upstream.go
@@ -16,7 +16,9 @@
 )
 
 // String returns the name of the role.
-func (r Role) String() string { return [...]string{"unknown", "primary", "replica"}[r] }
+func (r Role) String() string {
+	return nameOf(r, "Role", []string{"unknown", "primary", "replica"})
+}
 
 // UpstreamInfo is the configuration of an upstream.
 type UpstreamInfo struct {
--- a/io/hop/client.go
+++ b/io/hop/client.go
@@ -113,6 +113,10 @@
 			c.readErr = core.ErrPeer.New("decode answer: %v", err)
 			return core.Answer{}, c.readErr
 		}
+		if !r.Goodbye && !r.Answer.Fault.IsKnown() {
+			// Another build may report a fault that this one doesn't know. It says nothing about what has run.
+			r.Answer.Fault, r.Answer.Text = core.FaultInDoubt, "unknown "+r.Answer.Fault.String()
+		}
 		if !r.Goodbye {
 			return r.Answer, nil
 		}
--- a/io/hop/hop_test.go
+++ b/io/hop/hop_test.go
@@ -20,6 +20,7 @@
 	delay     time.Duration
 	remaining time.Duration
 	pauses    int
+	fault     core.Fault
 	closed    chan struct{}
 }
 
@@ -29,7 +30,7 @@
 	delay := e.delay
 	e.mu.Unlock()
 	time.Sleep(delay)
-	return core.Answer{Body: []byte(cmd.Text), Status: core.TxIdle, Position: core.Position{Term: 2, Offset: 5}}
+	return core.Answer{Fault: e.fault, Body: []byte(cmd.Text), Status: core.TxIdle, Position: core.Position{Term: 2, Offset: 5}}
 }
 
 func (e *echoRelay) Pause() {
@@ -67,6 +68,16 @@
 	return srv, c
 }
 
+// Guards against an answer of another build, with a fault that this one doesn't know, that ends the process or is
+// taken for a promise that nothing has run.
+func TestUnknownFault(t *testing.T) {
+	_, c := newPair(t, &echoRelay{fault: 200})
+	assert.NilError(t, c.Send([]core.Command{{Text: "a"}}))
+	ans, err := c.Receive(time.Now().Add(5 * time.Second))
+	assert.NilError(t, err)
+	assert.Equal(t, ans.Fault, core.FaultInDoubt)
+}
+
 // Guards against answers that are lost or reordered, and against deadlines that don't reach the owner.
 func TestBatch(t *testing.T) {
 	e := &echoRelay{}
