Don't poll pools, and share the list of VMs

Cause: a pool without heartbeats still computed the next one from its idle connections. From 5 s after the last answer on, it was in the past, and the pool woke each millisecond until the connection expired, for relays after 20 s. With 60 upstreams that nearly all VMs reach through others, most pools did so. Unused pools also woke each 5 s. Alive copied and sorted all members for each call, of which there were 200 a second.

Callers that changed the list copy it now. TestUnusedPoolSleeps and TestAliveDoesNotAllocate fail without it.

--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -78,6 +78,7 @@
 
 // Members provides the live entry VMs.
 type Members interface {
+	// Alive returns a list that must not be changed.
 	Alive() []core.VM
 }
 
--- a/core/mirror/source.go
+++ b/core/mirror/source.go
@@ -35,7 +35,7 @@
 // watcher returns the watcher that this VM must follow, or false if it must watch the store itself.
 func (m *Mirror) watcher() (core.VM, bool) {
 	domain := m.cfg.Self.FailureDomain
-	alive := slices.DeleteFunc(m.cfg.Members.Alive(), func(vm core.VM) bool { return vm.FailureDomain != domain })
+	alive := slices.DeleteFunc(slices.Clone(m.cfg.Members.Alive()), func(vm core.VM) bool { return vm.FailureDomain != domain })
 	chosen := place.Owners(watchTask(domain), alive, watchers)
 	if slices.ContainsFunc(chosen, func(vm core.VM) bool { return vm.ID == m.cfg.Self.ID }) {
 		return core.VM{}, false
@@ -51,7 +51,7 @@
 // again, since there is no other source.
 func (m *Mirror) nextStandby(prefix string) (core.VM, bool) {
 	alive := m.cfg.Members.Alive()
-	vms := place.Owners(watchTask(m.cfg.Self.FailureDomain), m.others(alive), len(alive))
+	vms := place.Owners(watchTask(m.cfg.Self.FailureDomain), m.others(slices.Clone(alive)), len(alive))
 	if usable := m.usable(slices.Clone(vms)); len(usable) > 0 {
 		vms = usable
 	}
--- a/core/permit/guard.go
+++ b/core/permit/guard.go
@@ -39,6 +39,7 @@
 
 // Members are the live entry VMs.
 type Members interface {
+	// Alive returns a list that must not be changed.
 	Alive() []core.VM
 	// EnlistedAt returns since when other VMs find this one in the store, or false if they don't yet.
 	EnlistedAt() (core.Instant, bool)
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -388,16 +388,22 @@
 	}
 }
 
+// maxWait is how long a pool without connections sleeps if nothing wakes it: with many upstreams, most pools of a VM
+// are unused.
+const maxWait = time.Hour
+
 // untilNextEvent returns the time until a dial, a heartbeat or an expiry may be due.
 func (p *Pool[T]) untilNextEvent(now time.Time) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	next := now.Add(p.cfg.HeartbeatInterval)
+	next := now.Add(maxWait)
 	if p.dialErr != nil && p.retryAt.After(now) {
 		next = earlier(next, p.retryAt)
 	}
-	for _, e := range p.idle {
-		next = earlier(next, e.lastAnswered.Add(p.cfg.HeartbeatInterval))
+	if p.cfg.Ping != nil {
+		for _, e := range p.idle {
+			next = earlier(next, e.lastAnswered.Add(p.cfg.HeartbeatInterval))
+		}
 	}
 	if len(p.idle) > p.cfg.MinIdle {
 		next = earlier(next, p.idle[0].lastUsed.Add(p.cfg.IdleTimeout))
--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -264,3 +264,17 @@
 		}
 	})
 }
+
+// Guards against pools that wake up while nothing uses them: a VM has two for each upstream. One with an idle
+// connection and without heartbeats waits for the connection's expiry, however long ago it last answered.
+func TestUnusedPoolSleeps(t *testing.T) {
+	runScenario(t, Config[*conn]{Limit: 4, IdleTimeout: 20 * time.Second}, func(t *testing.T, p *Pool[*conn], s *server) {
+		p.cfg.Ping = nil
+		assert.Equal(t, p.untilNextEvent(time.Now()), maxWait)
+		h, err := p.Get(t.Context())
+		assert.NilError(t, err)
+		h.Put()
+		time.Sleep(2 * p.cfg.HeartbeatInterval)
+		assert.Equal(t, p.untilNextEvent(time.Now()), 20*time.Second-2*p.cfg.HeartbeatInterval)
+	})
+}
--- a/core/proxy/cluster.go
+++ b/core/proxy/cluster.go
@@ -37,7 +37,7 @@
 }
 
 func (p *Proxy) state(now time.Time, g *group, nodes []*node) lead.Group {
-	st := lead.Group{ID: g.id, Members: len(nodes), IsMonitor: p.isMonitor(g.id)}
+	st := lead.Group{ID: g.id, Members: len(nodes), IsMonitor: g.isMonitored.Load()}
 	if g.permits != nil {
 		if hold, ok := g.permits.Hold(g.id); ok {
 			st.IsHeld, st.IsHeldBySelf, st.HoldAge = true, hold.Holder == p.cfg.Self.ID, p.cfg.Now().Sub(hold.Since)
@@ -72,8 +72,8 @@
 // isMonitor reports whether this VM probes the group's primary continuously. One VM in each failure
 // domain does, so that a domain that is cut off is detected and the load doesn't grow with the number of
 // VMs.
-func (p *Proxy) isMonitor(id core.GroupID) bool {
-	return place.IsElected("watch/"+string(id), p.cfg.Self, p.cfg.Members.Alive(), 1)
+func (p *Proxy) isMonitor(id core.GroupID, alive []core.VM) bool {
+	return place.IsElected("watch/"+string(id), p.cfg.Self, alive, 1)
 }
 
 // Refresh implements lead.Cluster.
--- a/core/proxy/connect.go
+++ b/core/proxy/connect.go
@@ -167,7 +167,7 @@
 	if !ok {
 		return
 	}
-	alive := slices.DeleteFunc(p.cfg.Members.Alive(), func(vm core.VM) bool { return !slices.Contains(vms, vm.ID) })
+	alive := slices.DeleteFunc(slices.Clone(p.cfg.Members.Alive()), func(vm core.VM) bool { return !slices.Contains(vms, vm.ID) })
 	seed := core.UpstreamInfo{ID: id + "/" + core.UpstreamID(p.cfg.Self.ID), FailureDomain: p.cfg.Self.FailureDomain}
 	var lenders []core.VMID
 	for _, vm := range place.Owners(seed, alive, maxLenders) {
--- a/core/proxy/group.go
+++ b/core/proxy/group.go
@@ -25,6 +25,8 @@
 	permits core.Permits
 	fresh   fresh.Tracker
 	nodes   atomic.Pointer[[]*node]
+	// isMonitored is set if this VM probes the primary continuously.
+	isMonitored atomic.Bool
 
 	mu sync.Mutex
 	// provedAt is when a primary last proved its leadership, and provedBy is that primary.
--- a/core/proxy/proxy.go
+++ b/core/proxy/proxy.go
@@ -42,6 +42,7 @@
 
 // Members are the live entry VMs. Implementations are safe for concurrent use.
 type Members interface {
+	// Alive returns a list that must not be changed.
 	Alive() []core.VM
 	// Changed returns a channel that is closed at the next change.
 	Changed() <-chan struct{}
@@ -180,6 +181,7 @@
 			nodes = append(nodes, n)
 		}
 		g.nodes.Store(&nodes)
+		g.isMonitored.Store(p.isMonitor(id, alive))
 	}
 	p.mu.Lock()
 	for id, n := range p.nodes {
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -21,6 +21,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -70,6 +71,8 @@
 	cfg  Config
 	wake chan struct{}
 
+	alive atomic.Pointer[snapshot]
+
 	mu      sync.Mutex
 	vms     map[core.VMID]member
 	leaving bool
@@ -99,18 +102,45 @@
 // Name implements core.Service.
 func (r *Roster) Name() string { return "roster" }
 
-// Alive returns the live entry VMs, including this one, sorted by id.
+// Alive returns the live entry VMs, including this one, sorted by id. The result is shared and must not be changed:
+// copying it for each call would cost more the more VMs there are.
 func (r *Roster) Alive() []core.VM {
+	if s := r.alive.Load(); s != nil && (s.until.IsZero() || time.Now().Before(s.until)) {
+		return s.vms
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	out := make([]core.VM, 0, len(r.vms))
+	return r.publish()
+}
+
+// snapshot is an immutable list of the live VMs.
+type snapshot struct {
+	vms []core.VM
+	// until is when the grace period of a missing VM ends, or zero if none is missing.
+	until time.Time
+}
+
+// publish computes the list of the live VMs. The caller holds mu.
+func (r *Roster) publish() []core.VM {
+	s := &snapshot{vms: make([]core.VM, 0, len(r.vms))}
+	now := time.Now()
 	for _, m := range r.vms {
-		if m.missingSince.IsZero() || time.Since(m.missingSince) < missingGracePeriod {
-			out = append(out, m.vm)
+		end := m.missingSince.Add(missingGracePeriod)
+		if m.missingSince.IsZero() {
+			s.vms = append(s.vms, m.vm)
+			continue
+		}
+		if !now.Before(end) {
+			continue
+		}
+		s.vms = append(s.vms, m.vm)
+		if s.until.IsZero() || end.Before(s.until) {
+			s.until = end
 		}
 	}
-	slices.SortFunc(out, func(a, b core.VM) int { return strings.Compare(string(a.ID), string(b.ID)) })
-	return out
+	slices.SortFunc(s.vms, func(a, b core.VM) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	r.alive.Store(s)
+	return s.vms
 }
 
 // Changed returns a channel that is closed at the next change of the list.
@@ -183,6 +213,7 @@
 			changed = markMissing(r.vms, id) || changed
 		}
 	}
+	r.publish()
 	if changed {
 		close(r.changed)
 		r.changed = make(chan struct{})
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -154,3 +155,16 @@
 		assert.Equal(t, len(a.Alive()), 2)
 	})
 }
+
+// Guards against a list that costs more with each call the more VMs there are: calls come many times a second.
+func TestAliveDoesNotAllocate(t *testing.T) {
+	r := New(Config{Self: core.VM{ID: "vm"}, Store: &fakeStore{entries: map[string]core.Entry{}}, Log: log.NewNopLogger()})
+	listed := map[core.VMID]core.VM{}
+	for i := range 200 {
+		id := core.VMID(strconv.Itoa(i))
+		listed[id] = core.VM{ID: id}
+	}
+	r.update(listed)
+	assert.Equal(t, len(r.Alive()), 201)
+	assert.Equal(t, testing.AllocsPerRun(100, func() { r.Alive() }), 0.0)
+}
