--- a/core/lead/hold.go
+++ b/core/lead/hold.go
@@ -94,7 +94,10 @@
 		if err := d.keepLease(ctx, held); err != nil {
 			return err
 		}
-		sleep(ctx, progress.NextAt(now, holdRetryDelay).Sub(d.cfg.Now()))
+		// A call may have taken longer than the delay.
+		if wait := progress.NextAt(now, holdRetryDelay).Sub(d.cfg.Now()); wait > 0 {
+			sleep(ctx, wait)
+		}
 	}
 	d.endHold(ctx, g)
 	return ctx.Err()
