Don't accept an old primary's commit after the new one is recorded

Cause: a permit is valid again once the new leader is recorded. A transaction that had begun on the old primary committed there after that, and the check after its answer only asked for the group's permit. The model had the same gap: it took for granted that a VM which knows of the new leader accepts nothing of the old one. Ruled out: the hold (all VMs had acknowledged it before the promotion).

Change: work remembers the epoch, the version of the last record that isn't a hold, and its answer counts only in the same epoch. The model checks each epoch in which work can have started, and detects the missing check (TestModelDetectsDefects/answers_from_before_the_record); TestWorkOfOldPrimaryEndsAfterPromotion is the case without processes.

--- a/core/permit/guard.go
+++ b/core/permit/guard.go
@@ -86,17 +86,18 @@
 }
 
 // Admits implements core.Permits.
-func (g *Guard) Admits(id core.GroupID) bool {
+func (g *Guard) Admits(id core.GroupID) (core.Version, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.state.groups[id].admits(g.cfg.Now(), g.state.life)
+	st := g.state.groups[id]
+	return st.epoch, st.admits(g.cfg.Now(), g.state.life)
 }
 
 // Covers implements core.Permits.
-func (g *Guard) Covers(id core.GroupID) bool {
+func (g *Guard) Covers(id core.GroupID, epoch core.Version) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.state.groups[id].covers(g.cfg.Now(), g.state.life)
+	return g.state.groups[id].covers(g.cfg.Now(), g.state.life, epoch)
 }
 
 // Leader implements core.Permits.
--- a/core/permit/guard_test.go
+++ b/core/permit/guard_test.go
@@ -99,6 +99,14 @@
 	return errors.New("unknown method " + method)
 }
 
+func admits(g *Guard) bool {
+	_, ok := g.Admits(testGroup)
+	return ok
+}
+
+// covers reports whether work that started before the first record is covered.
+func covers(g *Guard) bool { return g.Covers(testGroup, 0) }
+
 // run runs the VMs' guards for the duration.
 func (f *fleet) run(t *testing.T, d time.Duration) {
 	t.Helper()
@@ -117,19 +125,20 @@
 func TestHoldReachesAllVMs(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, "a", "b", "c")
-		assert.Assert(t, f.guards["b"].Admits(testGroup))
+		assert.Assert(t, admits(f.guards["b"]))
 		assert.NilError(t, f.guards["a"].Write(t.Context(), testGroup, Record{Held: true, Old: "old", Target: "new", Holder: "a"}))
 		tally := f.guards["a"].Spread(t.Context(), testGroup)
 		assert.Equal(t, tally, Tally{Members: 3, Held: 3})
 		for id, g := range f.guards {
-			assert.Assert(t, !g.Admits(testGroup) && !g.Covers(testGroup), "%s", id)
+			assert.Assert(t, !admits(g) && !covers(g), "%s", id)
 			hold, ok := g.Hold(testGroup)
 			assert.Assert(t, ok && hold.Old == "old" && hold.Holder == "a", "%s", id)
 		}
 		assert.NilError(t, f.guards["a"].Write(t.Context(), testGroup, Record{Old: "old", Target: "new", Holder: "a"}))
 		f.guards["a"].Spread(t.Context(), testGroup)
 		for id, g := range f.guards {
-			assert.Assert(t, g.Admits(testGroup), "%s", id)
+			assert.Assert(t, admits(g), "%s", id)
+			assert.Assert(t, !covers(g), "%s accepts answers of the old primary", id)
 			leader, ok := g.Leader(testGroup)
 			assert.Assert(t, ok && leader == "new", "%s", id)
 		}
@@ -143,12 +152,12 @@
 		assert.NilError(t, f.guards["a"].Write(t.Context(), testGroup, Record{Held: true, Old: "old", Target: "new", Holder: "a", Planned: true}))
 		began := time.Now()
 		timer := time.AfterFunc(drainTime/2, func() {
-			assert.Check(t, !f.guards["b"].Admits(testGroup) && f.guards["b"].Covers(testGroup))
+			assert.Check(t, !admits(f.guards["b"]) && covers(f.guards["b"]))
 		})
 		defer timer.Stop()
 		assert.Assert(t, f.guards["a"].Spread(t.Context(), testGroup).IsComplete())
 		assert.Equal(t, time.Since(began), drainTime)
-		assert.Assert(t, !f.guards["a"].Covers(testGroup) && !f.guards["b"].Covers(testGroup))
+		assert.Assert(t, !covers(f.guards["a"]) && !covers(f.guards["b"]))
 	})
 }
 
@@ -158,11 +167,11 @@
 		f := newFleet(t, "a", "b", "c")
 		f.isolated["c"] = true
 		f.run(t, TTL-time.Millisecond)
-		assert.Assert(t, f.guards["c"].Covers(testGroup))
+		assert.Assert(t, covers(f.guards["c"]))
 		f.run(t, 10*time.Millisecond)
-		assert.Assert(t, !f.guards["c"].Admits(testGroup) && !f.guards["c"].Covers(testGroup))
+		assert.Assert(t, !admits(f.guards["c"]) && !covers(f.guards["c"]))
 		// The others are a majority, and renew their permits without the store.
-		assert.Assert(t, f.guards["a"].Admits(testGroup) && f.guards["b"].Admits(testGroup))
+		assert.Assert(t, admits(f.guards["a"]) && admits(f.guards["b"]))
 	})
 }
 
@@ -171,11 +180,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, "a", "b", "c")
 		f.run(t, maxVotedTime)
-		assert.Assert(t, f.guards["a"].Admits(testGroup))
+		assert.Assert(t, admits(f.guards["a"]))
 		f.run(t, TTL+time.Second)
-		assert.Assert(t, !f.guards["a"].Admits(testGroup))
+		assert.Assert(t, !admits(f.guards["a"]))
 		f.guards["a"].Confirm(f.now())
-		assert.Assert(t, f.guards["a"].Admits(testGroup))
+		assert.Assert(t, admits(f.guards["a"]))
 		assert.Assert(t, f.changes["a"] > 0, "nobody was told that the permit is valid again")
 	})
 }
@@ -189,7 +198,7 @@
 		assert.Equal(t, f.guards["a"].Spread(t.Context(), testGroup), Tally{Members: 3, Held: 2})
 		f.isolated = map[core.VMID]bool{}
 		f.run(t, voteAfter+2*voteInterval)
-		assert.Assert(t, !f.guards["c"].Covers(testGroup))
+		assert.Assert(t, !covers(f.guards["c"]))
 	})
 }
 
@@ -200,7 +209,7 @@
 		f.isolated["c"] = true
 		f.guards["b"].state = newState(TTL)
 		f.run(t, TTL+time.Second)
-		assert.Assert(t, !f.guards["a"].Admits(testGroup))
+		assert.Assert(t, !admits(f.guards["a"]))
 	})
 }
 
@@ -208,9 +217,9 @@
 func TestConfirmationBeforeEntryIsIgnored(t *testing.T) {
 	g := New(Config{Members: lateMember{}, Now: func() core.Instant { return 120 }, Log: log.NewNopLogger(), Changed: func() {}})
 	g.Confirm(99)
-	assert.Assert(t, !g.Admits(testGroup))
+	assert.Assert(t, !admits(g))
 	g.Confirm(100)
-	assert.Assert(t, g.Admits(testGroup))
+	assert.Assert(t, admits(g))
 }
 
 // lateMember is the view of a VM that got its entry at 100.
--- a/core/permit/model_test.go
+++ b/core/permit/model_test.go
@@ -24,6 +24,8 @@
 	upstreamB core.UpstreamID = "b"
 	modelTTL                  = 2 * time.Second
 	tick                      = time.Second
+	// maxModelVersions is higher than the number of records in a history.
+	maxModelVersions = 16
 	// maxModelVMs is the highest number of VMs in a model.
 	maxModelVMs = 5
 )
@@ -47,6 +49,8 @@
 	acknowledgeEarly
 	// otherTarget gives the group back to the old primary although a promotion was sent.
 	otherTarget
+	// ignoreEpoch accepts answers to work that started before the new leader was recorded.
+	ignoreEpoch
 )
 
 // phase is how far the VM that promotes has come.
@@ -64,6 +68,8 @@
 	now     core.Instant
 	vms     [maxModelVMs]vmModel
 	store   groupState
+	// leaders holds the recorded leader by the record's version; empty for holds and the time before the first one.
+	leaders [maxModelVersions]core.UpstreamID
 	// promoter is the VM that holds the group's lease, with its acknowledgments as a bit mask.
 	promoter int
 	phase    phase
@@ -105,20 +111,33 @@
 // write writes a record to the store, which the promoter adopts.
 func (m *model) write(r Record) {
 	m.store = groupState{record: r, version: m.store.version + 1}
+	m.store.epoch = m.store.version
+	if !r.Held {
+		m.leaders[m.store.version] = r.Target
+	}
 	m.adopt(m.promoter, m.store)
 }
 
-// usesOld reports whether a VM could take an answer of the old primary for valid.
-func (m *model) usesOld(vm int) bool {
+// usesOld reports whether a VM could take an answer of the old primary for valid, to work that it started at any time
+// while the old one was the recorded leader.
+func (m *model) usesOld(vm int, d defect) bool {
 	g := m.vms[vm].group
-	believesInNew := g.version > 0 && !g.record.Held && g.record.Target == upstreamB
-	return !believesInNew && g.covers(m.now, m.vms[vm].life())
+	for started := core.Version(0); started <= g.version; started++ {
+		epoch := started
+		if d == ignoreEpoch {
+			epoch = g.epoch
+		}
+		if m.leaders[started] != upstreamB && g.covers(m.now, m.vms[vm].life(), epoch) {
+			return true
+		}
+	}
+	return false
 }
 
 // violation returns the VM that uses the old primary although the other one leads, or -1.
-func (m *model) violation() int {
+func (m *model) violation(d defect) int {
 	for vm := range m.members {
-		if m.leads && m.usesOld(vm) {
+		if m.leads && m.usesOld(vm, d) {
 			return vm
 		}
 	}
@@ -279,7 +298,7 @@
 	for len(queue) > 0 {
 		o := queue[len(queue)-1]
 		queue = queue[:len(queue)-1]
-		if vm := o.m.violation(); vm >= 0 {
+		if vm := o.m.violation(d); vm >= 0 {
 			trace = append(trace, fmt.Sprintf("VM %d uses the old primary", vm))
 			for j := o.visit; visits[j].parent >= 0; j = visits[j].parent {
 				trace = append([]string{step{name: visits[j].name, vm: int(visits[j].vm), others: int(visits[j].others)}.String()}, trace...)
@@ -318,7 +337,7 @@
 		}
 	}
 	addGroup := func(g groupState) {
-		b = append(b, byte(g.version), byte(len(g.record.Old)))
+		b = append(b, byte(g.version), byte(g.epoch), byte(len(g.record.Old)))
 		b = append(b, g.record.Target...)
 		b = strconv.AppendBool(b, g.record.Held)
 		add(int64(g.closeAt))
@@ -351,7 +370,7 @@
 	for name, d := range map[string]defect{
 		"no hold": noHold, "no wait": noWait, "votes without records": voteWithoutRecords,
 		"confirmations without records": confirmWithoutRecords, "early acknowledgments": acknowledgeEarly, "no majority": noMajority,
-		"hold given up after the call": otherTarget,
+		"hold given up after the call": otherTarget, "answers from before the record": ignoreEpoch,
 	} {
 		t.Run(name, func(t *testing.T) {
 			start := newModel(3)
@@ -381,7 +400,7 @@
 			}
 			st.apply(&m)
 			trace = append(trace, st.String())
-			assert.Equal(t, m.violation(), -1, "seed %d: %q", seed, trace)
+			assert.Equal(t, m.violation(noDefect), -1, "seed %d: %q", seed, trace)
 		}
 	}
 }
--- a/core/permit/state.go
+++ b/core/permit/state.go
@@ -26,6 +26,8 @@
 type groupState struct {
 	record  Record
 	version core.Version
+	// epoch is the version of the last record that isn't a hold.
+	epoch core.Version
 	// heldAt is when this VM heard of the hold, closeAt when its permit ends because of it.
 	heldAt, closeAt core.Instant
 }
@@ -51,8 +53,12 @@
 	return !g.record.Held && now < l.expiresAt()
 }
 
-// covers reports whether no other upstream can have begun to lead before now.
-func (g groupState) covers(now core.Instant, l life) bool {
+// covers reports whether no other upstream can have begun to lead between the start of work in the epoch and now. Work
+// on an old primary may end after the new one is recorded and permits are valid again.
+func (g groupState) covers(now core.Instant, l life, epoch core.Version) bool {
+	if epoch != g.epoch {
+		return false
+	}
 	if g.record.Held {
 		return now < g.closeAt
 	}
@@ -65,8 +71,9 @@
 	if v <= g.version {
 		return g
 	}
-	next := groupState{record: r, version: v}
+	next := groupState{record: r, version: v, epoch: v}
 	if r.Held {
+		next.epoch = g.epoch
 		next.heldAt, next.closeAt = now, min(now.Add(r.drain()), l.expiresAt())
 		if g.record.Held {
 			next.closeAt = min(next.closeAt, g.closeAt)
--- a/core/permits.go
+++ b/core/permits.go
@@ -4,11 +4,12 @@
 // every platform: it can go on to accept statements, so that its own answers don't prove that no other
 // upstream leads. Implementations are safe for concurrent use.
 type Permits interface {
-	// Admits reports whether new work that needs the primary may start.
-	Admits(group GroupID) bool
-	// Covers reports whether no other upstream of the group can have begun to lead before this call. What
-	// the primary answered before is valid then.
-	Covers(group GroupID) bool
+	// Admits reports whether new work that needs the primary may start. The epoch identifies the leader that is
+	// recorded then.
+	Admits(group GroupID) (epoch Version, ok bool)
+	// Covers reports whether no other upstream of the group can have begun to lead since the work that started in
+	// the epoch. What its primary answered before this call is valid then.
+	Covers(group GroupID, epoch Version) bool
 	// Leader returns the upstream that was promoted last, or false if no promotion is known.
 	Leader(group GroupID) (UpstreamID, bool)
 	// Hold returns the promotion in progress, or false if there is none.
--- a/core/proxy/group.go
+++ b/core/proxy/group.go
@@ -44,17 +44,20 @@
 
 // primary returns the node that new work may use as the primary, or nil.
 func (g *group) primary(now time.Time) *node {
-	if g.permits != nil && !g.permits.Admits(g.id) {
+	if !g.admits() {
 		return nil
 	}
 	return g.believedPrimary(now)
 }
 
-// mayStart reports whether work on a connection to the primary may start now.
-func (g *group) mayStart() bool { return g.permits == nil || g.permits.Admits(g.id) }
-
-// covers reports whether what a primary answered before this call is valid: no other one can have begun to lead.
-func (g *group) covers() bool { return g.permits == nil || g.permits.Covers(g.id) }
+// admits reports whether work that needs the primary may start now.
+func (g *group) admits() bool {
+	if g.permits == nil {
+		return true
+	}
+	_, ok := g.permits.Admits(g.id)
+	return ok
+}
 
 // isDeposed reports whether another upstream was promoted after this one led. It may still answer as a primary.
 func (g *group) isDeposed(id core.UpstreamID) bool {
@@ -89,7 +92,7 @@
 
 // recordProof records that the upstream proved its leadership after requestedAt and held p then.
 func (g *group) recordProof(id core.UpstreamID, requestedAt core.Instant, p core.Position) {
-	if g.covers() {
+	if g.admits() {
 		g.fresh.Add(requestedAt, p)
 	}
 	g.mu.Lock()
--- a/core/proxy/permit_test.go
+++ b/core/proxy/permit_test.go
@@ -15,20 +15,21 @@
 type fakePermits struct {
 	mu             sync.Mutex
 	admits, covers bool
+	epoch          core.Version
 	leader         core.UpstreamID
 	hold           *core.Hold
 }
 
-func (p *fakePermits) Admits(core.GroupID) bool {
+func (p *fakePermits) Admits(core.GroupID) (core.Version, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.admits
+	return p.epoch, p.admits
 }
 
-func (p *fakePermits) Covers(core.GroupID) bool {
+func (p *fakePermits) Covers(_ core.GroupID, epoch core.Version) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.covers
+	return p.covers && epoch == p.epoch
 }
 
 func (p *fakePermits) Leader(core.GroupID) (core.UpstreamID, bool) {
@@ -120,6 +121,24 @@
 	})
 }
 
+// Guards against work that started on an old primary and ends after the new one is recorded, when permits are valid
+// again: the old one may have committed it after the new one began to lead.
+func TestWorkOfOldPrimaryEndsAfterPromotion(t *testing.T) {
+	withPermits(t, func(t *testing.T, r *harness, p *fakePermits) {
+		s := r.proxy.Open("own")
+		r.must(s, VerbBegin, "BEGIN")
+		r.must(s, VerbWrite, "WRITE 1 x")
+		p.set(r, func() { p.leader, p.epoch = nearID, 7 })
+		assert.Equal(t, r.do(s, VerbCommit, "COMMIT").Fault, core.FaultAborted)
+
+		p.set(r, func() { p.leader, p.epoch = primaryID, 8 })
+		r.servers[primaryID].update(func(s *server) { s.serviceTime = 200 * time.Millisecond })
+		timer := time.AfterFunc(100*time.Millisecond, func() { p.set(r, func() { p.leader, p.epoch = nearID, 9 }) })
+		defer timer.Stop()
+		assert.Equal(t, r.do(r.proxy.Open("own"), VerbWrite, "WRITE 2 x").Fault, core.FaultInDoubt)
+	})
+}
+
 // Guards against refusing a transaction in progress while a planned promotion lets it end.
 func TestCommitWhilePermitEnds(t *testing.T) {
 	withPermits(t, func(t *testing.T, r *harness, p *fakePermits) {
--- a/core/proxy/single.go
+++ b/core/proxy/single.go
@@ -58,7 +58,7 @@
 	if refused != nil {
 		return w.handleNotAdmitted(t, refused)
 	}
-	if (w.write || t.strict) && !t.node.group.mayStart() {
+	if (w.write || t.strict) && !h.mayStart() {
 		h.free(false)
 		return Reply{Fault: core.FaultBusy, Text: "the primary is being replaced"}, retryOnChange
 	}
@@ -74,7 +74,7 @@
 			return s.handleSetUpFailure(h, ans, err)
 		}
 		t.node.noteLeads(requestedAt, ans.Position)
-		if !t.node.group.covers() {
+		if !h.isCovered() {
 			h.rollbackAndFree(ans.Status, core.FaultNone)
 			return Reply{Fault: core.FaultBusy, Text: "the primary is being replaced"}, retryOnChange
 		}
@@ -221,6 +221,7 @@
 func (s *Session) handleAnswer(w *work, h *heldConn, t target, ans core.Answer, requestedAt core.Instant, sent time.Time) (Reply, outcome) {
 	n := t.node
 	now := time.Now()
+	isCovered := !w.write || h.isCovered()
 	reply := Reply{Fault: ans.Fault, Text: ans.Text, Position: ans.Position}
 	if ans.Fault == core.FaultNone {
 		s.body = append(s.body[:0], ans.Body...)
@@ -237,7 +238,7 @@
 	}
 	n.noteAnswer(now, max(0, now.Sub(sent)-s.p.distance(n.info.Load())), ans.Position)
 	if ans.Fault == core.FaultNone {
-		if w.write && !n.group.covers() {
+		if !isCovered {
 			return Reply{Fault: core.FaultInDoubt, Text: "another upstream may lead since"}, done
 		}
 		if w.write {
--- a/core/proxy/tx.go
+++ b/core/proxy/tx.go
@@ -122,7 +122,7 @@
 	if refused != nil {
 		return refused
 	}
-	if t.strict && !t.node.group.mayStart() {
+	if t.strict && !h.mayStart() {
 		h.free(false)
 		return &Reply{Fault: core.FaultBusy, Text: "the primary is being replaced"}
 	}
@@ -151,7 +151,7 @@
 	}
 	if t.strict {
 		t.node.noteLeads(requestedAt, ans.Position)
-		if !t.node.group.covers() {
+		if !h.isCovered() {
 			h.rollbackAndFree(ans.Status, core.FaultNone)
 			return &Reply{Fault: core.FaultBusy, Text: "the primary is being replaced"}
 		}
@@ -165,7 +165,7 @@
 func (s *Session) sendInTx(w *work) (Reply, bool) {
 	h := s.tx.held
 	commitsWrites := w.st.Verb == VerbCommit && s.tx.wrote
-	if commitsWrites && !h.node.group.covers() {
+	if commitsWrites && !h.isCovered() {
 		return Reply{Fault: core.FaultAborted, Text: "the primary is being replaced"}, false
 	}
 	c := h.handle.Value
@@ -196,7 +196,7 @@
 		s.tx.wrote = true
 	}
 	if w.st.Verb == VerbCommit {
-		if commitsWrites && !h.node.group.covers() {
+		if commitsWrites && !h.isCovered() {
 			reply = Reply{Fault: core.FaultInDoubt, Text: "another upstream may lead since"}
 		} else if commitsWrites {
 			s.noteCommit(ans.Position)
--- a/core/proxy/work.go
+++ b/core/proxy/work.go
@@ -214,6 +214,8 @@
 	node   *node
 	handle *pool.Handle[*conn]
 	slot   *queue.Slot
+	// epoch is that of the group's permit when the work started, if it needs the primary.
+	epoch core.Version
 	// opensTx is set if the queue counts an open transaction for it.
 	opensTx bool
 }
@@ -272,6 +274,24 @@
 	return refusal.Reason + "; retry after " + refusal.RetryAfter.Round(time.Millisecond).String()
 }
 
+// mayStart reports whether work that needs the primary may start on the connection.
+func (h *heldConn) mayStart() bool {
+	g := h.node.group
+	if g.permits == nil {
+		return true
+	}
+	epoch, ok := g.permits.Admits(g.id)
+	h.epoch = epoch
+	return ok && !g.isDeposed(h.node.id())
+}
+
+// isCovered reports whether what the primary answered before this call is valid: no other upstream can have begun to
+// lead since the work started.
+func (h *heldConn) isCovered() bool {
+	g := h.node.group
+	return g.permits == nil || g.permits.Covers(g.id, h.epoch)
+}
+
 func (h *heldConn) releaseSlot(ran bool) {
 	if h.slot == nil {
 		return
