--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -388,8 +388,8 @@
 	}
 }
 
-// maxWait is how long a pool without connections sleeps if nothing wakes it: with many upstreams, most pools of a VM
-// are unused.
+// maxWait is how long a pool without heartbeats or connections sleeps if nothing wakes it: with many upstreams, most
+// pools of a VM are unused.
 const maxWait = time.Hour
 
 // untilNextEvent returns the time until a dial, a heartbeat or an expiry may be due.
@@ -401,6 +401,7 @@
 		next = earlier(next, p.retryAt)
 	}
 	if p.cfg.Ping != nil {
+		next = now.Add(p.cfg.HeartbeatInterval)
 		for _, e := range p.idle {
 			next = earlier(next, e.lastAnswered.Add(p.cfg.HeartbeatInterval))
 		}
