Let a VM vote only once its list of VMs is complete

A VM acknowledged a write 1 ms after it woke from 8 s of suspension, committed at the old primary only.

As it woke, its confirmation was old, it held a vote among the VMs that it knew, found itself to be the majority of one, and renewed its permit before it read the records. Ruled out: the clock (the confirmation's age was right), a late record, the check after the answer.

Change: a vote needs a list of VMs that was read 8 s after the VM got its entry.

--- a/core/permit/guard.go
+++ b/core/permit/guard.go
@@ -43,6 +43,9 @@
 	Alive() []core.VM
 	// EnlistedAt returns since when other VMs find this one in the store, or false if they don't yet.
 	EnlistedAt() (core.Instant, bool)
+	// IsSettled reports whether the list was read so long after this VM got its entry that it has the VMs which
+	// started at the same time. Votes of a smaller number would be no majority.
+	IsSettled() bool
 	// Refresh updates the list with all VMs that are in the store at the time of the call.
 	Refresh(ctx context.Context) error
 }
@@ -215,6 +218,9 @@
 // needsVote reports whether the store has confirmed nothing for voteAfter, but recently enough that a vote
 // counts.
 func (g *Guard) needsVote() bool {
+	if !g.cfg.Members.IsSettled() {
+		return false
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	confirmedAt := g.state.life.confirmedAt
--- a/core/permit/guard_test.go
+++ b/core/permit/guard_test.go
@@ -27,8 +27,10 @@
 	mu sync.Mutex
 	// isolated are the VMs that no other one reaches.
 	isolated map[core.VMID]bool
-	proved   map[core.VMID]time.Duration
-	changes  map[core.VMID]int
+	// unsettled are the VMs whose lists may lack others.
+	unsettled map[core.VMID]bool
+	proved    map[core.VMID]time.Duration
+	changes   map[core.VMID]int
 }
 
 // member is a VM's view of the fleet.
@@ -47,11 +49,12 @@
 
 func (m member) EnlistedAt() (core.Instant, bool) { return 1, true }
 func (m member) Refresh(context.Context) error    { return nil }
+func (m member) IsSettled() bool                  { return !m.f.unsettled[m.id] }
 
 func newFleet(t *testing.T, ids ...core.VMID) *fleet {
 	t.Helper()
 	f := &fleet{
-		store: fakes.NewStore(), start: time.Now(), guards: map[core.VMID]*Guard{}, isolated: map[core.VMID]bool{},
+		store: fakes.NewStore(), start: time.Now(), guards: map[core.VMID]*Guard{}, isolated: map[core.VMID]bool{}, unsettled: map[core.VMID]bool{},
 		proved: map[core.VMID]time.Duration{}, changes: map[core.VMID]int{},
 	}
 	for _, id := range ids {
@@ -213,6 +216,20 @@
 	})
 }
 
+// Guards against a VM that knows no others yet, and that takes itself for the majority. It was found by
+// TestSuspendedVMWithOldPrimary: the VM was suspended before its first listing, and renewed its permit as it woke.
+func TestVMWithoutListDoesNotVote(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, "a")
+		f.unsettled["a"] = true
+		f.run(t, TTL+time.Second)
+		assert.Assert(t, !admits(f.guards["a"]))
+		f.unsettled["a"] = false
+		f.run(t, time.Second)
+		assert.Assert(t, admits(f.guards["a"]))
+	})
+}
+
 // Guards against a confirmation from before other VMs could find this one: a hold may not have reached it.
 func TestConfirmationBeforeEntryIsIgnored(t *testing.T) {
 	g := New(Config{Members: lateMember{}, Now: func() core.Instant { return 120 }, Log: log.NewNopLogger(), Changed: func() {}})
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -43,6 +43,9 @@
 	listInterval      = 5 * time.Second
 	firstListInterval = 500 * time.Millisecond
 	listTimeout       = 2 * time.Second
+	// settleTime is how long after this VM got its entry a listing has all VMs that started at the same time: a
+	// listing may be seconds old.
+	settleTime = 8 * time.Second
 	// retryInterval is the time until the next attempt after a failed call.
 	retryInterval = time.Second
 	// missingGracePeriod is how long a VM stays in the list after its entry disappeared. The VM writes
@@ -80,7 +83,9 @@
 	// enlisted is closed when the entry is first written, at enlistedAt.
 	enlisted   chan struct{}
 	enlistedAt core.Instant
-	lease      core.LeaseID
+	// settled is set once the list was read settleTime after enlistedAt.
+	settled bool
+	lease   core.LeaseID
 	// written is set if the entry in the store is up to date, and writtenAt is when it was written.
 	written   bool
 	writtenAt time.Time
@@ -160,6 +165,13 @@
 	return r.enlistedAt, r.enlistedAt != 0
 }
 
+// IsSettled reports whether the list was read at least settleTime after this VM got its entry.
+func (r *Roster) IsSettled() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.settled
+}
+
 // Refresh updates the list with all VMs that have an entry at the time of the call.
 func (r *Roster) Refresh(ctx context.Context) error {
 	return r.updateFrom(ctx, func(ctx context.Context) ([]core.Entry, error) {
@@ -176,6 +188,7 @@
 func (r *Roster) updateFrom(ctx context.Context, read func(ctx context.Context) ([]core.Entry, error)) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
+	began := core.Now()
 	entries, err := read(ctx)
 	if err != nil {
 		return err
@@ -190,6 +203,9 @@
 		listed[vm.ID] = vm
 	}
 	r.update(listed)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.settled = r.settled || r.enlistedAt != 0 && began.Sub(r.enlistedAt) >= settleTime
 	return nil
 }
 
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -168,3 +168,16 @@
 	assert.Equal(t, len(r.Alive()), 201)
 	assert.Equal(t, testing.AllocsPerRun(100, func() { r.Alive() }), 0.0)
 }
+
+// Guards against a list that lacks VMs which started at the same time, and counts as complete.
+func TestSettlesAfterStart(t *testing.T) {
+	r := New(Config{Self: core.VM{ID: "vm"}, Store: &fakeStore{entries: map[string]core.Entry{}}, Log: log.NewNopLogger()})
+	assert.NilError(t, r.list(t.Context()))
+	assert.Assert(t, !r.IsSettled(), "without an entry")
+	r.enlistedAt = core.Now() - core.Instant(settleTime) + core.Instant(time.Minute)
+	assert.NilError(t, r.list(t.Context()))
+	assert.Assert(t, !r.IsSettled(), "too early")
+	r.enlistedAt = core.Now() - core.Instant(settleTime)
+	assert.NilError(t, r.list(t.Context()))
+	assert.Assert(t, r.IsSettled())
+}
