Never give a group back after a promotion may have been sent

A promotion without an answer may be executed later, and without a fence nothing stops it. Three ways led to two primaries: - The target of such a call was kept with the lease, and lost with it. The next attempt of this VM could give the group back to the old primary when that answered again, or promote another upstream. So could a VM that took over, if it couldn't read the list of VMs. - The record named the target that was chosen before the hold. If another replica had more of the log afterwards, that one was promoted, and a VM that finished the promotion of one that failed would have promoted a second upstream. - An old primary that led without being believed the primary was recorded as the leader while the promotion of another one was open.

Change: the record is what tells an attempt of an earlier promotion, whoever wrote it; the lease no longer does where there is no fence. It names the target before each call. A group is given back only by the VM that holds it in the record, and only if the attempt found no hold.

TestHoldIsKeptAfterUnansweredPromotion (3 of 4 cases), TestRecordNamesPromotedTarget and TestOldPrimaryThatLeadsIsNotRecorded fail on the code before. TestLostRaceLeavesHold guards the new order.

--- a/core/lead/driver.go
+++ b/core/lead/driver.go
@@ -177,9 +177,7 @@
 func (d *Driver) probe(ctx context.Context, st *groupState, g Group) {
 	began := time.Now()
 	d.runAsync(func() func() {
-		ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-		defer cancel()
-		result, err := d.cfg.Cluster.Probe(ctx, g.Primary)
+		result, err := d.probeUpstream(ctx, g.Primary)
 		failed := (err == nil && !result.Leads) || (err != nil && !errors.Is(err, ErrProbeNotSent))
 		if failed {
 			level.Info(d.cfg.Log).Log("Msg", "probe of the primary failed", "Group", g.ID, "Upstream", g.Primary, "Leads", result.Leads, "Err", err)
@@ -188,6 +186,13 @@
 	})
 }
 
+// probeUpstream probes the upstream with a time limit.
+func (d *Driver) probeUpstream(ctx context.Context, id core.UpstreamID) (ProbeResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	return d.cfg.Cluster.Probe(ctx, id)
+}
+
 func (d *Driver) startFailover(ctx context.Context, st *groupState, g Group) {
 	st.inProgress = true
 	req := failoverRequest{reason: st.detector.reason, held: st.lease}
@@ -271,9 +276,6 @@
 	if err := d.waitForPrimary(ctx, g.ID, target); err != nil {
 		return held, err
 	}
-	if d.cfg.Permits != nil {
-		held.unansweredTarget = ""
-	}
 	level.Info(d.cfg.Log).Log("Msg", "primary replaced", "Group", g.ID, "Upstream", target, "Token", held.token)
 	return held, nil
 }
--- a/core/lead/hold.go
+++ b/core/lead/hold.go
@@ -61,18 +61,12 @@
 }
 
 // hold writes a hold of the group and returns once no VM can use the old primary. If the primary answers
-// meanwhile, it ends the hold and returns errReachable.
-func (d *Driver) hold(ctx context.Context, g Group, target core.UpstreamID, held *lease) error {
-	takesOver := g.IsHeld && !g.IsHeldBySelf
-	if rec, ok := d.cfg.Permits.Record(g.ID); !ok || !rec.Held || rec.Holder != d.cfg.Self {
-		rec = permit.Record{Held: true, Old: g.Primary, Target: target, Holder: d.cfg.Self, Planned: g.Leaving}
-		if err := d.cfg.Permits.Write(ctx, g.ID, rec); err != nil {
-			return err
-		}
-		level.Info(d.cfg.Log).Log("Msg", "group held", "Group", g.ID, "Old", g.Primary, "Target", target, "Token", held.token)
+// meanwhile, it returns errReachable, unless a promotion may have been sent already.
+func (d *Driver) hold(ctx context.Context, g Group, target core.UpstreamID, mayBeSent bool, held *lease) error {
+	if err := d.writeHold(ctx, g, target); err != nil {
+		return err
 	}
 	if err := d.cfg.Permits.Refresh(ctx); err != nil {
-		d.endHold(ctx, g)
 		return err
 	}
 	progress := permit.Progress{TTL: permit.TTL}
@@ -87,8 +81,7 @@
 			warned = true
 			level.Warn(d.cfg.Log).Log("Msg", "too many VMs don't answer, which may still use the primary", "Group", g.ID, "Members", tally.Members, "Held", tally.Held)
 		}
-		if !takesOver && !g.Leaving && d.leads(ctx, g.Primary) {
-			d.endHold(ctx, g)
+		if !mayBeSent && !g.Leaving && d.leads(ctx, g.Primary) {
 			return errReachable
 		}
 		if err := d.keepLease(ctx, held); err != nil {
@@ -99,10 +92,24 @@
 			sleep(ctx, wait)
 		}
 	}
-	d.endHold(ctx, g)
 	return ctx.Err()
 }
 
+// writeHold writes a hold with the target, unless this VM has written it already. The record always names the target of a
+// promotion that may be sent, since another VM that finishes it must promote the same one.
+func (d *Driver) writeHold(ctx context.Context, g Group, target core.UpstreamID) error {
+	rec, ok := d.cfg.Permits.Record(g.ID)
+	if ok && rec.Held && rec.Holder == d.cfg.Self && rec.Target == target {
+		return nil
+	}
+	rec = permit.Record{Held: true, Old: g.Primary, Target: target, Holder: d.cfg.Self, Planned: g.Leaving}
+	if err := d.cfg.Permits.Write(ctx, g.ID, rec); err != nil {
+		return err
+	}
+	level.Info(d.cfg.Log).Log("Msg", "group held", "Group", g.ID, "Old", g.Primary, "Target", target)
+	return nil
+}
+
 // acquireUnlessReached acquires the group's lease. It returns errReachable if other VMs reach the primary, which it
 // finds out at the same time.
 func (d *Driver) acquireUnlessReached(ctx context.Context, g Group, old lease) (lease, error) {
@@ -116,10 +123,6 @@
 		d.release(ctx, held)
 		return lease{}, errReachable
 	}
-	if d.cfg.Permits != nil && held.unansweredTarget == "" {
-		// Without a fence, a later lease doesn't stop a call of an earlier one.
-		held.unansweredTarget = old.unansweredTarget
-	}
 	return held, nil
 }
 
@@ -128,40 +131,36 @@
 func (d *Driver) prepareHeld(
 	ctx context.Context, g Group, target core.UpstreamID, best ProbeResult, req failoverRequest, held *lease,
 ) (core.UpstreamID, ProbeResult, error) {
-	if best.Leads {
+	// A call of an earlier attempt that got no answer may still be executed, and no fence would stop it: the same target
+	// is promoted, and the group isn't given back.
+	earlier := d.earlierTarget(g.ID)
+	if best.Leads && (earlier == "" || earlier == target) {
 		d.finish(ctx, g, target)
 		return target, best, nil
 	}
-	interrupted := d.interruptedTarget(g)
-	if err := d.hold(ctx, g, target, held); err != nil {
+	if earlier != "" {
+		target = earlier
+	}
+	err := d.hold(ctx, g, target, earlier != "", held)
+	if err == nil {
+		target, best, err = d.selectHeld(ctx, g, req)
+	}
+	if err != nil {
+		if earlier == "" {
+			d.endHold(ctx, g)
+		}
 		return "", ProbeResult{}, err
 	}
-	target, best, err := d.selectHeld(ctx, g, req)
-	switch {
-	case err != nil && interrupted == "" && held.unansweredTarget == "":
-		d.endHold(ctx, g)
-		return "", best, err
-	case err != nil:
-		return "", best, err
-	case best.Leads:
+	if earlier != "" && earlier != target && slices.Contains(g.Replicas, earlier) {
+		if res, err := d.probeUpstream(ctx, earlier); err == nil {
+			target, best = earlier, res
+		}
+	}
+	if best.Leads {
 		d.finish(ctx, g, target)
 		return target, best, nil
 	}
-	// A call that got no answer may still be executed, and no fence would stop it: the same target is promoted.
-	for _, unanswered := range []core.UpstreamID{held.unansweredTarget, interrupted} {
-		if unanswered != "" && slices.Contains(g.Replicas, unanswered) && d.answers(ctx, unanswered) {
-			return unanswered, best, nil
-		}
-	}
-	return target, best, nil
-}
-
-// answers reports whether the upstream answers a probe.
-func (d *Driver) answers(ctx context.Context, id core.UpstreamID) bool {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	_, err := d.cfg.Cluster.Probe(ctx, id)
-	return err == nil
+	return target, best, d.writeHold(ctx, g, target)
 }
 
 // stepDown makes the group's leaving primary a replica, so that VMs that don't answer can't use it either.
@@ -178,9 +177,7 @@
 	if id == "" {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	res, err := d.cfg.Cluster.Probe(ctx, id)
+	res, err := d.probeUpstream(ctx, id)
 	return err == nil && res.Leads
 }
 
@@ -200,9 +197,9 @@
 	return nil
 }
 
-// endHold gives the group back to its old primary. It must not be called after a promotion was sent.
+// endHold gives the group back to its old primary, if this VM holds it. It must not be called after a promotion was sent.
 func (d *Driver) endHold(ctx context.Context, g Group) {
-	if g.Primary == "" {
+	if rec, ok := d.cfg.Permits.Record(g.ID); g.Primary == "" || !ok || !rec.Held || rec.Holder != d.cfg.Self {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
@@ -222,13 +219,17 @@
 	d.record(ctx, g.ID, permit.Record{Old: g.Primary, Target: target, Holder: d.cfg.Self})
 }
 
-// record writes a record that ends a hold and sends it to the other VMs.
+// record writes a record that ends a hold and sends it to the other VMs. It gives up if another VM holds the group since.
 func (d *Driver) record(ctx context.Context, id core.GroupID, r permit.Record) {
 	for range finishAttempts {
 		err := d.cfg.Permits.Write(ctx, id, r)
-		if rec, _ := d.cfg.Permits.Record(id); err == nil || !rec.Held {
+		rec, _ := d.cfg.Permits.Record(id)
+		if err == nil || !rec.Held {
 			break
 		}
+		if rec.Holder != d.cfg.Self {
+			return
+		}
 		level.Info(d.cfg.Log).Log("Msg", "leader not recorded", "Group", id, "Leader", r.Target, "Err", err)
 		sleep(ctx, checkInterval)
 		if ctx.Err() != nil {
@@ -243,11 +244,9 @@
 func (d *Driver) selectHeld(ctx context.Context, g Group, req failoverRequest) (core.UpstreamID, ProbeResult, error) {
 	var end core.Position
 	if g.Leaving {
-		probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
-		if res, err := d.cfg.Cluster.Probe(probeCtx, g.Primary); err == nil {
+		if res, err := d.probeUpstream(ctx, g.Primary); err == nil {
 			end = res.Log
 		}
-		cancel()
 	}
 	for until := time.Now().Add(catchUpTime); ; sleep(ctx, catchUpDelay) {
 		target, best, err := d.selectCandidate(ctx, g, req.allowMinority)
@@ -257,11 +256,11 @@
 	}
 }
 
-// interruptedTarget returns the target of a promotion that another VM may have sent before it failed.
-func (d *Driver) interruptedTarget(g Group) core.UpstreamID {
-	rec, ok := d.cfg.Permits.Record(g.ID)
-	if !ok || !rec.Held || rec.Holder == d.cfg.Self {
-		return ""
+// earlierTarget returns the target of a promotion that this VM or another one has begun and not finished, and that may
+// have been sent, or an empty id.
+func (d *Driver) earlierTarget(id core.GroupID) core.UpstreamID {
+	if rec, ok := d.cfg.Permits.Record(id); ok && rec.Held {
+		return rec.Target
 	}
-	return rec.Target
+	return ""
 }
--- a/core/lead/hold_test.go
+++ b/core/lead/hold_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,6 +19,10 @@
 	// silent is the number of VMs that acknowledge nothing; reaches holds the VMs that reach the old primary.
 	silent  int
 	reaches []core.VMID
+	// otherHold is written by another VM before the next record.
+	otherHold *permit.Record
+	// refreshErr is the result of reading the list of VMs.
+	refreshErr error
 	// The fields below are guarded by the cluster's mu.
 	record  permit.Record
 	isKnown bool
@@ -34,6 +39,10 @@
 func (p *fakePermits) Write(_ context.Context, _ core.GroupID, r permit.Record) error {
 	p.f.mu.Lock()
 	defer p.f.mu.Unlock()
+	if p.otherHold != nil {
+		p.record, p.isKnown, p.otherHold = *p.otherHold, true, nil
+		return core.ErrVersionConflict
+	}
 	if r.Held {
 		p.heldAt = time.Now()
 	}
@@ -42,7 +51,7 @@
 	return nil
 }
 
-func (p *fakePermits) Refresh(context.Context) error { return nil }
+func (p *fakePermits) Refresh(context.Context) error { return p.refreshErr }
 
 func (p *fakePermits) Spread(context.Context, core.GroupID) permit.Tally {
 	p.f.mu.Lock()
@@ -205,3 +214,75 @@
 		}
 	})
 }
+
+// Guards against giving a group back to its old primary after a promotion got no answer: the platform may execute it
+// later, and both would lead. The lease of the call has expired meanwhile, and so has what this VM kept with it.
+func TestHoldIsKeptAfterUnansweredPromotion(t *testing.T) {
+	for name, holder := range map[string]core.VMID{"of this VM": "vm", "of a VM that failed": "vm-2"} {
+		for _, refreshErr := range []error{nil, errDown} {
+			t.Run(fmt.Sprintf("%s/%v", name, refreshErr), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := newFakeCluster()
+					p := newFakePermits(f)
+					p.silent, p.refreshErr = 1, refreshErr
+					p.record, p.isKnown = permit.Record{Held: true, Old: "a", Target: "b", Holder: holder}, true
+					f.view.IsHeld, f.view.IsHeldBySelf, f.view.HoldAge = true, holder == "vm", holdTakeover
+					f.stored = f.view
+					f.run(t, 10*time.Second)
+					for _, r := range p.records {
+						assert.Assert(t, r.Held || r.Target == "b", "the group was given to %s", r.Target)
+					}
+				})
+			})
+		}
+	}
+}
+
+// Guards against a record that names another upstream than the one that is promoted: a VM that finishes the promotion of
+// one that failed would promote a second upstream.
+func TestRecordNamesPromotedTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeCluster()
+		p := newFakePermits(f)
+		f.unresponsive["a"] = true
+		f.onProbe = func() {
+			if !p.heldAt.IsZero() {
+				f.probes["b"] = ProbeResult{Log: core.Position{Term: 1, Offset: 99}}
+			}
+		}
+		f.onPromote = func() {
+			assert.Check(t, p.record.Held && p.record.Target == f.promotions[0].ID, "%+v while %s is promoted", p.record, f.promotions[0].ID)
+		}
+		promotions := f.run(t, 3*time.Second)
+		assert.Equal(t, len(promotions), 1)
+		assert.Equal(t, promotions[0].ID, core.UpstreamID("b"))
+	})
+}
+
+// Guards against a VM that overwrites the hold of another one, which promotes, after it lost the race to write its own.
+func TestLostRaceLeavesHold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeCluster()
+		p := newFakePermits(f)
+		p.otherHold = &permit.Record{Held: true, Old: "a", Target: "b", Holder: "vm-2"}
+		f.unresponsive["a"] = true
+		assert.Equal(t, len(f.run(t, time.Second)), 0)
+		assert.Equal(t, p.record.Holder, core.VMID("vm-2"))
+		assert.Equal(t, len(p.records), 0)
+	})
+}
+
+// Guards against giving the group back because the old primary answers, although a promotion may have been sent.
+func TestOldPrimaryThatLeadsIsNotRecorded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeCluster()
+		p := newFakePermits(f)
+		p.record, p.isKnown = permit.Record{Held: true, Old: "a", Target: "b", Holder: "vm-2"}, true
+		f.view = Group{ID: "g", Replicas: []core.UpstreamID{"a", "b", "c"}, Members: 3, IsMonitor: true, IsHeld: true, HoldAge: holdTakeover}
+		f.stored = f.view
+		promotions := f.run(t, time.Second)
+		assert.Equal(t, len(promotions), 1)
+		assert.Equal(t, promotions[0].ID, core.UpstreamID("b"))
+		assert.Equal(t, p.lastRecord(t).Target, core.UpstreamID("b"))
+	})
+}
