Review case 4: dropping a route blocks all transactions of a service

A transaction that is open when its route is dropped and is then ended with COMMIT keeps its place in the queue and its upstream connection for ever. Takes the place of the case on memory, which stays in the rig (-case memory); a sixth finding on stale reads is there too (-case stale).

--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -17,8 +17,8 @@
 	conn net.Conn
 	in   *bufio.Reader
 	rec  *record
-	// state is that of the last READY.
-	state string
+	// state and position are those of the last READY.
+	state, position string
 	// quiet leaves the rows out of the record.
 	quiet bool
 }
@@ -89,7 +89,7 @@
 		case "ERROR":
 			r.code, r.text, _ = strings.Cut(rest, " ")
 		case "READY":
-			c.state, _, _ = strings.Cut(rest, " ")
+			c.state, c.position, _ = strings.Cut(rest, " ")
 			if c.quiet {
 				c.rec.note("%s gets for %s: %d rows, signature %s, error %s %s, state %s", c.name, id, len(r.rows), r.signature, r.code, r.text, c.state)
 				return id, r, nil
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -18,6 +18,7 @@
 	"net"
 	"os"
 	"os/signal"
+	"slices"
 	"syscall"
 	"time"
 )
@@ -42,7 +43,7 @@
 }
 
 var cases = map[string]func(ctx context.Context, e *env) error{
-	"lag": playLag, "release": playRelease, "drain": playDrain, "shape": playShape, "memory": playMemory,
+	"lag": playLag, "release": playRelease, "drain": playDrain, "shape": playShape, "memory": playMemory, "stale": playStale, "leak": playLeak, "recover": playRecover,
 }
 
 func main() {
@@ -139,12 +140,28 @@
 
 // putConfig adds a service with its routes to the operators' configuration and writes a new version of it.
 func (e *env) putConfig(cfg groupConfig, routes ...route) {
-	e.version += 3
 	e.routes = append(e.routes, routes...)
 	e.services = append(e.services, map[string]any{
 		"name": cfg.name, "healthPath": "/health", "maxConnections": cfg.maxConnections, "protocol": "h1", "tls": false,
 		"syncReplicas": cfg.syncReplicas,
 	})
+	e.publish()
+}
+
+// addRoute and dropRoute write a version with one route more or less.
+func (e *env) addRoute(r route) {
+	e.routes = append(e.routes, r)
+	e.publish()
+}
+
+func (e *env) dropRoute(host string) {
+	e.routes = slices.DeleteFunc(slices.Clone(e.routes), func(r route) bool { return r["host"] == host })
+	e.publish()
+}
+
+// publish writes the operators' configuration.
+func (e *env) publish() {
+	e.version += 3
 	e.store.put("op/config", map[string]any{
 		"configVersion": e.version, "routes": e.routes, "services": e.services,
 		"limits": map[string]any{"headerBytes": 16384, "bodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000, "txIdleMs": 3000},
--- a/review/rig/memory.go
+++ b/review/rig/memory.go
@@ -39,7 +39,7 @@
 	}
 	rows := strings.Repeat("ROW "+strings.Repeat("x", rowBytes)+"\r\n", largeRows)
 	g.mu.Lock()
-	g.rows = func(item string) string {
+	g.rows = func(_ *upstream, item string) string {
 		if e.trouble && strings.HasPrefix(item, "report") {
 			return rows
 		}
--- a/review/rig/upstream.go
+++ b/review/rig/upstream.go
@@ -31,6 +31,8 @@
 	work time.Duration
 	// inZone and crossRegion are the one-way delays of the network.
 	inZone, crossRegion time.Duration
+	// hideBeginPosition makes the position after BEGIN a hyphen.
+	hideBeginPosition bool
 	// promoteTime is the time from a promotion call until the upstream leads.
 	promoteTime time.Duration
 }
@@ -51,7 +53,7 @@
 	// onPromote is called with the old and the new log when an upstream takes over. The caller holds mu.
 	onPromote func(u *upstream, old, log []commit)
 	// rows returns the rows of a read; nil means one row with the item.
-	rows func(item string) string
+	rows func(u *upstream, item string) string
 	// onRun is called for each statement that an upstream runs.
 	onRun func(u *upstream, from, id, text string)
 }
@@ -370,7 +372,11 @@
 		if !ok {
 			return
 		}
-		if _, err := c.Write([]byte(out + "READY " + string(s.state) + " " + s.position() + "\r\n")); err != nil {
+		position := s.position()
+		if u.g.cfg.hideBeginPosition && strings.HasPrefix(parts[2], "BEGIN") {
+			position = "-"
+		}
+		if _, err := c.Write([]byte(out + "READY " + string(s.state) + " " + position + "\r\n")); err != nil {
 			return
 		}
 	}
@@ -495,7 +501,7 @@
 	switch word {
 	case "READ":
 		if g.rows != nil {
-			return g.rows(args) + signed, true
+			return g.rows(s.u, args) + signed, true
 		}
 		return "ROW " + args + "\r\n" + signed, true
 	case "WRITE":
