--- a/core/lead/hold.go
+++ b/core/lead/hold.go
@@ -23,6 +23,7 @@
 	catchUpDelay = 10 * time.Millisecond
 	// finishAttempts is how often the record of a promotion is written if the store doesn't answer.
 	finishAttempts = 20
+	// releaseTimeout limits giving a group back, also after this VM was told to stop.
 	releaseTimeout = 500 * time.Millisecond
 )
 
--- a/core/permit/peers.go
+++ b/core/permit/peers.go
@@ -106,7 +106,7 @@
 	var mu sync.Mutex
 	t := Tally{Members: 1, Held: 1}
 	silent := []core.VMID{}
-	answered := g.callAll(ctx, spreadTimeout+st.record.drain(), func(ctx context.Context, vm core.VM) {
+	g.callAll(ctx, spreadTimeout+st.record.drain(), func(ctx context.Context, vm core.VM) {
 		err := g.cfg.Call(ctx, vm.Control, recordMethod, req, &RecordAnswer{})
 		mu.Lock()
 		defer mu.Unlock()
@@ -117,7 +117,6 @@
 		}
 		t.Held++
 	})
-	<-answered
 	if st.record.Held {
 		g.revoke(id, st.version)
 	}
@@ -131,7 +130,7 @@
 func (g *Guard) Reachable(ctx context.Context, id core.UpstreamID) []core.VMID {
 	var mu sync.Mutex
 	var out []core.VMID
-	<-g.callAll(ctx, spreadTimeout, func(ctx context.Context, vm core.VM) {
+	g.callAll(ctx, spreadTimeout, func(ctx context.Context, vm core.VM) {
 		var ans ReachAnswer
 		if err := g.cfg.Call(ctx, vm.Control, reachMethod, &ReachRequest{Upstream: id}, &ans); err != nil || !ans.OK {
 			return
@@ -148,7 +147,7 @@
 	began := g.cfg.Now()
 	var mu sync.Mutex
 	votes, members := 1, 1
-	<-g.callAll(ctx, voteTimeout, func(ctx context.Context, vm core.VM) {
+	g.callAll(ctx, voteTimeout, func(ctx context.Context, vm core.VM) {
 		var ans VoteAnswer
 		err := g.cfg.Call(ctx, vm.Control, voteMethod, &VoteRequest{}, &ans)
 		for id, r := range ans.Records {
@@ -185,24 +184,18 @@
 	}
 }
 
-// callAll runs fn for each other VM at the same time, with a limit for each. The channel is closed when all have
-// returned.
-func (g *Guard) callAll(ctx context.Context, timeout time.Duration, fn func(ctx context.Context, vm core.VM)) <-chan struct{} {
-	ended := make(chan struct{})
-	var wg sync.WaitGroup
+// callAll runs fn for all other VMs at the same time, with a limit for each, and waits for the last one.
+func (g *Guard) callAll(ctx context.Context, timeout time.Duration, fn func(ctx context.Context, vm core.VM)) {
+	var calls sync.WaitGroup
 	for _, vm := range g.cfg.Members.Alive() {
 		if vm.ID == g.cfg.Self || vm.Control == "" {
 			continue
 		}
-		wg.Go(func() {
+		calls.Go(func() {
 			ctx, cancel := context.WithTimeout(ctx, timeout)
 			defer cancel()
 			fn(ctx, vm)
 		})
 	}
-	go func() {
-		wg.Wait()
-		close(ended)
-	}()
-	return ended
+	calls.Wait()
 }
--- a/core/proxy/cluster.go
+++ b/core/proxy/cluster.go
@@ -87,9 +87,7 @@
 
 // Probe implements lead.Cluster. It opens and ends a transaction, which takes no slot of the upstream.
 func (p *Proxy) Probe(ctx context.Context, id core.UpstreamID) (lead.ProbeResult, error) {
-	p.mu.Lock()
-	n, ok := p.nodes[id]
-	p.mu.Unlock()
+	n, ok := p.lookup(id)
 	if !ok {
 		return lead.ProbeResult{}, lead.ErrProbeNotSent
 	}
--- a/core/proxy/connect.go
+++ b/core/proxy/connect.go
@@ -161,9 +161,7 @@
 // RelayThrough implements lead.Cluster. Each VM uses maxLenders of the given ones, chosen by their hash, so that
 // the load is spread over them.
 func (p *Proxy) RelayThrough(id core.UpstreamID, vms []core.VMID) {
-	p.mu.Lock()
-	n, ok := p.nodes[id]
-	p.mu.Unlock()
+	n, ok := p.lookup(id)
 	if !ok {
 		return
 	}
--- a/core/proxy/fake_test.go
+++ b/core/proxy/fake_test.go
@@ -217,9 +217,7 @@
 
 // relayOrder returns the other VMs in the order in which this one asks them to relay.
 func (p *Proxy) relayOrder(id core.UpstreamID) []core.VM {
-	p.mu.Lock()
-	n := p.nodes[id]
-	p.mu.Unlock()
+	n, _ := p.lookup(id)
 	vms := place.Owners(n.info.Load().UpstreamInfo, p.cfg.Members.Alive(), len(p.cfg.Members.Alive()))
 	return slices.DeleteFunc(vms, func(vm core.VM) bool { return vm.ID == p.cfg.Self.ID })
 }
--- a/core/proxy/proxy.go
+++ b/core/proxy/proxy.go
@@ -209,9 +209,7 @@
 // ProvedAgo returns how long ago the upstream proved to this VM that it leads its group, or false if another one
 // did later or none ever did.
 func (p *Proxy) ProvedAgo(id core.UpstreamID) (time.Duration, bool) {
-	p.mu.Lock()
-	n, ok := p.nodes[id]
-	p.mu.Unlock()
+	n, ok := p.lookup(id)
 	if !ok {
 		return 0, false
 	}
@@ -240,12 +238,18 @@
 	return g
 }
 
+// lookup returns the upstream's node, or false if the upstream is unknown.
+func (p *Proxy) lookup(id core.UpstreamID) (*node, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n, ok := p.nodes[id]
+	return n, ok
+}
+
 // node returns the upstream's node and whether anything about it changed. Another incarnation, address
 // or path gets a new node, so that no state of the old one is used for it.
 func (p *Proxy) node(ctx context.Context, g *group, u topo.Upstream, via path) (*node, bool) {
-	p.mu.Lock()
-	n, ok := p.nodes[u.ID]
-	p.mu.Unlock()
+	n, ok := p.lookup(u.ID)
 	if ok {
 		old := n.info.Load()
 		if n.isSameIncarnation(&u) && n.path.equal(via) {
--- a/core/proxy/single.go
+++ b/core/proxy/single.go
@@ -60,7 +60,7 @@
 	}
 	if (w.write || t.strict) && !h.mayStart() {
 		h.free(false)
-		return Reply{Fault: core.FaultBusy, Text: "the primary is being replaced"}, retryOnChange
+		return Reply{Fault: core.FaultBusy, Text: textReplaced}, retryOnChange
 	}
 	requestedAt := s.sampleInstant(w, t)
 	c := h.handle.Value
@@ -76,7 +76,7 @@
 		t.node.noteLeads(requestedAt, ans.Position)
 		if !h.isCovered() {
 			h.rollbackAndFree(ans.Status, core.FaultNone)
-			return Reply{Fault: core.FaultBusy, Text: "the primary is being replaced"}, retryOnChange
+			return Reply{Fault: core.FaultBusy, Text: textReplaced}, retryOnChange
 		}
 		cmds = nil
 	}
@@ -239,7 +239,7 @@
 	n.noteAnswer(now, max(0, now.Sub(sent)-s.p.distance(n.info.Load())), ans.Position)
 	if ans.Fault == core.FaultNone {
 		if !isCovered {
-			return Reply{Fault: core.FaultInDoubt, Text: "another upstream may lead since"}, done
+			return Reply{Fault: core.FaultInDoubt, Text: textOtherMayLead}, done
 		}
 		if w.write {
 			s.noteCommit(ans.Position)
--- a/core/proxy/stepdown.go
+++ b/core/proxy/stepdown.go
@@ -21,9 +21,7 @@
 
 // StepDown implements lead.Cluster.
 func (p *Proxy) StepDown(ctx context.Context, id core.UpstreamID) error {
-	p.mu.Lock()
-	n, ok := p.nodes[id]
-	p.mu.Unlock()
+	n, ok := p.lookup(id)
 	deadline, hasDeadline := ctx.Deadline()
 	if !ok || !hasDeadline {
 		return lead.ErrProbeNotSent
--- a/core/proxy/tx.go
+++ b/core/proxy/tx.go
@@ -124,7 +124,7 @@
 	}
 	if t.strict && !h.mayStart() {
 		h.free(false)
-		return &Reply{Fault: core.FaultBusy, Text: "the primary is being replaced"}
+		return &Reply{Fault: core.FaultBusy, Text: textReplaced}
 	}
 	requestedAt := s.p.cfg.Now()
 	cmds := h.handle.Value.setUpCommands(s, nil)
@@ -153,7 +153,7 @@
 		t.node.noteLeads(requestedAt, ans.Position)
 		if !h.isCovered() {
 			h.rollbackAndFree(ans.Status, core.FaultNone)
-			return &Reply{Fault: core.FaultBusy, Text: "the primary is being replaced"}
+			return &Reply{Fault: core.FaultBusy, Text: textReplaced}
 		}
 	}
 	s.tx.held = h
@@ -166,7 +166,7 @@
 	h := s.tx.held
 	commitsWrites := w.st.Verb == VerbCommit && s.tx.wrote
 	if commitsWrites && !h.isCovered() {
-		return Reply{Fault: core.FaultAborted, Text: "the primary is being replaced"}, false
+		return Reply{Fault: core.FaultAborted, Text: textReplaced}, false
 	}
 	c := h.handle.Value
 	cmds := append(c.setUpCommands(s, w.prepared), w.command(core.Position{}))
@@ -197,7 +197,7 @@
 	}
 	if w.st.Verb == VerbCommit {
 		if commitsWrites && !h.isCovered() {
-			reply = Reply{Fault: core.FaultInDoubt, Text: "another upstream may lead since"}
+			reply = Reply{Fault: core.FaultInDoubt, Text: textOtherMayLead}
 		} else if commitsWrites {
 			s.noteCommit(ans.Position)
 		}
--- a/core/proxy/work.go
+++ b/core/proxy/work.go
@@ -33,6 +33,12 @@
 	rollbackTimeout = time.Second
 )
 
+// Reasons of faults that callers get because of the group's permit.
+const (
+	textReplaced     = "the primary is being replaced"
+	textOtherMayLead = "another upstream may lead since"
+)
+
 // work is the execution of one statement.
 type work struct {
 	st    *Statement
