Promote the replica that has received the most, not applied the most

Callers lost commits that had been answered (LOST): with syncReplicas 1, the replica that had received everything but applied it late was passed over after a crash, and one that had received nothing for 1.5 s was promoted.

Cause: a probe took the position of READY for the end of a replica's log. It is what the replica has applied; the position received is only in the row of STATUS. And syncReplicas wasn't decoded, so that a replica which didn't answer was left out once half of the group had answered, although it may be the only one with the last acknowledged commits.

Ruled out: a probe before the crash, and a wrong order of positions.

Change: candidates are asked with STATUS as well, also through relays, and compared by what they have received. The choice is a function of its own.

The stand-in applies and receives commits at two different times now, so that a promotion keeps what was received, as PROTOCOL.md says.

--- a/core/lead/detect.go
+++ b/core/lead/detect.go
@@ -62,8 +62,12 @@
 	HoldAge              time.Duration
 	// IsPromoted is set if the primary must be the upstream that was promoted last.
 	IsPromoted bool
+	// Draining are the replicas that are about to be removed. They receive commits until they end.
+	Draining []core.UpstreamID
 	// Members is the number of upstreams in the group, leaving ones included.
 	Members int
+	// SyncReplicas is the number of replicas that must have received a commit before it is acknowledged.
+	SyncReplicas int
 }
 
 // Detector decides when the primary of one group is probed and replaced. It is not safe for
--- a/core/lead/driver.go
+++ b/core/lead/driver.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/go-kit/log"
@@ -49,6 +51,8 @@
 	// Probe asks the upstream whether it is the primary and for the end of its log. It returns
 	// ErrProbeNotSent if there was no connection; any other error means that the upstream didn't answer.
 	Probe(ctx context.Context, id core.UpstreamID) (ProbeResult, error)
+	// Inspect is Probe, but also asks a replica what it has received, for which the replica needs a free slot.
+	Inspect(ctx context.Context, id core.UpstreamID) (ProbeResult, error)
 	// StepDown makes a primary a replica, through another VM if necessary. It returns nil once the upstream has
 	// refused to act as a primary.
 	StepDown(ctx context.Context, id core.UpstreamID) error
@@ -56,14 +60,6 @@
 	RelayThrough(id core.UpstreamID, vms []core.VMID)
 }
 
-// ProbeResult is an upstream's answer to a probe.
-type ProbeResult struct {
-	// Leads is set if the upstream is the primary.
-	Leads bool
-	// Log is the end of the upstream's log.
-	Log core.Position
-}
-
 // ErrProbeNotSent means that there was no connection for a probe, so that nothing is known about the
 // upstream.
 var ErrProbeNotSent = errors.New("no connection for the probe")
@@ -104,7 +100,6 @@
 }
 
 var (
-	errMinority        = errors.New("most of the group doesn't answer")
 	errAlreadyReplaced = errors.New("the store names another primary")
 	errLeaseHeld       = errors.New("another VM holds the group's lease")
 )
@@ -211,7 +206,7 @@
 			case err == nil:
 				st.detector.failures = 0
 				st.minoritySince = time.Time{}
-			case errors.Is(err, errMinority) && st.minoritySince.IsZero():
+			case (errors.Is(err, errMinority) || errors.Is(err, errReceivers)) && st.minoritySince.IsZero():
 				st.minoritySince = time.Now()
 			}
 		}
@@ -264,7 +259,7 @@
 			return held, err
 		}
 	}
-	level.Info(d.cfg.Log).Log("Msg", "promoting", "Group", g.ID, "Upstream", target, "Position", best.Log, "Old", g.Primary, "Reason", req.reason, "Token", held.token)
+	level.Info(d.cfg.Log).Log("Msg", "promoting", "Group", g.ID, "Upstream", target, "Position", best.End(), "Applied", best.Log, "Old", g.Primary, "Reason", req.reason, "Token", held.token)
 	if err := d.promote(ctx, g.ID, target, &held); err != nil {
 		if errors.Is(err, core.ErrFenced) {
 			d.release(ctx, held)
@@ -284,7 +279,8 @@
 // replaced the primary and this VM has not read that from the store yet. The result takes effect
 // through Cluster.Probe, which records answers for the routing of statements.
 func (d *Driver) findLeader(ctx context.Context, g Group) {
-	if target, best, err := d.selectCandidate(ctx, g, true); err == nil && best.Leads {
+	target, best, err := choose(g, ask(ctx, g.Replicas, d.cfg.Cluster.Probe), true)
+	if err == nil && best.Leads {
 		level.Info(d.cfg.Log).Log("Msg", "another upstream leads", "Group", g.ID, "Upstream", target, "Position", best.Log, "Old", g.Primary)
 	}
 }
@@ -339,46 +335,36 @@
 	}
 }
 
-// selectCandidate probes the replicas and returns the one that is the primary, or else the one with the
-// newest log among those that answer. It returns errMinority if at most half of the group answers,
-// unless allowMinority is set. A leaving primary counts as answering.
+// selectCandidate inspects the replicas and chooses one of them. Where commits wait for replicas, a draining one may be
+// the only one that has received the last of them.
 func (d *Driver) selectCandidate(ctx context.Context, g Group, allowMinority bool) (core.UpstreamID, ProbeResult, error) {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	type result struct {
-		index int
-		probe ProbeResult
-		err   error
+	ids := g.Replicas
+	if g.SyncReplicas > 0 {
+		ids = append(slices.Clone(ids), g.Draining...)
 	}
-	results := make(chan result, len(g.Replicas))
-	for i, id := range g.Replicas {
-		go func() {
-			probe, err := d.cfg.Cluster.Probe(ctx, id)
-			results <- result{i, probe, err}
-		}()
+	answers := ask(ctx, ids, d.cfg.Cluster.Inspect)
+	for i := range answers {
+		answers[i].isDraining = i >= len(g.Replicas)
 	}
-	bestIndex, answers := -1, 0
-	if g.Leaving {
-		answers++
-	}
-	var best ProbeResult
-	for range g.Replicas {
-		r := <-results
-		if r.err != nil || best.Leads {
-			continue
-		}
-		answers++
-		if bestIndex < 0 || r.probe.Leads || best.Log.Less(r.probe.Log) || (best.Log == r.probe.Log && r.index < bestIndex) {
-			bestIndex, best = r.index, r.probe
-		}
-	}
-	if bestIndex < 0 {
-		return "", best, errors.New("no replica answered a probe")
-	}
-	if !allowMinority && !best.Leads && 2*answers <= g.Members {
-		return "", best, errMinority
+	return choose(g, answers, allowMinority)
+}
+
+// ask calls fn for all upstreams at the same time and returns the results in their order.
+func ask(
+	ctx context.Context, ids []core.UpstreamID, fn func(context.Context, core.UpstreamID) (ProbeResult, error),
+) []answer {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	answers := make([]answer, len(ids))
+	var calls sync.WaitGroup
+	for i, id := range ids {
+		calls.Go(func() {
+			probe, err := fn(ctx, id)
+			answers[i] = answer{id: id, probe: probe, err: err}
+		})
 	}
-	return g.Replicas[bestIndex], best, nil
+	calls.Wait()
+	return answers
 }
 
 // promote asks the platform to promote the target. The call is repeated with the same token and target
--- a/core/lead/driver_test.go
+++ b/core/lead/driver_test.go
@@ -21,6 +21,8 @@
 	view, stored Group
 	probes       map[core.UpstreamID]ProbeResult
 	unresponsive map[core.UpstreamID]bool
+	// hidesReceived holds the upstreams that don't tell what they have received.
+	hidesReceived map[core.UpstreamID]bool
 	// storeDown makes calls to the store fail; leaseHeld makes another VM hold the lease.
 	storeDown, leaseHeld bool
 	// getDelay is the duration of a read of the lease's key; grants counts granted leases.
@@ -85,6 +87,14 @@
 	return probe, nil
 }
 
+func (f *fakeCluster) Inspect(ctx context.Context, id core.UpstreamID) (ProbeResult, error) {
+	res, err := f.Probe(ctx, id)
+	if err == nil && !f.hidesReceived[id] {
+		res.IsReceivedKnown = true
+	}
+	return res, err
+}
+
 func (f *fakeCluster) StepDown(_ context.Context, id core.UpstreamID) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/core/line.go
+++ b/core/line.go
@@ -91,6 +91,8 @@
 	// OpStepDown makes a primary whose term is lower than Term a replica. It stands last, since VMs of older builds
 	// know the others by their numbers.
 	OpStepDown
+	// OpStatus asks for Answer.Received. It is the only command of its Send.
+	OpStatus
 )
 
 // Command is one statement for a LineConn.
@@ -128,8 +130,12 @@
 	// Signed is set if the upstream signed the answer, as it does for everything that it runs.
 	Signed bool
 	Status TxStatus
-	// Position is the end of the upstream's log after the command; zero if it was not reported.
+	// Position is the end of the upstream's log after the command; zero if it was not reported. On a replica it is
+	// what the replica has applied.
 	Position Position
+	// Received is the end of the log that the upstream has received, whether applied or not. It is only set in the
+	// answer to a successful OpStatus.
+	Received Position
 }
 
 // LineConn is a connection to an upstream that answers single-line statements in order. It is used
--- a/core/proxy/cluster.go
+++ b/core/proxy/cluster.go
@@ -18,6 +18,9 @@
 // them two thirds of the time of a probe, and is longer than a probe between regions takes.
 const probeRelayDelay = 100 * time.Millisecond
 
+// statusTimeout limits the wait for an upstream's answer about what it has received, for which it needs a free slot.
+const statusTimeout = 150 * time.Millisecond
+
 // State implements lead.Cluster.
 func (p *Proxy) State() []lead.Group {
 	now := time.Now()
@@ -38,6 +41,7 @@
 
 func (p *Proxy) state(now time.Time, g *group, nodes []*node) lead.Group {
 	st := lead.Group{ID: g.id, Members: len(nodes), IsMonitor: g.isMonitored.Load()}
+	st.SyncReplicas = p.cfg.Directory.Snapshot().Config.Groups[g.id].SyncReplicas
 	if g.permits != nil {
 		if hold, ok := g.permits.Hold(g.id); ok {
 			st.IsHeld, st.IsHeldBySelf, st.HoldAge = true, hold.Holder == p.cfg.Self.ID, p.cfg.Now().Sub(hold.Since)
@@ -58,9 +62,15 @@
 	}
 	var eligible []*node
 	for _, n := range nodes {
-		if u := n.info.Load(); u.ID != st.Primary && !u.Leaving {
-			eligible = append(eligible, n)
+		u := n.info.Load()
+		if u.ID == st.Primary {
+			continue
+		}
+		if u.Leaving {
+			st.Draining = append(st.Draining, u.ID)
+			continue
 		}
+		eligible = append(eligible, n)
 	}
 	slices.SortStableFunc(eligible, func(a, b *node) int { return cmp.Compare(p.distance(a.info.Load()), p.distance(b.info.Load())) })
 	for _, n := range eligible {
@@ -91,19 +101,41 @@
 	if !ok {
 		return lead.ProbeResult{}, lead.ErrProbeNotSent
 	}
-	deadline, ok := ctx.Deadline()
+	return n.probe(ctx, probeRequest{deadline: probeDeadline(ctx)})
+}
+
+// Inspect implements lead.Cluster.
+func (p *Proxy) Inspect(ctx context.Context, id core.UpstreamID) (lead.ProbeResult, error) {
+	n, ok := p.lookup(id)
 	if !ok {
-		deadline = time.Now().Add(dialTimeout)
+		return lead.ProbeResult{}, lead.ErrProbeNotSent
 	}
-	return n.probe(ctx, deadline)
+	return n.probe(ctx, probeRequest{deadline: probeDeadline(ctx), withStatus: true})
+}
+
+func probeDeadline(ctx context.Context) time.Time {
+	if deadline, ok := ctx.Deadline(); ok {
+		return deadline
+	}
+	return time.Now().Add(dialTimeout)
+}
+
+// probeRequest holds the parameters of a probe.
+type probeRequest struct {
+	// deadline is the time until which the upstream must have answered whether it leads.
+	deadline time.Time
+	// withStatus is set if a replica is also asked what it has received.
+	withStatus bool
 }
 
 // probe tries an idle connection, if there is one, for a third of the time. It then uses a new one, and
 // after probeRelayDelay or a failure also other VMs: this VM may be cut off from an upstream that works.
-func (n *node) probe(ctx context.Context, deadline time.Time) (lead.ProbeResult, error) {
+func (n *node) probe(ctx context.Context, req probeRequest) (lead.ProbeResult, error) {
 	first, _ := n.poolOrder()
 	if handle, ok := n.tryGet(first); ok {
-		if res, err := n.probeOn(handle, time.Now().Add(time.Until(deadline)/3)); err == nil {
+		short := req
+		short.deadline = time.Now().Add(time.Until(req.deadline) / 3)
+		if res, err := n.probeOn(handle, short); err == nil {
 			return res, nil
 		}
 	}
@@ -112,9 +144,9 @@
 		err error
 	}
 	results := make(chan result, 2)
-	start := func(how func(context.Context, time.Time) (lead.ProbeResult, error)) {
+	start := func(how func(context.Context, probeRequest) (lead.ProbeResult, error)) {
 		n.p.spawn(func() {
-			res, err := how(ctx, deadline)
+			res, err := how(ctx, req)
 			results <- result{res, err}
 		})
 	}
@@ -151,8 +183,8 @@
 	return isAtLimit(err) || errors.Is(err, errNoOwner) || errors.Is(err, pool.ErrClosed)
 }
 
-func (n *node) probeThroughPeers(ctx context.Context, deadline time.Time) (lead.ProbeResult, error) {
-	return n.probeFromPool(ctx, n.relayed, deadline)
+func (n *node) probeThroughPeers(ctx context.Context, req probeRequest) (lead.ProbeResult, error) {
+	return n.probeFromPool(ctx, n.relayed, req)
 }
 
 // probePooled probes on a pooled connection, waiting for one until the deadline.
@@ -161,36 +193,60 @@
 	if err != nil {
 		return lead.ProbeResult{}, err
 	}
-	return n.probeOn(handle, deadline)
+	return n.probeOn(handle, probeRequest{deadline: deadline})
 }
 
-func (n *node) probeFromPool(ctx context.Context, p *pool.Pool[*conn], deadline time.Time) (lead.ProbeResult, error) {
-	handle, err := n.getFrom(ctx, p, deadline)
+func (n *node) probeFromPool(ctx context.Context, p *pool.Pool[*conn], req probeRequest) (lead.ProbeResult, error) {
+	handle, err := n.getFrom(ctx, p, req.deadline)
 	if err != nil {
 		return lead.ProbeResult{}, err
 	}
-	return n.probeOn(handle, deadline)
+	return n.probeOn(handle, req)
 }
 
-func (n *node) probeOn(handle *pool.Handle[*conn], deadline time.Time) (lead.ProbeResult, error) {
+func (n *node) probeOn(handle *pool.Handle[*conn], req probeRequest) (lead.ProbeResult, error) {
 	h := &heldConn{node: n, handle: handle}
-	res, err := n.queryLeadership(h.handle.Value, deadline)
+	res, err := n.queryLeadership(h.handle.Value, req.deadline)
 	if err != nil {
 		n.noteFailure(h.handle.Value)
 		h.discard()
 		return res, err
 	}
+	if req.withStatus && !n.addReceived(h.handle.Value, &res) {
+		h.discard()
+		return res, nil
+	}
 	h.free(false)
 	return res, nil
 }
 
+// addReceived adds what the upstream has received to the result. It reports whether the connection can still be used:
+// an upstream without a free slot may answer later.
+func (n *node) addReceived(c *conn, res *lead.ProbeResult) bool {
+	if res.Leads {
+		res.Received, res.IsReceivedKnown = res.Log, true
+		return true
+	}
+	ans, err := roundTrip(c, []core.Command{{Op: core.OpStatus}}, time.Now().Add(statusTimeout))
+	if err != nil {
+		n.p.logDecision("upstream doesn't tell what it has received", "Upstream", n.id(), "Err", err)
+		return false
+	}
+	if ans.Fault != core.FaultNone || ans.Received.IsZero() {
+		n.p.logDecision("upstream doesn't tell what it has received", "Upstream", n.id(), "Fault", ans.Fault.String(), "Text", ans.Text)
+		return true
+	}
+	res.Received, res.IsReceivedKnown = ans.Received, true
+	return true
+}
+
 // probeDirectly probes on a new connection, since the upstream may no longer answer on pooled ones. At
 // the upstream's connection limit it uses a pooled one: busy replicas must be reachable before a
 // primary is replaced.
-func (n *node) probeDirectly(ctx context.Context, deadline time.Time) (lead.ProbeResult, error) {
+func (n *node) probeDirectly(ctx context.Context, req probeRequest) (lead.ProbeResult, error) {
 	lc, err := n.p.cfg.Dialer.Dial(ctx, n.info.Load().UpstreamInfo)
 	if isAtLimit(err) {
-		res, err := n.probeFromPool(ctx, n.direct, deadline)
+		res, err := n.probeFromPool(ctx, n.direct, req)
 		if err != nil {
 			return lead.ProbeResult{}, lead.ErrProbeNotSent
 		}
@@ -200,7 +256,12 @@
 		return lead.ProbeResult{}, err
 	}
 	defer func() { _ = lc.Close() }()
-	return n.queryLeadership(&conn{LineConn: lc}, deadline)
+	c := &conn{LineConn: lc}
+	res, err := n.queryLeadership(c, req.deadline)
+	if err == nil && req.withStatus {
+		_ = n.addReceived(c, &res)
+	}
+	return res, err
 }
 
 // queryLeadership opens and rolls back a transaction on the connection, which proves whether the
--- a/core/proxy/fake_test.go
+++ b/core/proxy/fake_test.go
@@ -28,6 +28,9 @@
 	// skipLeaderCheck makes the upstream accept a plain BEGIN although it doesn't lead.
 	skipLeaderCheck bool
 	log             core.Position
+	// received is what a replica has received, if it is more than its log. noSlot makes it refuse to tell.
+	received core.Position
+	noSlot   bool
 	// serviceTime is the run time of a statement.
 	serviceTime time.Duration
 	// A silent server doesn't answer; a broken one closes the connection after it ran the statement.
@@ -121,6 +124,12 @@
 		fc.status = core.TxFailed
 	}
 	ans := core.Answer{Fault: fault, Status: fc.status, Position: fc.s.log}
+	if c.Op == core.OpStatus && fault == core.FaultNone {
+		ans.Received = fc.s.log
+		if fc.s.log.Less(fc.s.received) {
+			ans.Received = fc.s.received
+		}
+	}
 	if fault == core.FaultNone && (c.Op == core.OpForward || c.Op == core.OpExecute) {
 		ans.Signed = true
 		ans.Body = []byte("COMPLETE " + string(fc.s.id) + "\r\n")
@@ -141,6 +150,10 @@
 		fc.status = core.TxOpen
 	case core.OpRollback:
 		fc.status = core.TxIdle
+	case core.OpStatus:
+		if fc.s.noSlot {
+			return core.FaultBusy
+		}
 	case core.OpReset:
 		fc.values, fc.prepared = map[string]string{}, map[string]string{}
 	case core.OpSet:
--- a/core/proxy/relay.go
+++ b/core/proxy/relay.go
@@ -85,8 +85,8 @@
 		r.beginRefused = false
 	case core.OpBegin, core.OpBeginRead:
 		return r.begin(ctx, cmd, deadline)
-	case core.OpStepDown:
-		return r.stepDown(ctx, cmd, deadline)
+	case core.OpStepDown, core.OpStatus:
+		return r.runInternal(ctx, cmd, deadline)
 	default:
 		if r.beginRefused {
 			return core.Answer{Fault: core.FaultMalformed, Text: "the transaction wasn't opened", Status: core.TxFailed}
@@ -137,8 +137,8 @@
 	return r.copyBody(ans)
 }
 
-// stepDown asks the upstream to stop leading, on a connection without a transaction.
-func (r *Relay) stepDown(ctx context.Context, cmd core.Command, deadline time.Time) core.Answer {
+// runInternal runs a statement that snipewall issues itself, on a connection without a transaction.
+func (r *Relay) runInternal(ctx context.Context, cmd core.Command, deadline time.Time) core.Answer {
 	r.rollback()
 	handle, err := r.n.getDirect(ctx, deadline)
 	if err != nil {
--- a/core/proxy/stepdown.go
+++ b/core/proxy/stepdown.go
@@ -61,7 +61,7 @@
 		h.freeAfter(ans.Fault)
 		return core.ErrUpstream.New("step down: %s", ans.Fault)
 	}
-	res, err := n.probeOn(handle, deadline)
+	res, err := n.probeOn(handle, probeRequest{deadline: deadline})
 	if err != nil {
 		return err
 	}
--- a/core/topo/topo.go
+++ b/core/topo/topo.go
@@ -58,6 +58,8 @@
 	ID core.GroupID
 	// Connections is the connection limit of each upstream, shared by all entry VMs.
 	Connections int
+	// SyncReplicas is the number of replicas that must have received a commit before its upstream acknowledges it.
+	SyncReplicas int
 }
 
 // Config is one version of the operators' configuration.
