Close the log of the old primary before a promotion where commits wait

Callers lost commits that had been answered, at a planned release (LOST): with syncReplicas 1, a commit answered 4 ms before the new primary took over was gone.

Cause: the candidate was chosen from one look, and the promotion was sent while all VMs went on writing to the leaving primary, for the 300 ms until it takes effect. A commit is acknowledged once any replica has received it; the promoted one may be a network delay behind that.

Ruled out: the choice of the replica (each one in another zone is behind the fastest at some moment) and a late call.

Change: all VMs pause the group first (permit.Pauses), or the primary steps down if a VM doesn't acknowledge; a candidate that has received the closed log is promoted; the pause ends once the new primary reports itself. While no replica has caught up, or the platform refuses promotions, the leaving primary serves on. Sibling: a failover for a silent primary asks for both as well. The log of a primary can't grow after that, so that the promoted replica lacks nothing.

--- a/core/lead/candidate.go
+++ b/core/lead/candidate.go
@@ -43,8 +43,8 @@
 
 // choose returns the upstream that is the primary, or else the one whose promotion keeps the most of the log. Of
 // several, it prefers one that stays, then the first. It returns an error if an upstream that didn't answer may hold
-// acknowledged commits, unless allowMinority is set.
-func choose(g Group, answers []answer, allowMinority bool) (core.UpstreamID, ProbeResult, error) {
+// acknowledged commits, unless the request allows that.
+func choose(g Group, answers []answer, req failoverRequest) (core.UpstreamID, ProbeResult, error) {
 	var best *answer
 	answered, known := 0, 0
 	if g.Leaving {
@@ -70,10 +70,9 @@
 	switch {
 	case best == nil:
 		return "", ProbeResult{}, errNoReplica
-	case allowMinority:
-	case 2*answered <= g.Members:
+	case !req.allowMinority && 2*answered <= g.Members:
 		return "", best.probe, errMinority
-	case !g.canMiss(len(answers) - known):
+	case !req.allowMissing && !g.canMiss(len(answers)-known):
 		return "", best.probe, errReceivers
 	}
 	return best.id, best.probe, nil
--- a/core/lead/candidate_test.go
+++ b/core/lead/candidate_test.go
@@ -22,14 +22,14 @@
 	g := Group{Members: 3}
 	late, deaf := answer{id: "late", probe: received(10, 100)}, answer{id: "deaf", probe: received(50, 50)}
 	for _, answers := range [][]answer{{late, deaf}, {deaf, late}} {
-		target, best, err := choose(g, answers, false)
+		target, best, err := choose(g, answers, failoverRequest{})
 		assert.NilError(t, err)
 		assert.Equal(t, target, core.UpstreamID("late"))
 		assert.Equal(t, best.End(), core.Position{Term: 1, Offset: 100})
 	}
 	// A replica whose received log is unknown has at least what it has applied.
 	busy := answer{id: "busy", probe: ProbeResult{Log: core.Position{Term: 1, Offset: 101}}}
-	target, _, err := choose(g, []answer{late, busy}, false)
+	target, _, err := choose(g, []answer{late, busy}, failoverRequest{})
 	assert.NilError(t, err)
 	assert.Equal(t, target, core.UpstreamID("busy"))
 }
@@ -41,24 +41,24 @@
 	d := answer{id: "d", probe: received(3, 3)}
 	busy := answer{id: "c", probe: ProbeResult{Log: core.Position{Term: 1, Offset: 4}}}
 	for _, tt := range []struct {
-		name          string
-		g             Group
-		answers       []answer
-		allowMinority bool
-		want          core.UpstreamID
-		err           error
+		name    string
+		g       Group
+		answers []answer
+		req     failoverRequest
+		want    core.UpstreamID
+		err     error
 	}{
-		{"asynchronous", Group{Members: 5}, []answer{a, b, c, d}, false, "b", nil},
-		{"one replica silent", Group{Members: 5, SyncReplicas: 1}, []answer{a, b, c, d}, false, "", errReceivers},
-		{"one replica busy", Group{Members: 5, SyncReplicas: 1}, []answer{a, b, busy, d}, false, "", errReceivers},
-		{"silent for too long", Group{Members: 5, SyncReplicas: 1}, []answer{a, b, c, d}, true, "b", nil},
-		{"two receivers", Group{Members: 5, SyncReplicas: 2}, []answer{a, b, c, d}, false, "b", nil},
-		{"the primary tells the end", Group{Members: 5, SyncReplicas: 1, Leaving: true}, []answer{a, b, c, d}, false, "b", nil},
-		{"minority", Group{Members: 5}, []answer{a, c}, false, "", errMinority},
-		{"none", Group{Members: 5}, []answer{c}, true, "", errNoReplica},
+		{"asynchronous", Group{Members: 5}, []answer{a, b, c, d}, failoverRequest{}, "b", nil},
+		{"one replica silent", Group{Members: 5, SyncReplicas: 1}, []answer{a, b, c, d}, failoverRequest{}, "", errReceivers},
+		{"one replica busy", Group{Members: 5, SyncReplicas: 1}, []answer{a, b, busy, d}, failoverRequest{}, "", errReceivers},
+		{"silent for too long", Group{Members: 5, SyncReplicas: 1}, []answer{a, b, c, d}, failoverRequest{allowMissing: true}, "b", nil},
+		{"two receivers", Group{Members: 5, SyncReplicas: 2}, []answer{a, b, c, d}, failoverRequest{}, "b", nil},
+		{"the primary tells the end", Group{Members: 5, SyncReplicas: 1, Leaving: true}, []answer{a, b, c, d}, failoverRequest{}, "b", nil},
+		{"minority", Group{Members: 5}, []answer{a, c}, failoverRequest{}, "", errMinority},
+		{"none", Group{Members: 5}, []answer{c}, failoverRequest{allowMinority: true, allowMissing: true}, "", errNoReplica},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
-			target, _, err := choose(tt.g, tt.answers, tt.allowMinority)
+			target, _, err := choose(tt.g, tt.answers, tt.req)
 			assert.Assert(t, errors.Is(err, tt.err), "%v", err)
 			assert.Equal(t, target, tt.want)
 		})
@@ -70,10 +70,10 @@
 func TestChooseDrainingReplica(t *testing.T) {
 	g := Group{Members: 3, SyncReplicas: 1}
 	draining := answer{id: "draining", probe: received(7, 7), isDraining: true}
-	target, _, err := choose(g, []answer{{id: "stays", probe: received(6, 6)}, draining}, false)
+	target, _, err := choose(g, []answer{{id: "stays", probe: received(6, 6)}, draining}, failoverRequest{})
 	assert.NilError(t, err)
 	assert.Equal(t, target, core.UpstreamID("draining"))
-	target, _, err = choose(g, []answer{draining, {id: "stays", probe: received(6, 7)}}, false)
+	target, _, err = choose(g, []answer{draining, {id: "stays", probe: received(6, 7)}}, failoverRequest{})
 	assert.NilError(t, err)
 	assert.Equal(t, target, core.UpstreamID("stays"))
 }
--- a/core/lead/driver.go
+++ b/core/lead/driver.go
@@ -26,8 +26,10 @@
 	leaseMargin = time.Second
 	// promoteAttempts is how many times a promotion is sent while no answer arrives.
 	promoteAttempts = 3
-	// reportTimeout is how long the new primary may take to report itself.
-	reportTimeout = 2 * time.Second
+	// reportTimeout is how long the new primary may take to report itself, reportInterval the time between two looks.
+	// While the group is paused, its callers wait that much longer.
+	reportTimeout  = 2 * time.Second
+	reportInterval = 20 * time.Millisecond
 	// The delay between failover attempts is random between minRetryDelay and maxRetryDelay, so that
 	// entry VMs don't keep alternating.
 	minRetryDelay = 300 * time.Millisecond
@@ -36,6 +38,9 @@
 	// Without a majority, an upstream that lacks the last commits could be promoted. After this time,
 	// a group without a primary does more harm than that.
 	majorityTimeout = 4 * time.Second
+	// receiverTimeout is how long a failover is put off while a replica that may hold acknowledged commits doesn't
+	// answer. The entry of a replica that has failed is gone before.
+	receiverTimeout = 8 * time.Second
 	// leavingJitter spreads the attempts of the entry VMs that see the same primary leave.
 	leavingJitter = 150 * time.Millisecond
 	// keyPrefix is the prefix of the leases' keys; the group's id follows.
@@ -71,8 +76,10 @@
 	Promoter core.Promoter
 	// Permits are needed where a promotion doesn't stop the old primary; nil means that it does.
 	Permits Permits
-	Self    core.VMID
-	Log     log.Logger
+	// Pauser is needed where it does and commits may wait for replicas.
+	Pauser Pauser
+	Self   core.VMID
+	Log    log.Logger
 	// StartedAt is when this VM started, if all other VMs may have started at the same time; zero
 	// otherwise.
 	StartedAt time.Time
@@ -191,7 +198,10 @@
 func (d *Driver) startFailover(ctx context.Context, st *groupState, g Group) {
 	st.inProgress = true
 	req := failoverRequest{reason: st.detector.reason, held: st.lease}
-	req.allowMinority = !st.minoritySince.IsZero() && time.Since(st.minoritySince) > majorityTimeout
+	if !st.minoritySince.IsZero() {
+		req.allowMinority = time.Since(st.minoritySince) > majorityTimeout
+		req.allowMissing = time.Since(st.minoritySince) > receiverTimeout
+	}
 	reason := req.reason
 	d.runAsync(func() func() {
 		kept, err := d.failOver(ctx, g, req)
@@ -218,8 +228,9 @@
 	reason string
 	// held is the lease left from the previous attempt.
 	held lease
-	// allowMinority allows a failover while only a minority of the group answers.
-	allowMinority bool
+	// allowMinority allows a failover while only a minority of the group answers, allowMissing one while a replica
+	// that may hold acknowledged commits doesn't.
+	allowMinority, allowMissing bool
 }
 
 // failOver promotes the best candidate and returns the lease that this VM still holds.
@@ -245,9 +256,14 @@
 	if err != nil {
 		return held, err
 	}
-	target, best, err := d.selectCandidate(ctx, g, req.allowMinority)
-	if err == nil && d.cfg.Permits != nil {
+	target, best, err := d.selectCandidate(ctx, g, req)
+	switch {
+	case err != nil || (best.Leads && d.cfg.Permits == nil):
+	case d.cfg.Permits != nil:
 		target, best, err = d.prepareHeld(ctx, g, target, best, req, &held)
+	case g.SyncReplicas > 0:
+		defer d.resume(ctx, g.ID)
+		target, best, err = d.prepareClosed(ctx, g, req)
 	}
 	if err != nil || best.Leads {
 		return held, err
@@ -260,13 +276,18 @@
 		}
 	}
 	level.Info(d.cfg.Log).Log("Msg", "promoting", "Group", g.ID, "Upstream", target, "Position", best.End(), "Applied", best.Log, "Old", g.Primary, "Reason", req.reason, "Token", held.token)
-	if err := d.promote(ctx, g.ID, target, &held); err != nil {
+	if err := d.promote(ctx, g, target, &held); err != nil {
 		if errors.Is(err, core.ErrFenced) {
 			d.release(ctx, held)
 			held = lease{}
 		}
 		return held, err
 	}
+	if d.closesLog(g) {
+		// A VM that has just started may not know of the pause. The new primary receives what is committed until here
+		// before it takes over.
+		d.stepDown(ctx, g)
+	}
 	d.finish(ctx, g, target)
 	if err := d.waitForPrimary(ctx, g.ID, target); err != nil {
 		return held, err
@@ -279,7 +300,7 @@
 // replaced the primary and this VM has not read that from the store yet. The result takes effect
 // through Cluster.Probe, which records answers for the routing of statements.
 func (d *Driver) findLeader(ctx context.Context, g Group) {
-	target, best, err := choose(g, ask(ctx, g.Replicas, d.cfg.Cluster.Probe), true)
+	target, best, err := choose(g, ask(ctx, g.Replicas, d.cfg.Cluster.Probe), failoverRequest{allowMinority: true, allowMissing: true})
 	if err == nil && best.Leads {
 		level.Info(d.cfg.Log).Log("Msg", "another upstream leads", "Group", g.ID, "Upstream", target, "Position", best.Log, "Old", g.Primary)
 	}
@@ -337,7 +358,7 @@
 
 // selectCandidate inspects the replicas and chooses one of them. Where commits wait for replicas, a draining one may be
 // the only one that has received the last of them.
-func (d *Driver) selectCandidate(ctx context.Context, g Group, allowMinority bool) (core.UpstreamID, ProbeResult, error) {
+func (d *Driver) selectCandidate(ctx context.Context, g Group, req failoverRequest) (core.UpstreamID, ProbeResult, error) {
 	ids := g.Replicas
 	if g.SyncReplicas > 0 {
 		ids = append(slices.Clone(ids), g.Draining...)
@@ -346,7 +367,7 @@
 	for i := range answers {
 		answers[i].isDraining = i >= len(g.Replicas)
 	}
-	return choose(g, answers, allowMinority)
+	return choose(g, answers, req)
 }
 
 // ask calls fn for all upstreams at the same time and returns the results in their order.
@@ -369,16 +390,20 @@
 
 // promote asks the platform to promote the target. The call is repeated with the same token and target
 // while there is no answer and the lease is certainly valid.
-func (d *Driver) promote(ctx context.Context, id core.GroupID, target core.UpstreamID, held *lease) error {
+func (d *Driver) promote(ctx context.Context, g Group, target core.UpstreamID, held *lease) error {
 	var err error
 	for range promoteAttempts {
 		if held.expiresAt.Sub(d.cfg.Now()) <= leaseMargin {
 			return errors.New("the lease may have expired")
 		}
-		err = d.cfg.Promoter.Promote(ctx, id, target, d.cfg.Self, held.token)
+		err = d.cfg.Promoter.Promote(ctx, g.ID, target, d.cfg.Self, held.token)
 		if err == nil || errors.Is(err, core.ErrFenced) {
 			return err
 		}
+		if d.closesLog(g) && !errors.Is(err, core.ErrNotExecuted) {
+			// The call may be executed after the pause has ended.
+			d.stepDown(ctx, g)
+		}
 		held.unansweredTarget = target
 		sleep(ctx, checkInterval)
 	}
@@ -394,7 +419,7 @@
 				return nil
 			}
 		}
-		sleep(ctx, checkInterval)
+		sleep(ctx, reportInterval)
 	}
 	return errors.New("the new primary did not report itself within 2 s")
 }
--- a/core/lead/driver_test.go
+++ b/core/lead/driver_test.go
@@ -45,6 +45,13 @@
 	onProbe, onPromote  func()
 	leaseAt, promotedAt time.Time
 	released            int
+	// inspect, if not nil, replaces the result of Inspect. refusesStepDown makes StepDown fail, silentVM makes a VM
+	// not acknowledge pauses, and promotionsDown makes all promotions fail.
+	inspect                                   func(id core.UpstreamID) ProbeResult
+	refusesStepDown, silentVM, promotionsDown bool
+	// pauses counts the pauses, paused is set during one.
+	pauses int
+	paused bool
 }
 
 type promotion struct {
@@ -89,6 +96,9 @@
 
 func (f *fakeCluster) Inspect(ctx context.Context, id core.UpstreamID) (ProbeResult, error) {
 	res, err := f.Probe(ctx, id)
+	if err == nil && f.inspect != nil {
+		return f.inspect(id), nil
+	}
 	if err == nil && !f.hidesReceived[id] {
 		res.IsReceivedKnown = true
 	}
@@ -98,7 +108,7 @@
 func (f *fakeCluster) StepDown(_ context.Context, id core.UpstreamID) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.unresponsive[id] {
+	if f.unresponsive[id] || f.refusesStepDown {
 		return errDown
 	}
 	f.steppedDown = append(f.steppedDown, id)
@@ -106,6 +116,20 @@
 	return nil
 }
 
+func (f *fakeCluster) Pause(context.Context, core.GroupID, bool) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.pauses++
+	f.paused = true
+	return !f.silentVM
+}
+
+func (f *fakeCluster) Resume(context.Context, core.GroupID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.paused = false
+}
+
 func (f *fakeCluster) RelayThrough(_ core.UpstreamID, vms []core.VMID) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -115,6 +139,9 @@
 func (f *fakeCluster) Promote(_ context.Context, _ core.GroupID, id core.UpstreamID, _ core.VMID, token core.Version) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.promotionsDown {
+		return core.ErrNotExecuted
+	}
 	f.promotions = append(f.promotions, promotion{id, token})
 	if f.onPromote != nil {
 		f.onPromote()
@@ -123,6 +150,9 @@
 		f.unansweredCalls--
 		return errors.New("no answer")
 	}
+	if id == f.view.Primary {
+		return nil
+	}
 	f.promotedAt = time.Now()
 	f.setPrimary(id)
 	return nil
@@ -206,7 +236,7 @@
 	defer cancel()
 	start := time.Now()
 	driver := New(Config{
-		Cluster: f, Store: f, Promoter: f, Permits: f.permits, Self: "vm", Log: log.NewNopLogger(), StartedAt: f.startedAt,
+		Cluster: f, Store: f, Promoter: f, Permits: f.permits, Pauser: f, Self: "vm", Log: log.NewNopLogger(), StartedAt: f.startedAt,
 		Now: func() core.Instant { return core.Instant(time.Since(start)) + core.Instant(time.Hour) },
 	})
 	assert.NilError(t, driver.Run(ctx))
--- a/core/lead/hold.go
+++ b/core/lead/hold.go
@@ -250,7 +250,7 @@
 		}
 	}
 	for until := time.Now().Add(catchUpTime); ; sleep(ctx, catchUpDelay) {
-		target, best, err := d.selectCandidate(ctx, g, req.allowMinority)
+		target, best, err := d.selectCandidate(ctx, g, req)
 		if err != nil || best.Leads || !best.End().Less(end) || time.Now().After(until) || ctx.Err() != nil {
 			return target, best, err
 		}
--- a/core/line.go
+++ b/core/line.go
@@ -175,6 +175,7 @@
 // Promoter asks the platform to make an upstream the primary of its group.
 type Promoter interface {
 	// Promote returns ErrFenced if the platform refused the call because it has seen a higher fencing
-	// token or the upstream isn't running. After any other error the call may still take effect.
+	// token or the upstream isn't running, and ErrNotExecuted if it is overloaded or down. After any other error the
+	// call may still take effect.
 	Promote(ctx context.Context, group GroupID, id UpstreamID, holder VMID, token Version) error
 }
--- a/core/proxy/stepdown.go
+++ b/core/proxy/stepdown.go
@@ -19,6 +19,14 @@
 
 var errStillLeads = errors.New("the upstream still leads")
 
+// stepDownError reports that the upstream refused to step down.
+type stepDownError struct{ fault core.Fault }
+
+func (e *stepDownError) Error() string { return "step down: " + e.fault.String() }
+
+// isFinal reports whether another attempt is useless: the upstream doesn't know the statement.
+func (e *stepDownError) isFinal() bool { return e.fault == core.FaultMalformed }
+
 // StepDown implements lead.Cluster.
 func (p *Proxy) StepDown(ctx context.Context, id core.UpstreamID) error {
 	n, ok := p.lookup(id)
@@ -31,6 +39,10 @@
 		if err = n.stepDown(ctx, deadline, core.Term(1)<<try); err == nil {
 			return nil
 		}
+		var refused *stepDownError
+		if errors.As(err, &refused) && refused.isFinal() {
+			return err
+		}
 		timer := time.NewTimer(stepDownDelay)
 		select {
 		case <-ctx.Done():
@@ -59,7 +71,7 @@
 	}
 	if ans.Fault != core.FaultNone {
 		h.freeAfter(ans.Fault)
-		return core.ErrUpstream.New("step down: %s", ans.Fault)
+		return &stepDownError{ans.Fault}
 	}
 	res, err := n.probeOn(handle, probeRequest{deadline: deadline})
 	if err != nil {
--- a/core/watch.go
+++ b/core/watch.go
@@ -12,6 +12,8 @@
 	// ErrFenced means that the platform refused a call because of its fencing token or the state of
 	// its target.
 	ErrFenced = errors.New("fenced")
+	// ErrNotExecuted means that the platform answered that it has not executed a call, and won't.
+	ErrNotExecuted = errors.New("not executed")
 )
 
 // WatchMargin is how long after the wait time of a watch the store must have begun to answer: about three
