Name prepared statements on upstream connections by a hash of their text

Callers got rows of a shape that they never prepared (PINNED): one prepares acct, another one acct READ audit, on the same database.

Cause: the name on the shared connection was the text of the shape, and a blank in it ends the name, so that the second PREPARE replaced the first one's statement, while the connection's record still said that it is there. Ruled out: names of different sessions, and the replay of values.

Change: the name is a hash of the text. A relay derives it anew, so that no name of another build reaches an upstream.

--- a/core/proxy/conn.go
+++ b/core/proxy/conn.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"time"
 
 	"snipewall/core"
@@ -24,15 +26,23 @@
 type preparedStmt struct {
 	write bool
 	text  string
+	// name is the name of the prepared statement on upstream connections.
+	name string
 }
 
-// name is the name of the prepared statement on upstream connections. It depends only on the text and
-// on whether it writes, so that all callers share it.
-func (ps preparedStmt) name() string {
-	if ps.write {
-		return "w_" + ps.text
+// nameBytes is the number of bytes of the hash in a name. Equal names of different texts are out of the question, also
+// if a caller looks for them.
+const nameBytes = 16
+
+// newPreparedStmt returns a prepared statement. Its name depends only on the text and on whether it writes, so that all
+// callers share it. It is a hash, since a text may contain what ends a name in a message.
+func newPreparedStmt(write bool, text string) preparedStmt {
+	prefix := "r_"
+	if write {
+		prefix = "w_"
 	}
-	return "r_" + ps.text
+	sum := sha256.Sum256([]byte(text))
+	return preparedStmt{write: write, text: text, name: prefix + hex.EncodeToString(sum[:nameBytes])}
 }
 
 // setUpCommands returns the commands that give the connection the session's values and, unless ps is
@@ -50,12 +60,12 @@
 		}
 		c.valueKey, c.stateUnknown = s.valueKey, false
 	}
-	if ps == nil || c.prepared[ps.name()] {
+	if ps == nil || c.prepared[ps.name] {
 		return cmds
 	}
 	if c.prepared == nil {
 		c.prepared = make(map[string]bool)
 	}
-	c.prepared[ps.name()] = true
-	return append(cmds, core.Command{Op: core.OpPrepare, Name: ps.name(), Text: ps.text, Write: ps.write})
+	c.prepared[ps.name] = true
+	return append(cmds, core.Command{Op: core.OpPrepare, Name: ps.name, Text: ps.text, Write: ps.write})
 }
--- a/core/proxy/relay.go
+++ b/core/proxy/relay.go
@@ -79,7 +79,7 @@
 		if r.prepared == nil {
 			r.prepared = make(map[string]preparedStmt)
 		}
-		r.prepared[cmd.Name] = preparedStmt{write: cmd.Write, text: cmd.Text}
+		r.prepared[cmd.Name] = newPreparedStmt(cmd.Write, cmd.Text)
 	case core.OpRollback:
 		r.rollback()
 		r.beginRefused = false
--- a/core/proxy/session.go
+++ b/core/proxy/session.go
@@ -182,7 +182,7 @@
 		if s.prepared == nil {
 			s.prepared = make(map[string]preparedStmt)
 		}
-		s.prepared[st.Name] = preparedStmt{write: st.Write, text: st.Arg}
+		s.prepared[st.Name] = newPreparedStmt(st.Write, st.Arg)
 		return Reply{}
 	case VerbDeallocate:
 		delete(s.prepared, st.Name)
--- a/core/proxy/session_test.go
+++ b/core/proxy/session_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -141,6 +142,19 @@
 	})
 }
 
+// Guards against names that a caller's text ends early, or that two statements share.
+func TestPreparedNames(t *testing.T) {
+	seen := map[string]bool{}
+	for _, text := range []string{"", "a", "a b", "a WRITE b", "A", "a\t", "\r\n", "a\x00", "\xff", strings.Repeat("x", 1<<20)} {
+		for _, write := range []bool{false, true} {
+			name := newPreparedStmt(write, text).name
+			assert.Assert(t, !seen[name], "%q", text)
+			assert.Assert(t, len(name) < 40 && !strings.ContainsFunc(name, func(r rune) bool { return r <= ' ' || r > '~' }), "%q", name)
+			seen[name] = true
+		}
+	}
+}
+
 // Guards against a transaction whose statements run on several connections or outside of it, and
 // against statements of other sessions inside it.
 func TestTransactionHasItsOwnConnection(t *testing.T) {
--- a/core/proxy/work.go
+++ b/core/proxy/work.go
@@ -90,7 +90,7 @@
 func (w *work) command(await core.Position) core.Command {
 	c := w.withQueueing(core.Command{Op: core.OpForward, ID: w.st.ID, Text: w.st.Text, Await: await, Commit: w.st.Verb == VerbCommit})
 	if w.prepared != nil {
-		c.Op, c.Name, c.Text = core.OpExecute, w.prepared.name(), w.st.Arg
+		c.Op, c.Name, c.Text = core.OpExecute, w.prepared.name, w.st.Arg
 	}
 	return c
 }
