Release what a failed transaction holds, and keep its route

Callers were refused every transaction on a service, until a restart of the VM, after a route had been dropped while transactions on it were open (RECOVER).

Cause: fail() marked the transaction as failed without giving its connection back, and COMMIT then ended it without a rollback, so that the queue counted it as open for ever; two of them are all that a VM may have open. Ruled out: the queue's count, which is right for each released connection.

Change: a failed transaction gives connection and place back at once, all ends go through endTx.

--- a/core/proxy/session.go
+++ b/core/proxy/session.go
@@ -142,10 +142,7 @@
 }
 
 // Close ends the session and rolls an open transaction back.
-func (s *Session) Close() {
-	s.rollback()
-	s.tx = nil
-}
+func (s *Session) Close() { s.endTx() }
 
 // Execute runs one statement and blocks until its answer is known.
 func (s *Session) Execute(ctx context.Context, st *Statement) Reply {
@@ -165,8 +162,7 @@
 
 func (s *Session) dispatch(ctx context.Context, st *Statement, began time.Time) Reply {
 	if st.Verb == VerbRollback {
-		s.rollback()
-		s.tx = nil
+		s.endTx()
 		return Reply{}
 	}
 	if s.tx != nil && s.tx.failed {
@@ -207,7 +203,7 @@
 	reason := s.tx.abortReason
 	s.tx.abortReason = ""
 	if st.Verb == VerbCommit {
-		s.tx = nil
+		s.endTx()
 		return Reply{Fault: core.FaultAborted, Text: "the transaction had failed and is rolled back"}
 	}
 	if reason != "" {
@@ -220,13 +216,18 @@
 	if s.tx != nil {
 		return Reply{Fault: core.FaultMalformed, Text: "a transaction is open"}
 	}
+	route, ok := s.route()
 	s.tx = &tx{readOnly: st.Verb == VerbBeginRead}
+	if ok {
+		s.tx.route = &route
+	}
 	return Reply{}
 }
 
-// fail marks an open transaction as failed, without a rollback, and returns the reply.
+// fail rolls an open transaction back, marks it as failed and returns the reply.
 func (s *Session) fail(r Reply) Reply {
 	if s.tx != nil {
+		s.rollback()
 		s.tx.failed = true
 	}
 	return r
--- a/core/proxy/tx.go
+++ b/core/proxy/tx.go
@@ -6,12 +6,15 @@
 
 	"snipewall/core"
 	"snipewall/core/queue"
+	"snipewall/core/topo"
 )
 
 // tx is a caller's transaction. It holds an upstream connection from its first statement on.
 type tx struct {
 	readOnly bool
 	failed   bool
+	// route is the route at BEGIN: a change of a route applies from the next transaction on. It is nil if there was none.
+	route *topo.Route
 	// abortReason is the reason of an abort until a statement has reported it.
 	abortReason string
 	held        *heldConn
@@ -28,6 +31,12 @@
 	h.rollbackAndFree(core.TxOpen, core.FaultNone)
 }
 
+// endTx ends the open transaction, if there is one, without a commit.
+func (s *Session) endTx() {
+	s.rollback()
+	s.tx = nil
+}
+
 func (s *Session) runTx(ctx context.Context, w *work) Reply {
 	if w.write && s.tx.readOnly {
 		return s.failTx(w, Reply{Fault: core.FaultReadOnly, Text: "the transaction is read-only"})
@@ -58,13 +67,11 @@
 	if s.tx == nil {
 		return r
 	}
-	s.rollback()
 	if w.st.Verb == VerbCommit {
-		s.tx = nil
+		s.endTx()
 		return r
 	}
-	s.tx.failed = true
-	return r
+	return s.fail(r)
 }
 
 // readmit takes a slot for a further statement of the transaction.
@@ -216,8 +223,7 @@
 	if w.st.Verb != VerbCommit {
 		return reply
 	}
-	s.rollback()
-	s.tx = nil
+	s.endTx()
 	return reply
 }
 
--- a/core/proxy/work.go
+++ b/core/proxy/work.go
@@ -65,7 +65,7 @@
 
 // newWork looks up what the statement needs, or returns the fault that ends it.
 func (s *Session) newWork(st *Statement, began time.Time) (*work, *Reply) {
-	route, ok := s.p.cfg.Directory.Snapshot().Route(s.database)
+	route, ok := s.route()
 	if !ok {
 		return nil, &Reply{Fault: core.FaultNoDatabase, Text: "no such database"}
 	}
@@ -86,6 +86,17 @@
 	return w, nil
 }
 
+// route returns the route of the open transaction, or the present one.
+func (s *Session) route() (topo.Route, bool) {
+	if s.tx == nil {
+		return s.p.cfg.Directory.Snapshot().Route(s.database)
+	}
+	if s.tx.route == nil {
+		return topo.Route{}, false
+	}
+	return *s.tx.route, true
+}
+
 // command returns the statement as a command for the upstream.
 func (w *work) command(await core.Position) core.Command {
 	c := w.withQueueing(core.Command{Op: core.OpForward, ID: w.st.ID, Text: w.st.Text, Await: await, Commit: w.st.Verb == VerbCommit})
