Keep what is known about an upstream when the path to it changes

Cause: since when an upstream leaves was kept by the VM's node for it, which is made anew when the list of VMs changes, and the 5 s began again. Failures, lag and proofs of leadership were forgotten as well. Ruled out: late entries, and statements in progress.

Change: a node for another path inherits the state of the same incarnation; one that starts with a leaving upstream counts from its start.

TestNewPathKeepsStateOfUpstream fails on the code before and passes now.

--- a/core/proxy/cluster_test.go
+++ b/core/proxy/cluster_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -54,3 +55,32 @@
 		assert.Equal(t, res.End(), core.Position{Term: 1, Offset: 10})
 	})
 }
+
+// Guards against using a leaving primary for longer, or forgetting that an upstream fails, because the list of VMs changes
+// and with it the path to the upstream.
+func TestNewPathKeepsStateOfUpstream(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *harness) {
+		u := r.dir.Snapshot().Upstreams[primaryID]
+		u.Leaving = true
+		r.dir.Put(u)
+		time.Sleep(leavingGrace / 2)
+		n, _ := r.proxy.lookup(primaryID)
+		n.noteFailure(nil)
+		// Each further VM takes a share of the 20 connections, so that the path changes.
+		for i := range 10 {
+			r.alive = append(r.alive, core.VM{ID: core.VMID(fmt.Sprintf("vm-x%d", i)), FailureDomain: "there", Relay: "relay"})
+			r.proxy.reconcile(r.dir.Snapshot())
+		}
+		other, _ := r.proxy.lookup(primaryID)
+		assert.Assert(t, other != n)
+		assert.Equal(t, other.failures, 1)
+		assert.Assert(t, r.proxy.group("g").primary(time.Now()) == other)
+		time.Sleep(leavingGrace/2 + 10*time.Millisecond)
+		assert.Assert(t, r.proxy.group("g").primary(time.Now()) == nil, "the leaving primary is used for too long")
+		// Another incarnation starts without the state.
+		u.Born, u.Leaving = 2, false
+		r.dir.Put(u)
+		time.Sleep(10 * time.Millisecond)
+		assert.Assert(t, r.proxy.group("g").primary(time.Now()) != nil)
+	})
+}
--- a/core/proxy/node.go
+++ b/core/proxy/node.go
@@ -78,6 +78,9 @@
 func (p *Proxy) newNode(ctx context.Context, g *group, u topo.Upstream, via path) *node {
 	n := &node{p: p, group: g, path: via, limit: max(1, u.Slots) + extraSlots}
 	n.info.Store(&u)
+	if u.Leaving {
+		n.leavingAt = time.Now()
+	}
 	slots, conns := n.limit, via.conns
 	if via.isIndirect() {
 		slots = conns
@@ -93,6 +96,20 @@
 	return n
 }
 
+// inherit takes over what is known about the upstream from its node for another path. A statement must not use a leaving
+// primary for longer because the list of VMs changes.
+func (n *node) inherit(old *node) {
+	old.mu.Lock()
+	defer old.mu.Unlock()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.latency, n.answeredAt = old.latency, old.answeredAt
+	n.laggedAt, n.laggedPosition, n.lagCount = old.laggedAt, old.laggedPosition, old.lagCount
+	n.denied, n.proved, n.evidenceAt = old.denied, old.proved, old.evidenceAt
+	n.failures, n.failedAt = old.failures, old.failedAt
+	n.position, n.lenders, n.leavingAt = old.position, old.lenders, old.leavingAt
+}
+
 func (n *node) isSameIncarnation(u *topo.Upstream) bool {
 	old := n.info.Load()
 	return old.Born == u.Born && old.Address == u.Address
--- a/core/proxy/proxy.go
+++ b/core/proxy/proxy.go
@@ -247,18 +247,23 @@
 }
 
 // node returns the upstream's node and whether anything about it changed. Another incarnation, address
-// or path gets a new node, so that no state of the old one is used for it.
+// or path gets a new node. Only another path keeps what is known about the upstream.
 func (p *Proxy) node(ctx context.Context, g *group, u topo.Upstream, via path) (*node, bool) {
-	n, ok := p.lookup(u.ID)
+	old, ok := p.lookup(u.ID)
+	isSame := ok && old.isSameIncarnation(&u)
+	if isSame && old.path.equal(via) {
+		before := *old.info.Load()
+		old.update(u)
+		return old, before != u
+	}
+	n := p.newNode(ctx, g, u, via)
+	if isSame {
+		old.update(u)
+		n.inherit(old)
+	}
 	if ok {
-		old := n.info.Load()
-		if n.isSameIncarnation(&u) && n.path.equal(via) {
-			n.update(u)
-			return n, *old != u
-		}
-		n.cancel()
+		old.cancel()
 	}
-	n = p.newNode(ctx, g, u, via)
 	p.mu.Lock()
 	p.nodes[u.ID] = n
 	p.mu.Unlock()
