Free the memory of large answers once they are sent

Processes were ended for their memory (Fault) after 146 sessions on a VM had read one answer of 3 MB each, and were idle.

Ruled out: buffers of callers' connections, which are limited.

--- a/core/proxy/fake_test.go
+++ b/core/proxy/fake_test.go
@@ -41,6 +41,8 @@
 	// lagged is the number of statements that awaited a position beyond the end of the log.
 	lagged int
 	ran    []run
+	// body is the body of all answers, unless it is nil.
+	body []byte
 }
 
 // run is one caller statement that ran.
@@ -133,6 +135,9 @@
 	if fault == core.FaultNone && (c.Op == core.OpForward || c.Op == core.OpExecute) {
 		ans.Signed = true
 		ans.Body = []byte("COMPLETE " + string(fc.s.id) + "\r\n")
+		if fc.s.body != nil {
+			ans.Body = fc.s.body
+		}
 	}
 	return ans
 }
--- a/core/proxy/relay.go
+++ b/core/proxy/relay.go
@@ -244,8 +244,7 @@
 // copyBody copies the answer's body, since the connection reuses its memory once it is free.
 func (r *Relay) copyBody(ans core.Answer) core.Answer {
 	if ans.Body != nil {
-		r.body = append(r.body[:0], ans.Body...)
-		ans.Body = r.body
+		ans.Body, r.body = copyBody(r.body, ans.Body)
 	}
 	return ans
 }
--- a/core/proxy/session.go
+++ b/core/proxy/session.go
@@ -61,6 +61,19 @@
 	overloaded bool
 }
 
+// maxIdleBody is the size of the largest memory for answers that a session or relay keeps between statements.
+const maxIdleBody = 8 << 10
+
+// copyBody copies an answer into buf, since its connection reuses the memory once it is free. It returns the copy, and what
+// may be kept of buf.
+func copyBody(buf, body []byte) (out, kept []byte) {
+	buf = append(buf[:0], body...)
+	if cap(buf) > maxIdleBody {
+		return buf, nil
+	}
+	return buf, buf
+}
+
 type value struct{ name, value string }
 
 // Session is one caller's connection. It is used by one goroutine at a time.
--- a/core/proxy/session_test.go
+++ b/core/proxy/session_test.go
@@ -142,6 +142,26 @@
 	})
 }
 
+// Guards against idle sessions, and relays, that keep the memory of a large answer.
+func TestIdleSessionKeepsNoLargeAnswer(t *testing.T) {
+	for _, size := range []int{0, 100, maxIdleBody, maxIdleBody + 1, 3 << 20} {
+		inBubble(t, func(t *testing.T, r *harness) {
+			for _, srv := range r.servers {
+				srv.update(func(s *server) { s.body = make([]byte, size) })
+			}
+			s := r.proxy.Open("own")
+			assert.Equal(t, len(r.must(s, VerbWrite, "WRITE 1").Body), size)
+			r.must(s, VerbBegin, "BEGIN")
+			assert.Equal(t, len(r.must(s, VerbRead, "READ 1").Body), size)
+			assert.Assert(t, cap(s.body) <= maxIdleBody)
+			relay, _, _ := r.proxy.OpenRelay(primaryID)
+			read := core.Command{Op: core.OpForward, ID: "1", Text: "READ 1", Kind: "own"}
+			assert.Equal(t, len(relay.Execute(t.Context(), read, time.Now().Add(time.Second)).Body), size)
+			assert.Assert(t, cap(relay.body) <= maxIdleBody)
+		})
+	}
+}
+
 // Guards against names that a caller's text ends early, or that two statements share.
 func TestPreparedNames(t *testing.T) {
 	seen := map[string]bool{}
--- a/core/proxy/single.go
+++ b/core/proxy/single.go
@@ -224,8 +224,7 @@
 	isCovered := !w.write || h.isCovered()
 	reply := Reply{Fault: ans.Fault, Text: ans.Text, Position: ans.Position}
 	if ans.Fault == core.FaultNone {
-		s.body = append(s.body[:0], ans.Body...)
-		reply.Body = s.body
+		reply.Body, s.body = copyBody(s.body, ans.Body)
 	}
 	if t.strict {
 		if _, err := receive(h.handle.Value, 1, now.Add(rollbackTimeout)); err != nil {
--- a/core/proxy/tx.go
+++ b/core/proxy/tx.go
@@ -197,8 +197,8 @@
 	if ans.Fault != core.FaultNone {
 		return s.handleTxFault(w, ans), false
 	}
-	s.body = append(s.body[:0], ans.Body...)
-	reply := Reply{Body: s.body, Position: ans.Position}
+	reply := Reply{Position: ans.Position}
+	reply.Body, s.body = copyBody(s.body, ans.Body)
 	if w.write {
 		s.tx.wrote = true
 	}
