Read on the primary if it doesn't tell its position

Reads lacked commits that had been acknowledged up to 6.2 s before (STALE), where upstreams answer BEGIN with the position "-" and a VM's callers only read.

Cause: readIndex took the missing position for the zero one, which every replica has. Ruled out: samples and commits without a position, which were handled.

Change: without a position the read runs on the primary. Its answer is a sample, so that later reads go to replicas.

TestBeginWithoutPosition fails on the code before and passes now.

--- a/core/proxy/fake_test.go
+++ b/core/proxy/fake_test.go
@@ -41,6 +41,8 @@
 	// lagged is the number of statements that awaited a position beyond the end of the log.
 	lagged int
 	ran    []run
+	// hidesBeginPosition makes the answer to BEGIN tell no position.
+	hidesBeginPosition bool
 	// body is the body of all answers, unless it is nil.
 	body []byte
 }
@@ -126,6 +128,9 @@
 		fc.status = core.TxFailed
 	}
 	ans := core.Answer{Fault: fault, Status: fc.status, Position: fc.s.log}
+	if c.Op == core.OpBegin && fc.s.hidesBeginPosition {
+		ans.Position = core.Position{}
+	}
 	if c.Op == core.OpStatus && fault == core.FaultNone {
 		ans.Received = fc.s.log
 		if fc.s.log.Less(fc.s.received) {
--- a/core/proxy/session_test.go
+++ b/core/proxy/session_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -142,6 +143,38 @@
 	})
 }
 
+// Guards against stale reads on a VM whose callers only read, before upstreams whose answer to BEGIN tells no position: a
+// missing position isn't one that every replica has.
+func TestBeginWithoutPosition(t *testing.T) {
+	for _, canPipelineBegin := range []bool{false, true} {
+		inBubble(t, func(t *testing.T, r *harness) {
+			r.canPipelineBegin = canPipelineBegin
+			for _, srv := range r.servers {
+				srv.update(func(s *server) { s.hidesBeginPosition = true })
+			}
+			end := core.Position{Term: 1, Offset: 50}
+			r.servers[primaryID].update(func(s *server) { s.log = end })
+			s := r.proxy.Open("bounded")
+			for i := range 20 {
+				r.must(s, VerbRead, fmt.Sprintf("READ %d", i))
+				time.Sleep(100 * time.Millisecond)
+			}
+			for id := range r.servers {
+				for _, x := range r.servers[id].runs() {
+					assert.Assert(t, !x.Log.Less(end), "%s ran on %s with %v", x.Text, id, x.Log)
+				}
+			}
+			// The answers of strict reads tell the position that replicas must have.
+			r.servers[nearID].update(func(s *server) { s.log = end })
+			time.Sleep(time.Second)
+			for i := range 10 {
+				r.must(s, VerbRead, fmt.Sprintf("READ near %d", i))
+			}
+			assert.Assert(t, len(r.texts(nearID)) > 5, "%d reads on the replica", len(r.texts(nearID)))
+		})
+	}
+}
+
 // Guards against idle sessions, and relays, that keep the memory of a large answer.
 func TestIdleSessionKeepsNoLargeAnswer(t *testing.T) {
 	for _, size := range []int{0, 100, maxIdleBody, maxIdleBody + 1, 3 << 20} {
--- a/core/proxy/single.go
+++ b/core/proxy/single.go
@@ -236,6 +236,10 @@
 		h.freeAfter(ans.Fault)
 	}
 	n.noteAnswer(now, max(0, now.Sub(sent)-s.p.distance(n.info.Load())), ans.Position)
+	if t.strict && ans.Fault == core.FaultNone && w.group.isSampleDue(requestedAt) {
+		// The answer to BEGIN had no position. Inside the transaction only a leader answers.
+		n.noteLeads(requestedAt, ans.Position)
+	}
 	if ans.Fault == core.FaultNone {
 		if !isCovered {
 			return Reply{Fault: core.FaultInDoubt, Text: textOtherMayLead}, done
--- a/core/proxy/work.go
+++ b/core/proxy/work.go
@@ -150,10 +150,10 @@
 }
 
 // readIndex asks the primary for its position, which takes no slot, so that the read can run on a
-// replica.
+// replica. It returns false if the primary doesn't tell its position.
 func (s *Session) readIndex(ctx context.Context, primary *node) (core.Position, bool) {
 	res, err := primary.probePooled(ctx, time.Now().Add(readIndexTimeout))
-	return res.Log, err == nil && res.Leads
+	return res.Log, err == nil && res.Leads && !res.Log.IsZero()
 }
 
 // cheapestUntried returns the node with the lowest estimated cost that was not tried yet, or nil.
