Ignore listings that are older than the departure of an upstream

A failover could wait 4 s for a majority: a listing made before a draining upstream left, and late by a few ms, brought it back as a member that doesn't answer.

Cause: the directory forgot an upstream that had left, so that no revision was left to compare an old entry with. Change: it remembers departures with their revisions for a minute.

TestLateListingBringsNothingBack fails on the code before.

--- a/core/topo/topo.go
+++ b/core/topo/topo.go
@@ -28,6 +28,9 @@
 // restores entries that expired during an outage within about 2 s after the outage.
 const missingGracePeriod = 2500 * time.Millisecond
 
+// departureTime is how long the directory remembers that an upstream has left. A listing is never that late.
+const departureTime = time.Minute
+
 // Consistency is the guarantee for the reads of a route.
 type Consistency uint8
 
@@ -124,11 +127,20 @@
 type Directory struct {
 	mu      sync.Mutex
 	current atomic.Pointer[Snapshot]
+	// left holds the upstreams that left lately, so that a listing which is older than the change doesn't bring them back.
+	left map[core.UpstreamID]departure
+}
+
+// departure is the removal of an upstream.
+type departure struct {
+	// revision is that of the upstream's last entry, or of its deletion.
+	revision core.Version
+	at       time.Time
 }
 
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory {
-	d := &Directory{}
+	d := &Directory{left: make(map[core.UpstreamID]departure)}
 	d.current.Store(&Snapshot{Changed: make(chan struct{})})
 	return d
 }
@@ -150,17 +162,20 @@
 
 // Put adds or replaces an upstream, unless a later revision of it is known.
 func (d *Directory) Put(u Upstream) {
-	d.update(func(m map[core.UpstreamID]Upstream) { put(m, u) })
+	d.update(func(m map[core.UpstreamID]Upstream) { d.put(m, u) })
 }
 
 // Remove handles the disappearance of an upstream's entry at the given version.
 func (d *Directory) Remove(id core.UpstreamID, at core.Version) {
 	d.update(func(m map[core.UpstreamID]Upstream) {
-		markMissing(m, id, at)
+		d.markMissing(m, id, at)
 		if u, ok := m[id]; ok && u.Revision < at {
 			u.Revision = at
 			m[id] = u
 		}
+		if left, ok := d.left[id]; ok && left.revision < at {
+			d.left[id] = departure{at, left.at}
+		}
 	})
 }
 
@@ -171,31 +186,36 @@
 		listed := make(map[core.UpstreamID]bool, len(all))
 		for _, u := range all {
 			listed[u.ID] = true
-			put(m, u)
+			d.put(m, u)
 		}
 		for id := range m {
 			if !listed[id] {
-				markMissing(m, id, at)
+				d.markMissing(m, id, at)
 			}
 		}
 	})
 }
 
-func put(m map[core.UpstreamID]Upstream, u Upstream) {
+// put adds or replaces an upstream. The caller holds mu.
+func (d *Directory) put(m map[core.UpstreamID]Upstream, u Upstream) {
+	if left, ok := d.left[u.ID]; ok && u.Revision <= left.revision {
+		return
+	}
 	if u.Revision >= m[u.ID].Revision {
 		m[u.ID] = u
 	}
 }
 
 // markMissing starts the grace period of an upstream whose entry disappeared. An upstream that was leaving
-// is removed at once, since its entry won't be restored.
-func markMissing(m map[core.UpstreamID]Upstream, id core.UpstreamID, at core.Version) {
+// is removed at once, since its entry won't be restored. The caller holds mu.
+func (d *Directory) markMissing(m map[core.UpstreamID]Upstream, id core.UpstreamID, at core.Version) {
 	u, ok := m[id]
 	if !ok || u.Revision > at || !u.MissingSince.IsZero() {
 		return
 	}
 	if u.Leaving {
 		delete(m, id)
+		d.left[id] = departure{u.Revision, time.Now()}
 		return
 	}
 	u.MissingSince = time.Now()
@@ -211,6 +231,7 @@
 		m = make(map[core.UpstreamID]Upstream)
 	}
 	maps.DeleteFunc(m, func(_ core.UpstreamID, u Upstream) bool { return u.isGone() })
+	maps.DeleteFunc(d.left, func(_ core.UpstreamID, left departure) bool { return time.Since(left.at) > departureTime })
 	change(m)
 	d.publish(old, Snapshot{Config: old.Config, Upstreams: m})
 }
--- a/core/topo/topo_test.go
+++ b/core/topo/topo_test.go
@@ -174,3 +174,32 @@
 		assert.Equal(t, len(*resets), 2)
 	})
 }
+
+// Guards against a listing that was made before a draining upstream left, and arrives after it: the upstream would be back
+// in use, and count as a member that doesn't answer.
+func TestLateListingBringsNothingBack(t *testing.T) {
+	draining := Upstream{UpstreamInfo: core.UpstreamInfo{ID: "i-1", Group: "g"}, Leaving: true, Born: 1, Revision: 7}
+	for _, removeByEvent := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			d := NewDirectory()
+			d.Put(draining)
+			if removeByEvent {
+				d.Remove("i-1", 9)
+			} else {
+				d.Sync(nil, 9)
+			}
+			assert.Equal(t, len(d.Snapshot().Group("g")), 0)
+			d.Sync([]Upstream{draining}, 8)
+			d.Put(draining)
+			assert.Equal(t, len(d.Snapshot().Group("g")), 0, "the upstream is back")
+			// The upstream starts again under its id.
+			reborn := draining
+			reborn.Leaving, reborn.Born, reborn.Revision = false, 2, 12
+			d.Put(reborn)
+			assert.Equal(t, len(d.Snapshot().Group("g")), 1)
+			time.Sleep(2 * departureTime)
+			d.Put(reborn)
+			assert.Equal(t, len(d.left), 0)
+		})
+	}
+}
