Let relays follow a new path to their upstream

Another VM's statements were refused as busy until it closed its connection, once the path to the upstream had changed here.

Cause: a relay kept the node whose queue had been stopped. Change: a relay without an open transaction takes the new node before its next command.

TestRelayFollowsNewPath fails on the code before.

--- a/core/proxy/cluster_test.go
+++ b/core/proxy/cluster_test.go
@@ -84,3 +84,25 @@
 		assert.Assert(t, r.proxy.group("g").primary(time.Now()) != nil)
 	})
 }
+
+// Guards against a relay that refuses everything once this VM's path to the upstream has changed.
+func TestRelayFollowsNewPath(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *harness) {
+		relay, _, ok := r.proxy.OpenRelay(primaryID)
+		assert.Assert(t, ok)
+		deadline := time.Now().Add(time.Minute)
+		read := core.Command{Op: core.OpForward, ID: "1", Text: "READ 1", Kind: "own"}
+		assert.Equal(t, relay.Execute(t.Context(), read, deadline).Fault, core.FaultNone)
+		old, _ := r.proxy.lookup(primaryID)
+		for i := range 10 {
+			r.alive = append(r.alive, core.VM{ID: core.VMID(fmt.Sprintf("vm-x%d", i)), FailureDomain: "there", Relay: "relay"})
+		}
+		r.proxy.reconcile(r.dir.Snapshot())
+		n, _ := r.proxy.lookup(primaryID)
+		assert.Assert(t, n != old)
+		// The queue and the pools of the old node end.
+		time.Sleep(10 * time.Millisecond)
+		ans := relay.Execute(t.Context(), read, deadline)
+		assert.Equal(t, ans.Fault, core.FaultNone, ans.Text)
+	})
+}
--- a/core/proxy/node.go
+++ b/core/proxy/node.go
@@ -45,8 +45,10 @@
 	// direct holds connections to the upstream itself, relayed those through other VMs.
 	direct, relayed *pool.Pool[*conn]
 	// limit is the maximum number of concurrent statements of this VM on the upstream.
-	limit  int
-	cancel context.CancelFunc
+	limit int
+	// cancel ends the queue and the pools; stopped is set before.
+	cancel  context.CancelFunc
+	stopped atomic.Bool
 
 	// pending counts statements that wait or run.
 	pending atomic.Int32
@@ -96,6 +98,12 @@
 	return n
 }
 
+// stop ends the node's queue and pools.
+func (n *node) stop() {
+	n.stopped.Store(true)
+	n.cancel()
+}
+
 // inherit takes over what is known about the upstream from its node for another path. A statement must not use a leaving
 // primary for longer because the list of VMs changes.
 func (n *node) inherit(old *node) {
--- a/core/proxy/proxy.go
+++ b/core/proxy/proxy.go
@@ -102,10 +102,10 @@
 	}
 	p.mu.Lock()
 	for _, n := range p.nodes {
-		n.cancel()
+		n.stop()
 	}
 	for _, n := range p.relayOnly {
-		n.cancel()
+		n.stop()
 	}
 	p.mu.Unlock()
 	for p.runningTasks() > 0 {
@@ -186,14 +186,14 @@
 	p.mu.Lock()
 	for id, n := range p.nodes {
 		if !seen[id] {
-			n.cancel()
+			n.stop()
 			delete(p.nodes, id)
 			changed = true
 		}
 	}
 	for id, n := range p.relayOnly {
 		if main := p.nodes[id]; main == nil || !main.isSameIncarnation(n.info.Load()) {
-			n.cancel()
+			n.stop()
 			delete(p.relayOnly, id)
 		}
 	}
@@ -262,7 +262,7 @@
 		n.inherit(old)
 	}
 	if ok {
-		old.cancel()
+		old.stop()
 	}
 	p.mu.Lock()
 	p.nodes[u.ID] = n
--- a/core/proxy/relay.go
+++ b/core/proxy/relay.go
@@ -70,6 +70,7 @@
 
 // Execute executes one command. Its answer is due at the deadline.
 func (r *Relay) Execute(ctx context.Context, cmd core.Command, deadline time.Time) core.Answer {
+	r.followNode()
 	switch cmd.Op {
 	case core.OpReset:
 		r.session.values, r.session.valueKey, r.prepared = nil, "", nil
@@ -96,6 +97,17 @@
 	return core.Answer{Status: r.status()}
 }
 
+// followNode replaces a node that was stopped because the path to the upstream has changed on this VM. Its queue refuses
+// everything.
+func (r *Relay) followNode() {
+	if r.held != nil || !r.n.stopped.Load() {
+		return
+	}
+	if n := r.n.p.directNode(r.n.id()); n != nil {
+		r.n = n
+	}
+}
+
 func (r *Relay) status() core.TxStatus {
 	if r.held != nil {
 		return core.TxOpen
