--- a/core/proxy/session_test.go
+++ b/core/proxy/session_test.go
@@ -35,6 +35,25 @@
 	}
 }
 
+// Guards against a transaction that must see the newest commits on an upstream that no longer leads, which accepts one that only
+// reads.
+func TestStrictTransactionNeedsLeader(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *harness) {
+		r.servers[primaryID].update(func(s *server) { s.leads = false })
+		for _, database := range []string{"strict", "bounded", "own"} {
+			s := r.proxy.Open(database)
+			r.must(s, VerbBegin, "BEGIN")
+			assert.Equal(t, r.do(s, VerbRead, "READ 1").Fault, core.FaultBusy)
+		}
+		s := r.proxy.Open("strict")
+		r.must(s, VerbBeginRead, "BEGIN READ")
+		assert.Equal(t, r.do(s, VerbRead, "READ 2").Fault, core.FaultBusy)
+		for id := range r.servers {
+			assert.Equal(t, len(r.texts(id)), 0, "%s ran %v", id, r.texts(id))
+		}
+	})
+}
+
 // Guards against reads that miss commits acknowledged before their maximum age: the awaited position
 // must come from a leader that was queried late enough.
 func TestBoundedReadAwaitsSample(t *testing.T) {
