--- a/core/lead/closed_test.go
+++ b/core/lead/closed_test.go
@@ -85,11 +85,42 @@
 			assert.DeepEqual(t, promotions, []promotion{{"b", 11}})
 			assert.Equal(t, r.lost, 0)
 			assert.Equal(t, r.isSteppedDownFirst, silentVM)
+			// A VM that has just started may not know of the pause.
+			assert.Assert(t, len(r.steppedDown) > 0, "the old primary wasn't stepped down")
 			assert.Assert(t, !r.paused, "the pause wasn't ended")
 		})
 	}
 }
 
+// Guards against a promotion that relies on a leaving primary to tell the end of its log although it doesn't answer: all
+// replicas are needed then.
+func TestSilentLeavingPrimary(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRelease()
+		r.unresponsive["a"], r.unresponsive["c"] = true, true
+		assert.Equal(t, len(r.run(t, 3*time.Second)), 0)
+	})
+}
+
+// Guards against a promotion while a replica that may be the only one with acknowledged commits is silent, and against a group
+// that stays without a primary because of it.
+func TestSilentReceiverDelaysPromotion(t *testing.T) {
+	for _, tt := range []struct {
+		length time.Duration
+		want   int
+	}{{receiverTimeout, 0}, {receiverTimeout + 4*time.Second, 1}} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFakeCluster()
+			f.view.SyncReplicas, f.view.Members = 1, 5
+			f.view.Replicas = []core.UpstreamID{"b", "c", "d", "e"}
+			f.probes["d"], f.probes["e"] = f.probes["b"], f.probes["b"]
+			f.stored = f.view
+			f.unresponsive["a"], f.unresponsive["c"] = true, true
+			assert.Equal(t, len(f.run(t, tt.length)), tt.want)
+		})
+	}
+}
+
 // Guards against a promotion while a VM may still write to the leaving primary, which can't step down.
 func TestReleaseNeedsClosedLog(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/core/proxy/cluster_test.go
+++ b/core/proxy/cluster_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"snipewall/core"
+	"snipewall/core/topo"
 )
 
 // Guards against taking what a replica has applied for what it has received, directly and through another VM.
@@ -106,3 +107,36 @@
 		assert.Equal(t, ans.Fault, core.FaultNone, ans.Text)
 	})
 }
+
+// Guards against a VM that meets a primary which is leaving already, and counts the time for which it may be used too late.
+func TestNewNodeOfLeavingUpstream(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *harness) {
+		u := r.dir.Snapshot().Upstreams[primaryID]
+		u.Born, u.Leaving = 2, true
+		time.Sleep(10 * time.Millisecond)
+		r.dir.Put(u)
+		time.Sleep(10 * time.Millisecond)
+		assert.Assert(t, r.proxy.group("g").primary(time.Now()) != nil)
+		time.Sleep(leavingGrace)
+		assert.Assert(t, r.proxy.group("g").primary(time.Now()) == nil)
+	})
+}
+
+// Guards against a driver that doesn't learn that commits wait for replicas, or which replicas are draining.
+func TestDriverViewOfReplicas(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *harness) {
+		cfg := r.dir.Snapshot().Config
+		cfg.Version++
+		cfg.Groups = map[core.GroupID]topo.Group{"g": {ID: "g", Connections: 20, SyncReplicas: 1}}
+		r.dir.Apply(cfg)
+		u := r.dir.Snapshot().Upstreams[farID]
+		u.Leaving = true
+		r.dir.Put(u)
+		time.Sleep(10 * time.Millisecond)
+		g := r.proxy.State()[0]
+		assert.Equal(t, g.SyncReplicas, 1)
+		assert.Equal(t, g.Members, 3)
+		assert.DeepEqual(t, g.Replicas, []core.UpstreamID{nearID})
+		assert.DeepEqual(t, g.Draining, []core.UpstreamID{farID})
+	})
+}
--- a/core/proxy/release_test.go
+++ b/core/proxy/release_test.go
@@ -76,6 +76,17 @@
 		"close":    func(_ *harness, s *Session) { s.Close() },
 		"silence":  func(*harness, *Session) {},
 	}
+	t.Run("open transaction", func(t *testing.T) {
+		inBubble(t, func(t *testing.T, r *harness) {
+			for _, end := range []string{"commit", "rollback", "close"} {
+				s := r.proxy.Open("own")
+				r.must(s, VerbBegin, "BEGIN")
+				r.must(s, VerbWrite, "WRITE 1")
+				ends[end](r, s)
+				r.checkNothingHeld()
+			}
+		})
+	})
 	for failure, fail := range failures {
 		for end, finish := range ends {
 			t.Run(failure+", "+end, func(t *testing.T) {
