Bound the use of a leaving primary by the deployment's target

A leaving primary was used for 5 s after a VM saw that it leaves, whatever DrainMilliseconds says: with 3,000, statements would reach it after the time allowed (DRAIN).

Change: 5 s, or the target without the time until a VM knows of the report. With 7,000 and more nothing changes.

--- a/core/proxy/cluster_test.go
+++ b/core/proxy/cluster_test.go
@@ -140,3 +140,13 @@
 		assert.DeepEqual(t, g.Draining, []core.UpstreamID{farID})
 	})
 }
+
+// Guards against using a leaving primary for longer than the deployment allows.
+func TestLeavingGrace(t *testing.T) {
+	for target, want := range map[time.Duration]time.Duration{
+		0: leavingGrace, 10 * time.Second: leavingGrace, 7 * time.Second: leavingGrace, 6 * time.Second: 4 * time.Second,
+		3 * time.Second: 1500 * time.Millisecond, time.Second: 500 * time.Millisecond,
+	} {
+		assert.Equal(t, leavingGraceFor(target), want, "%v", target)
+	}
+}
--- a/core/proxy/group.go
+++ b/core/proxy/group.go
@@ -11,8 +11,10 @@
 
 const (
 	// leavingGrace is how long a primary that is leaving still gets new work while no other has taken
-	// over. An upstream must get no work more than 7 s after it announced that it leaves.
+	// over, unless the time within which it must get no more work is shorter.
 	leavingGrace = 5 * time.Second
+	// leavingNotice is how long it may take until a VM knows that an upstream leaves, at most half of that time.
+	leavingNotice = 2 * time.Second
 	// sampleInterval is the minimum time between two samples of the primary's position, since each one
 	// costs a system call.
 	sampleInterval = 30 * time.Millisecond
@@ -23,8 +25,10 @@
 	id core.GroupID
 	// permits limits the use of the primary; it may be nil.
 	permits core.Permits
-	fresh   fresh.Tracker
-	nodes   atomic.Pointer[[]*node]
+	// leavingGrace is how long the primary still gets new work after it was seen leaving.
+	leavingGrace time.Duration
+	fresh        fresh.Tracker
+	nodes        atomic.Pointer[[]*node]
 	// isMonitored is set if this VM probes the primary continuously.
 	isMonitored atomic.Bool
 
@@ -36,12 +40,21 @@
 	missingSince time.Time
 }
 
-func newGroup(id core.GroupID, permits core.Permits) *group {
-	g := &group{id: id, permits: permits}
+func newGroup(id core.GroupID, permits core.Permits, leavingGrace time.Duration) *group {
+	g := &group{id: id, permits: permits, leavingGrace: leavingGrace}
 	g.nodes.Store(&[]*node{})
 	return g
 }
 
+// leavingGraceFor returns how long a leaving primary still gets new work if it must get none later than the target after its
+// announcement.
+func leavingGraceFor(target time.Duration) time.Duration {
+	if target <= 0 {
+		return leavingGrace
+	}
+	return min(leavingGrace, target-min(leavingNotice, target/2))
+}
+
 // primary returns the node that new work may use as the primary, or nil.
 func (g *group) primary(now time.Time) *node {
 	if !g.admits() {
@@ -80,7 +93,7 @@
 		n.mu.Lock()
 		claimant, at, log, leavingAt := n.isPrimaryClaimant(), n.evidenceAt, n.position, n.leavingAt
 		n.mu.Unlock()
-		if !claimant || g.isDeposed(n.id()) || (!leavingAt.IsZero() && now.Sub(leavingAt) > leavingGrace) {
+		if !claimant || g.isDeposed(n.id()) || (!leavingAt.IsZero() && now.Sub(leavingAt) > g.leavingGrace) {
 			continue
 		}
 		if best == nil || at.After(bestAt) || (at.Equal(bestAt) && bestLog.Less(log)) {
--- a/core/proxy/proxy.go
+++ b/core/proxy/proxy.go
@@ -30,6 +30,8 @@
 	// Members are the entry VMs, and DialOwner connects to one that owns an upstream.
 	Members   Members
 	DialOwner func(ctx context.Context, owner core.VM, id core.UpstreamID) (core.LineConn, error)
+	// DrainTarget is the time after which an upstream that announced its stop must get no new work; 0 means that it is long.
+	DrainTarget time.Duration
 	// Refresh updates the directory from the store.
 	Refresh func(ctx context.Context) error
 	// Permits limits the use of primaries where a promotion doesn't stop the old one; nil means no limit.
@@ -232,7 +234,7 @@
 	defer p.mu.Unlock()
 	g, ok := p.groups[id]
 	if !ok {
-		g = newGroup(id, p.cfg.Permits)
+		g = newGroup(id, p.cfg.Permits, leavingGraceFor(p.cfg.DrainTarget))
 		p.groups[id] = g
 	}
 	return g
