--- a/core/permit/doc.go
+++ b/core/permit/doc.go
@@ -21,10 +21,20 @@
 // Instants come from a clock that advances while the VM is suspended. A VM that was suspended finds its
 // permit expired. An answer of a primary counts only if the permit covers a moment after the answer arrived.
 //
+// # Pauses
+//
+// Where a promotion stops the old primary, no permits are needed. Pauses keep all VMs from using a primary while it is replaced,
+// for a few seconds at most, so that its log doesn't grow any more.
+//
 // # Usage
 //
 //	g := permit.New(permit.Config{Store: store, Members: roster, Self: vm, Call: client.Call, Log: logger})
 //	err := server.Register("Permit", g.Service())
 //	feed := topo.NewFeed(topo.FeedConfig{Event: g.Event, Applied: func() { g.Confirm(mirror.ConfirmedAt(prefix)) }})
 //	if g.Admits(group) { ... }
+//
+//	p := permit.NewPauses(permit.PausesConfig{Members: roster, Self: vm, Call: client.Call, Changed: wake, Log: logger})
+//	err = server.Register("Pause", p.Service())
+//	if p.Pause(ctx, group, true) { ... }
+//	p.Resume(ctx, group)
 package permit
