Wait for silent replicas in each failover, not only in the first one

A failover waits 4 s for a majority, and 8 s for replicas that may hold acknowledged commits. If a primary answered again while one waited, the next failover, however much later, didn't wait at all, and could promote a replica that lacks commits.

Cause: the moment since when replicas were missing was only forgotten after a promotion. Change: it is forgotten once no attempt was made for a second.

TestEachFailoverWaitsForReplicas fails on the code before: promoted at once, a minute after the first failure.

--- a/core/lead/closed_test.go
+++ b/core/lead/closed_test.go
@@ -121,6 +121,30 @@
 	}
 }
 
+// Guards against a failover that doesn't wait for silent replicas because an earlier one did, after which the primary answered
+// again.
+func TestEachFailoverWaitsForReplicas(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeCluster()
+		f.unresponsive["a"], f.unresponsive["c"] = true, true
+		setPrimarySilent := func(silent bool) func() {
+			return func() {
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				f.unresponsive["a"] = silent
+				if !silent {
+					f.view.PrimaryConfirmedAt = time.Now()
+					f.stored = f.view
+				}
+			}
+		}
+		time.AfterFunc(2*time.Second, setPrimarySilent(false))
+		time.AfterFunc(time.Minute, setPrimarySilent(true))
+		start := time.Now()
+		assert.Equal(t, len(f.run(t, time.Minute+majorityTimeout)), 0, "promoted after %v", f.promotedAt.Sub(start))
+	})
+}
+
 // Guards against a promotion while a VM may still write to the leaving primary, which can't step down.
 func TestReleaseNeedsClosedLog(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/core/lead/driver.go
+++ b/core/lead/driver.go
@@ -41,6 +41,8 @@
 	// receiverTimeout is how long a failover is put off while a replica that may hold acknowledged commits doesn't
 	// answer. The entry of a replica that has failed is gone before.
 	receiverTimeout = 8 * time.Second
+	// maxRetryGap is the longest time between two attempts of one failover. After it, the group has had a primary again.
+	maxRetryGap = time.Second
 	// leavingJitter spreads the attempts of the entry VMs that see the same primary leave.
 	leavingJitter = 150 * time.Millisecond
 	// keyPrefix is the prefix of the leases' keys; the group's id follows.
@@ -198,6 +200,9 @@
 func (d *Driver) startFailover(ctx context.Context, st *groupState, g Group) {
 	st.inProgress = true
 	req := failoverRequest{reason: st.detector.reason, held: st.lease}
+	if time.Since(st.retryAt) > maxRetryGap {
+		st.minoritySince = time.Time{}
+	}
 	if !st.minoritySince.IsZero() {
 		req.allowMinority = time.Since(st.minoritySince) > majorityTimeout
 		req.allowMissing = time.Since(st.minoritySince) > receiverTimeout
