--- a/core/ids.go
+++ b/core/ids.go
@@ -16,6 +16,8 @@
 	FailureDomain string
 	// Region names the region that contains a failure domain.
 	Region string
+	// OrganisationID names a customer of the deployment on whose behalf callers work.
+	OrganisationID string
 	// Kind names a kind of work, a row of the operators' table.
 	Kind string
 	// SessionID names a caller's session across connections and entry VMs.
--- a/core/line.go
+++ b/core/line.go
@@ -39,11 +39,13 @@
 	FaultMalformed
 	// FaultTooLarge means that the message is longer than the protocol allows.
 	FaultTooLarge
+	// FaultUnauthorized means that the caller's key is unknown or was withdrawn.
+	FaultUnauthorized
 )
 
 var faultNames = [...]string{
 	"none", "busy", "overload", "lagging", "read-only", "misrouted", "unprepared", "aborted", "failed", "timeout",
-	"in-doubt", "no-database", "malformed", "too-large",
+	"in-doubt", "no-database", "malformed", "too-large", "unauthorized",
 }
 
 // String returns the name of the fault as used in logs and metrics. Other builds may send faults that this one
@@ -116,6 +118,9 @@
 	Kind              Kind
 	Rank              Rank
 	StartBy, Deadline time.Time
+	// Organisation is the one on whose behalf the command runs, empty if there is none. A connection to an
+	// upstream belongs to one organisation, so that an owner needs it.
+	Organisation OrganisationID
 }
 
 // Answer is the upstream's answer to a Command.
--- a/core/topo/topo.go
+++ b/core/topo/topo.go
@@ -54,6 +54,19 @@
 	// StatementTimeout limits one statement.
 	StatementTimeout time.Duration
 	Rank             core.Rank
+	// Public is set if callers need no key.
+	Public bool
+}
+
+// KeyDigest is the digest of a caller's key. Keys themselves are not kept.
+type KeyDigest [16]byte
+
+// Organisation is one customer of the deployment.
+type Organisation struct {
+	ID core.OrganisationID
+	// Rate and Burst limit the operations of the organisation's callers on all entry VMs together: operations a
+	// second, and operations beyond that. A Rate of 0 means no limit.
+	Rate, Burst float64
 }
 
 // Group is one database group of the configuration.
@@ -71,6 +84,9 @@
 	// Routes are keyed by database.
 	Routes map[string]Route
 	Groups map[core.GroupID]Group
+	// Organisations and Keys are empty if callers need no keys. Keys holds the organisation of each key.
+	Organisations map[core.OrganisationID]Organisation
+	Keys          map[KeyDigest]core.OrganisationID
 	// TxIdle is how long a transaction may stay idle; 0 means no limit.
 	TxIdle time.Duration
 }
