--- a/conf/entry.go
+++ b/conf/entry.go
@@ -29,6 +29,9 @@
 	// ConfigTarget is the time after which an acknowledged configuration must be in force, DrainTarget the
 	// time after which an upstream that announced its stop must not be used.
 	ConfigTarget, DrainTarget time.Duration
+	// KeyRevocation is the time after which a withdrawn key of callers must be out of use on all VMs, also on those
+	// that can't reach the store; 0 means that there is no such bound.
+	KeyRevocation time.Duration
 	// Grace is the time between SIGTERM and SIGKILL, in which the process must stop.
 	Grace time.Duration
 	// Memory is the memory limit of the process in bytes.
@@ -60,6 +63,8 @@
 	acceptsSeconds      = "a number of seconds above 0"
 	acceptsMilliseconds = "a number of milliseconds above 0"
 	acceptsMegabytes    = "a number of megabytes above 0"
+
+	acceptsOptionalMilliseconds = "a number of milliseconds, 0 for none"
 )
 
 // setPositive sets d to the number in v, in the unit, and reports whether it is above 0.
@@ -90,6 +95,9 @@
 	{"Targets", "DrainMilliseconds", "7000", acceptsMilliseconds, "Time after which an upstream that announced its stop must not be used.", func(e *Entry, v string) bool {
 		return setPositive(&e.DrainTarget, v, time.Millisecond)
 	}},
+	{"Targets", "KeyRevocationMilliseconds", "0", acceptsOptionalMilliseconds, "Time after which a withdrawn key must be out of use on all VMs, also on those that can't reach the store; 0 if there is no bound.", func(e *Entry, v string) bool {
+		return v == "0" || setPositive(&e.KeyRevocation, v, time.Millisecond)
+	}},
 	{"Stop", "GraceSeconds", "6", acceptsSeconds, "Time between SIGTERM and SIGKILL.", func(e *Entry, v string) bool {
 		return setPositive(&e.Grace, v, time.Second)
 	}},
--- a/core/line.go
+++ b/core/line.go
@@ -163,9 +163,9 @@
 
 // LineDialer opens connections to upstreams.
 type LineDialer interface {
-	// Dial returns *RefusedError if the upstream is at its connection limit, and *MisroutedError if
-	// another upstream answers at the address.
-	Dial(ctx context.Context, u UpstreamInfo) (LineConn, error)
+	// Dial connects on behalf of the organisation, or of the VM itself if it is empty. It returns *RefusedError
+	// if the upstream is at its connection limit, and *MisroutedError if another upstream answers at the address.
+	Dial(ctx context.Context, u UpstreamInfo, organisation OrganisationID) (LineConn, error)
 }
 
 // MisroutedError reports that another upstream than the expected one answers at an address.
--- a/core/mirror/list.go
+++ b/core/mirror/list.go
@@ -23,6 +23,7 @@
 // List implements core.PrefixStore. If the store fails, it asks other mirrors for a listing that is not older
 // than what is known.
 func (m *Mirror) List(ctx context.Context, prefix string) ([]core.Entry, core.Version, error) {
+	listedAt := m.cfg.Now()
 	entries, at, err := m.listStore(ctx, prefix)
 	for range standbyTries {
 		if err == nil || ctx.Err() != nil {
@@ -34,6 +35,7 @@
 		}
 		if answer, ok := m.listMirror(ctx, vm, prefix); ok {
 			entries, at, err = answer.Entries, answer.At, nil
+			listedAt = answer.confirmedAt
 		}
 	}
 	if err != nil {
@@ -41,7 +43,9 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.view(prefix).reset(entries, at)
+	v := m.view(prefix)
+	v.reset(entries, at)
+	v.listedAt = listedAt
 	return entries, at, nil
 }
 
@@ -70,6 +74,7 @@
 		}
 		return ListAnswer{}, false
 	}
+	out.confirmedAt = began.Add(-maxListAge)
 	level.Info(m.cfg.Log).Log("Msg", "listed by a mirror", "Prefix", prefix, "Mirror", vm.ID, "Revision", out.At)
 	return out, true
 }
--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -195,6 +195,13 @@
 	return 0
 }
 
+// ListedAt returns a time at which the last listing of the prefix missed no change, or 0 if there was none.
+func (m *Mirror) ListedAt(prefix string) core.Instant {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.view(prefix).listedAt
+}
+
 // watchStore watches the store itself. The wait is shortened so that the confirmation, which other VMs rely
 // on, doesn't get older than w.wait.
 func (m *Mirror) watchStore(ctx context.Context, w watch) ([]core.Event, core.Version, error) {
--- a/core/mirror/service.go
+++ b/core/mirror/service.go
@@ -48,6 +48,8 @@
 	OK      bool
 	Entries []core.Entry
 	At      core.Version
+	// confirmedAt is a time at which the store had no other changes; set by the caller.
+	confirmedAt core.Instant
 }
 
 // Service serves watches and listings of other VMs over RPC.
--- a/core/mirror/view.go
+++ b/core/mirror/view.go
@@ -24,6 +24,8 @@
 	// entries holds all keys, complete up to entriesAt; nil if they are unknown.
 	entries   map[string]core.Entry
 	entriesAt core.Version
+	// listedAt is a time at which the last listing by this VM missed no change.
+	listedAt core.Instant
 	// isConfirmed is set if the store had no other changes at confirmedAt.
 	isConfirmed bool
 	confirmedAt core.Instant
--- /dev/null
+++ b/core/orgs/guard.go
@@ -0,0 +1,124 @@
+package orgs
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/uber-go/tally/v4"
+
+	"snipewall/core"
+	"snipewall/core/topo"
+)
+
+// maxAgeShare is the share of the bound up to which a confirmation lets callers with keys work. The store's
+// watches may hear nothing for a second while changes are made, and the rest covers that.
+const maxAgeShare = 0.7
+
+// digestLabel keeps digests of keys apart from those of other texts.
+var digestLabel = []byte("snipewall caller key")
+
+// Digest returns the digest of a caller's key. Keys are long random texts, so that it can't be reversed by trying.
+func Digest(key string) topo.KeyDigest {
+	mac := hmac.New(sha256.New, digestLabel)
+	_, _ = mac.Write([]byte(key))
+	var d topo.KeyDigest
+	copy(d[:], mac.Sum(nil))
+	return d
+}
+
+// Config configures a Guard. Metrics and Now may be nil.
+type Config struct {
+	Directory *topo.Directory
+	// Revocation is the time after which a withdrawn key must be out of use on all VMs, counted from the
+	// acknowledgment of the configuration without it; 0 means that there is no bound.
+	Revocation time.Duration
+	Log        log.Logger
+	Metrics    tally.Scope
+	// Now reads a clock that advances while the VM is suspended; nil stands for core.Now.
+	Now func() core.Instant
+}
+
+// Guard identifies callers. It is safe for concurrent use.
+type Guard struct {
+	cfg                       Config
+	unauthorized, unconfirmed tally.Counter
+
+	mu sync.Mutex
+	// confirmedAt is when the store had no configuration that this VM hasn't adopted; 0 if that was never so.
+	confirmedAt core.Instant
+	// isUnreadable is set while the newest configuration can't be read, so that nobody knows which keys it withdraws.
+	isUnreadable bool
+	// isStale is set since callers with keys are refused.
+	isStale bool
+}
+
+// NewGuard returns a guard to which nothing is confirmed.
+func NewGuard(cfg Config) *Guard {
+	if cfg.Now == nil {
+		cfg.Now = core.Now
+	}
+	if cfg.Metrics == nil {
+		cfg.Metrics = tally.NoopScope
+	}
+	return &Guard{cfg: cfg, unauthorized: cfg.Metrics.Counter("Unauthorized"), unconfirmed: cfg.Metrics.Counter("KeysUnconfirmed")}
+}
+
+// Confirm records that the store had no other configuration than the adopted one at the given time.
+func (g *Guard) Confirm(at core.Instant) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.isUnreadable {
+		g.confirmedAt = max(g.confirmedAt, at)
+	}
+}
+
+// NoteReadable records whether the newest configuration could be read.
+func (g *Guard) NoteReadable(ok bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.isUnreadable = !ok
+}
+
+// Identify returns the organisation of the key on the route. The fault is FaultUnauthorized if the key is unknown or
+// was withdrawn, and FaultBusy if this VM can't tell whether it was withdrawn lately. A caller of a public route
+// has no organisation.
+func (g *Guard) Identify(route topo.Route, key topo.KeyDigest) (core.OrganisationID, core.Fault) {
+	cfg := &g.cfg.Directory.Snapshot().Config
+	if !cfg.NeedsKeys || route.Public {
+		return "", core.FaultNone
+	}
+	organisation, ok := cfg.Keys[key]
+	if !ok {
+		g.unauthorized.Inc(1)
+		return "", core.FaultUnauthorized
+	}
+	if !g.IsCurrent() {
+		g.unconfirmed.Inc(1)
+		return "", core.FaultBusy
+	}
+	return organisation, core.FaultNone
+}
+
+// IsCurrent reports whether the configuration was confirmed lately enough to serve callers with keys. It is true
+// where there is no bound or nobody needs a key.
+func (g *Guard) IsCurrent() bool {
+	if g.cfg.Revocation <= 0 || !g.cfg.Directory.Snapshot().Config.NeedsKeys {
+		return true
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	age := g.cfg.Now().Sub(g.confirmedAt)
+	isStale := g.confirmedAt == 0 || age > g.MaxAge()
+	if isStale != g.isStale {
+		g.isStale = isStale
+		level.Info(g.cfg.Log).Log("Msg", "callers with keys", "Served", !isStale, "AgeMs", age.Milliseconds(), "Table", g.cfg.Directory.Snapshot().Config.Version)
+	}
+	return !isStale
+}
+
+// MaxAge is the age up to which a confirmation suffices.
+func (g *Guard) MaxAge() time.Duration { return time.Duration(maxAgeShare * float64(g.cfg.Revocation)) }
--- a/core/owner/owner.go
+++ b/core/owner/owner.go
@@ -68,7 +68,7 @@
 	o.pool = pool.New(pool.Config[core.Conn]{
 		Limit:       connections,
 		MinIdle:     minIdle,
-		Dial:        cfg.Upstream.Dial,
+		Dial:        func(ctx context.Context, _ string) (core.Conn, error) { return cfg.Upstream.Dial(ctx) },
 		Close:       func(c core.Conn) error { return c.Close() },
 		Ping:        func(ctx context.Context, c core.Conn) error { return c.Ping(ctx) },
 		AtLimit:     isRefused,
--- a/core/pool/config.go
+++ b/core/pool/config.go
@@ -22,8 +22,9 @@
 	Limit int
 	// MinIdle is the number of idle connections that the pool keeps open.
 	MinIdle int
-	// Dial opens a connection.
-	Dial func(ctx context.Context) (T, error)
+	// Dial opens a connection with the label, which is AnyLabel if any will do. Pools whose users ask for no
+	// label ignore it.
+	Dial func(ctx context.Context, label string) (T, error)
 	// Close closes a connection. Its error is ignored, since the connection is unusable either way.
 	Close func(v T) error
 	// Ping checks an idle connection. Nil disables the heartbeat.
--- a/core/pool/doc.go
+++ b/core/pool/doc.go
@@ -11,7 +11,7 @@
 //	p := pool.New(pool.Config[core.Conn]{
 //		Limit:   20,
 //		MinIdle: 4,
-//		Dial:    upstream.Dial,
+//		Dial:    func(ctx context.Context, label string) (core.Conn, error) { return upstream.Dial(ctx) },
 //		Ping:    func(ctx context.Context, c core.Conn) error { return c.Ping(ctx) },
 //		Close:   func(c core.Conn) error { return c.Close() },
 //	})
--- a/core/pool/handle.go
+++ b/core/pool/handle.go
@@ -19,6 +19,7 @@
 // entry is a connection of the pool.
 type entry[T any] struct {
 	value T
+	label string
 	// lastUsed is when the connection was last returned, lastAnswered when it last proved to work.
 	lastUsed, lastAnswered time.Time
 }
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -26,22 +27,32 @@
 	waiters []*waiter[T]
 	// total counts the connections against the limit: idle, in use, being dialed, checked or closed.
 	total, inUse, dialing, checking int
-	closed                          bool
+	// dialingLabels counts the dials in progress of each label other than AnyLabel.
+	dialingLabels map[string]int
+	closed        bool
 	// dialingSince is the earliest time at which a dial in progress may have begun.
 	dialingSince time.Time
 	dialErr      error
 	backoff      time.Duration
 	retryAt      time.Time
+	replaced     int
 	// Idle connections that last answered before suspectBefore are checked before their next use, since
 	// another connection failed after that time and they may not answer either.
 	suspectBefore time.Time
 }
 
+// AnyLabel stands for a connection of any label.
+const AnyLabel = ""
+
 // waiter is a call of Get that waits for a connection.
 type waiter[T any] struct {
+	label string
 	ready chan getResult[T]
 }
 
+// accepts reports whether the connection serves the label.
+func (e *entry[T]) accepts(label string) bool { return label == AnyLabel || label == e.label }
+
 type getResult[T any] struct {
 	handle *Handle[T]
 	err    error
@@ -50,20 +61,26 @@
 // Stats is a snapshot of a pool for status output.
 type Stats struct {
 	Limit, Total, InUse, Idle, Dialing, Waiting int
+	// Replaced counts the idle connections that were closed in favor of another label.
+	Replaced int `json:",omitempty"`
 	// DialError is the error of the last dial, or empty if it succeeded.
 	DialError string `json:",omitempty"`
 }
 
 // New returns a pool. It dials only while Run runs.
 func New[T any](cfg Config[T]) *Pool[T] {
-	return &Pool[T]{cfg: cfg.withDefaults(), wake: make(chan struct{}, 1)}
+	return &Pool[T]{cfg: cfg.withDefaults(), wake: make(chan struct{}, 1), dialingLabels: make(map[string]int)}
 }
 
-// Get takes a connection. If none is idle, it waits for a dial or a returned connection. Its errors are
-// the dial's error, ErrClosed and the context's error.
-func (p *Pool[T]) Get(ctx context.Context) (*Handle[T], error) {
+// Get takes a connection of any label. If none is idle, it waits for a dial or a returned connection. Its
+// errors are the dial's error, ErrClosed and the context's error.
+func (p *Pool[T]) Get(ctx context.Context) (*Handle[T], error) { return p.GetLabeled(ctx, AnyLabel) }
+
+// GetLabeled is Get for a connection that was dialed with the label. At the limit it replaces the idle
+// connection of another label that was unused for the longest time.
+func (p *Pool[T]) GetLabeled(ctx context.Context, label string) (*Handle[T], error) {
 	p.mu.Lock()
-	if h, ok := p.takeIdle(); ok {
+	if h, ok := p.takeIdle(label); ok {
 		p.mu.Unlock()
 		return h, nil
 	}
@@ -75,7 +92,7 @@
 		defer p.mu.Unlock()
 		return nil, p.dialErr
 	}
-	w := &waiter[T]{ready: make(chan getResult[T], 1)}
+	w := &waiter[T]{label: label, ready: make(chan getResult[T], 1)}
 	p.waiters = append(p.waiters, w)
 	p.mu.Unlock()
 	p.signal()
@@ -88,11 +105,14 @@
 	}
 }
 
-// TryGet takes an idle connection, if there is one.
-func (p *Pool[T]) TryGet() (*Handle[T], bool) {
+// TryGet takes an idle connection of any label, if there is one.
+func (p *Pool[T]) TryGet() (*Handle[T], bool) { return p.TryGetLabeled(AnyLabel) }
+
+// TryGetLabeled takes an idle connection that was dialed with the label, if there is one.
+func (p *Pool[T]) TryGetLabeled(label string) (*Handle[T], bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.takeIdle()
+	return p.takeIdle(label)
 }
 
 // Blocked returns why no new connection can be opened now, or nil. After a failed dial, it returns that
@@ -110,19 +130,22 @@
 	return nil
 }
 
-// takeIdle takes the most recently used connection. The caller holds mu.
-func (p *Pool[T]) takeIdle() (*Handle[T], bool) {
-	n := len(p.idle)
-	if n == 0 {
+// takeIdle takes the most recently used connection of the label. The caller holds mu.
+func (p *Pool[T]) takeIdle(label string) (*Handle[T], bool) {
+	i := len(p.idle) - 1
+	for i >= 0 && !p.idle[i].accepts(label) {
+		i--
+	}
+	if i < 0 {
 		return nil, false
 	}
-	if p.isSuspect(p.idle[n-1]) {
+	if p.isSuspect(p.idle[i]) {
 		p.signal()
 		return nil, false
 	}
-	h := p.newHandle(p.idle[n-1])
-	p.idle = p.idle[:n-1]
-	if p.neededDials() > 0 {
+	h := p.newHandle(p.idle[i])
+	p.idle = slices.Delete(p.idle, i, i+1)
+	if len(p.neededDials()) > 0 {
 		p.signal()
 	}
 	return h, true
@@ -138,7 +161,7 @@
 		InUse:   p.inUse,
 		Idle:    len(p.idle),
 		Dialing: p.dialing,
-		Waiting: len(p.waiters),
+		Waiting: len(p.waiters), Replaced: p.replaced,
 	}
 	if p.dialErr != nil {
 		s.DialError = p.dialErr.Error()
@@ -155,9 +178,10 @@
 	defer timer.Stop()
 	for ctx.Err() == nil {
 		now := time.Now()
-		for range p.reserveDials(now) {
+		p.replaceIdle(now)
+		for _, label := range p.reserveDials(now) {
 			tasks++
-			go func() { p.dial(ctx); ends <- struct{}{} }()
+			go func() { p.dial(ctx, label); ends <- struct{}{} }()
 		}
 		for _, e := range p.takeDueForCheck(now) {
 			tasks++
@@ -192,20 +216,27 @@
 	if p.dialing > 0 || p.checking > 0 {
 		return true
 	}
-	return p.inUse > 0 && p.cfg.AtLimit != nil && p.cfg.AtLimit(err)
+	return (p.inUse > 0 || len(p.idle) > 0) && p.isAtLimit(err)
 }
 
-// offer passes a free connection to the first waiter or keeps it as idle. It returns false if the pool
-// is closed, so that the connection must be closed. The caller holds mu.
+func (p *Pool[T]) isAtLimit(err error) bool { return p.cfg.AtLimit != nil && p.cfg.AtLimit(err) }
+
+// offer passes a free connection to the first waiter that it serves or keeps it as idle. It returns false
+// if the pool is closed, so that the connection must be closed. The caller holds mu.
 func (p *Pool[T]) offer(e *entry[T]) bool {
 	if p.closed {
 		return false
 	}
+	for i, w := range p.waiters {
+		if e.accepts(w.label) {
+			p.waiters = slices.Delete(p.waiters, i, i+1)
+			w.ready <- getResult[T]{handle: p.newHandle(e)}
+			return true
+		}
+	}
 	if len(p.waiters) > 0 {
-		w := p.waiters[0]
-		p.waiters = slices.Delete(p.waiters, 0, 1)
-		w.ready <- getResult[T]{handle: p.newHandle(e)}
-		return true
+		// The waiters need another label, for which this connection may be replaced.
+		p.signal()
 	}
 	i, _ := slices.BinarySearchFunc(p.idle, e, func(a, b *entry[T]) int { return a.lastUsed.Compare(b.lastUsed) })
 	p.idle = slices.Insert(p.idle, i, e)
@@ -251,48 +282,112 @@
 	}
 }
 
-// neededDials returns how many more connections should be dialed. The caller holds mu.
-func (p *Pool[T]) neededDials() int {
-	want := len(p.waiters) + max(0, p.cfg.MinIdle-len(p.idle)-p.checking) - p.dialing
-	want = min(want, p.cfg.Limit-p.total)
+// neededDials returns the labels of the connections that should be dialed, those of waiters first. The caller
+// holds mu.
+func (p *Pool[T]) neededDials() []string {
+	labels := p.unservedLabels()
+	idle := p.cfg.MinIdle - len(p.idle) - p.checking
+	for range max(0, idle) - max(0, p.dialing-len(p.waiters)) {
+		labels = append(labels, AnyLabel)
+	}
+	want := min(len(labels), max(0, p.cfg.Limit-p.total))
 	if p.cfg.SlowStart {
 		want = min(want, max(1, p.total-p.dialing)-p.dialing)
 	}
-	return max(0, want)
+	if want <= 0 {
+		return nil
+	}
+	return labels[:want]
 }
 
-// reserveDials returns the number of dials to start and counts them as in progress.
-func (p *Pool[T]) reserveDials(now time.Time) int {
+// unservedLabels returns the labels of the waiters that no dial in progress is for. The caller holds mu.
+func (p *Pool[T]) unservedLabels() []string {
+	if len(p.waiters) == 0 {
+		return nil
+	}
+	dialing := p.dialing
+	byLabel := maps.Clone(p.dialingLabels)
+	var labels []string
+	for _, w := range p.waiters {
+		switch {
+		case w.label == AnyLabel && dialing > 0:
+			dialing--
+		case w.label != AnyLabel && byLabel[w.label] > 0:
+			byLabel[w.label]--
+			dialing--
+		default:
+			labels = append(labels, w.label)
+		}
+	}
+	return labels
+}
+
+// replaceIdle closes the idle connections that were unused for the longest time where waiters need other labels and
+// the limit of the pool or of the other side leaves no room.
+func (p *Pool[T]) replaceIdle(now time.Time) {
+	p.mu.Lock()
+	needed := len(p.unservedLabels()) - max(0, p.cfg.Limit-p.total)
+	if needed <= 0 && p.dialErr != nil && p.dialing == 0 && len(p.waiters) > 0 && !now.Before(p.retryAt) && p.isAtLimit(p.dialErr) {
+		needed = 1
+	}
+	n := min(max(0, needed), len(p.idle))
+	old := slices.Clone(p.idle[:n])
+	p.idle = slices.Delete(p.idle, 0, n)
+	p.replaced += n
+	p.mu.Unlock()
+	for _, e := range old {
+		p.close(e)
+	}
+}
+
+// reserveDials returns the labels of the dials to start and counts them as in progress.
+func (p *Pool[T]) reserveDials(now time.Time) []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n := p.neededDials()
+	labels := p.neededDials()
 	if p.dialErr != nil {
 		// After a failure, only one dial at a time tests whether connections are accepted again.
-		n = min(n, 1)
+		labels = labels[:min(len(labels), 1)]
 		if now.Before(p.retryAt) || p.dialing > 0 {
-			n = 0
+			labels = nil
 		}
 	}
-	if n > 0 && p.dialing == 0 {
+	if len(labels) > 0 && p.dialing == 0 {
 		p.dialingSince = now
 	}
-	p.total += n
-	p.dialing += n
-	return n
+	p.total += len(labels)
+	p.dialing += len(labels)
+	for _, label := range labels {
+		if label != AnyLabel {
+			p.dialingLabels[label]++
+		}
+	}
+	return labels
 }
 
-func (p *Pool[T]) dial(ctx context.Context) {
+// endDial counts the end of a dial. The caller holds mu.
+func (p *Pool[T]) endDial(label string) {
+	p.dialing--
+	if label == AnyLabel {
+		return
+	}
+	if p.dialingLabels[label]--; p.dialingLabels[label] <= 0 {
+		delete(p.dialingLabels, label)
+	}
+}
+
+func (p *Pool[T]) dial(ctx context.Context, label string) {
 	ctx, cancel := context.WithTimeout(ctx, p.cfg.DialTimeout)
 	defer cancel()
-	v, err := p.cfg.Dial(ctx)
+	v, err := p.cfg.Dial(ctx, label)
 	if err != nil {
-		p.dialFailed(err)
+		p.dialFailed(label, err)
 		return
 	}
 	now := time.Now()
-	e := &entry[T]{value: v, lastUsed: now, lastAnswered: now}
+	e := &entry[T]{value: v, label: label, lastUsed: now, lastAnswered: now}
 	p.mu.Lock()
-	p.dialing--
+	p.endDial(label)
 	p.dialingSince = now
 	p.dialErr = nil
 	p.backoff = 0
@@ -304,9 +399,9 @@
 }
 
 // dialFailed starts the backoff and fails the waiters that can get no other connection.
-func (p *Pool[T]) dialFailed(err error) {
+func (p *Pool[T]) dialFailed(label string, err error) {
 	p.mu.Lock()
-	p.dialing--
+	p.endDial(label)
 	p.total--
 	p.dialErr = err
 	p.backoff = min(max(2*p.backoff, p.cfg.MinBackoff), p.cfg.MaxBackoff)
--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -26,9 +26,12 @@
 	silent               atomic.Bool
 }
 
-type conn struct{ closed atomic.Bool }
+type conn struct {
+	label  string
+	closed atomic.Bool
+}
 
-func (s *server) dial(ctx context.Context) (*conn, error) {
+func (s *server) dial(ctx context.Context, label string) (*conn, error) {
 	s.dials.Add(1)
 	select {
 	case <-time.After(dialTime):
@@ -41,7 +44,7 @@
 	if n := s.open.Add(1); n > s.maxOpen.Load() {
 		s.maxOpen.Store(n)
 	}
-	return &conn{}, nil
+	return &conn{label: label}, nil
 }
 
 func (s *server) close(c *conn) error {
--- a/core/proxy/cluster.go
+++ b/core/proxy/cluster.go
@@ -132,7 +132,7 @@
 // after probeRelayDelay or a failure also other VMs: this VM may be cut off from an upstream that works.
 func (n *node) probe(ctx context.Context, req probeRequest) (lead.ProbeResult, error) {
 	first, _ := n.poolOrder()
-	if handle, ok := n.tryGet(first); ok {
+	if handle, ok := n.tryGet(first, pool.AnyLabel); ok {
 		short := req
 		short.deadline = time.Now().Add(time.Until(req.deadline) / 3)
 		if res, err := n.probeOn(handle, short); err == nil {
@@ -189,7 +189,7 @@
 
 // probePooled probes on a pooled connection, waiting for one until the deadline.
 func (n *node) probePooled(ctx context.Context, deadline time.Time) (lead.ProbeResult, error) {
-	handle, err := n.get(ctx, deadline)
+	handle, err := n.get(ctx, pool.AnyLabel, deadline)
 	if err != nil {
 		return lead.ProbeResult{}, err
 	}
@@ -197,7 +197,7 @@
 }
 
 func (n *node) probeFromPool(ctx context.Context, p *pool.Pool[*conn], req probeRequest) (lead.ProbeResult, error) {
-	handle, err := n.getFrom(ctx, p, req.deadline)
+	handle, err := n.getFrom(ctx, p, pool.AnyLabel, req.deadline)
 	if err != nil {
 		return lead.ProbeResult{}, err
 	}
@@ -244,7 +244,7 @@
 // the upstream's connection limit it uses a pooled one: busy replicas must be reachable before a
 // primary is replaced.
 func (n *node) probeDirectly(ctx context.Context, req probeRequest) (lead.ProbeResult, error) {
-	lc, err := n.p.cfg.Dialer.Dial(ctx, n.info.Load().UpstreamInfo)
+	lc, err := n.p.cfg.Dialer.Dial(ctx, n.info.Load().UpstreamInfo, "")
 	if isAtLimit(err) {
 		res, err := n.probeFromPool(ctx, n.direct, req)
 		if err != nil {
--- a/core/proxy/connect.go
+++ b/core/proxy/connect.go
@@ -93,9 +93,9 @@
 func closeConn(c *conn) error { return c.Close() }
 
 // dial connects to the upstream itself.
-func (n *node) dial(ctx context.Context) (*conn, error) {
+func (n *node) dial(ctx context.Context, label string) (*conn, error) {
 	n.p.metrics.dials.Inc(1)
-	lc, err := n.p.cfg.Dialer.Dial(ctx, n.info.Load().UpstreamInfo)
+	lc, err := n.p.cfg.Dialer.Dial(ctx, n.info.Load().UpstreamInfo, organisationOf(label))
 	if err != nil {
 		return nil, err
 	}
@@ -104,7 +104,7 @@
 
 // dialRelay connects to the upstream through another VM: the first that answers among the owners of the
 // path, or among the VMs next in the order of ownership if the path is direct.
-func (n *node) dialRelay(ctx context.Context) (*conn, error) {
+func (n *node) dialRelay(ctx context.Context, _ string) (*conn, error) {
 	u := n.info.Load()
 	owners := n.path.owners
 	if len(owners) == 0 {
@@ -204,23 +204,23 @@
 // get takes an open connection, waiting at most until the deadline. Load patterns: after all VMs lost
 // power, the first to dial take what the old connections leave of an upstream's limit, and relay for
 // the others; a VM that is cut off from an upstream reaches it through other VMs.
-func (n *node) get(ctx context.Context, deadline time.Time) (*pool.Handle[*conn], error) {
+func (n *node) get(ctx context.Context, label string, deadline time.Time) (*pool.Handle[*conn], error) {
 	first, second := n.poolOrder()
-	if h, ok := n.tryGet(first); ok {
+	if h, ok := n.tryGet(first, label); ok {
 		return h, nil
 	}
 	if first.Blocked() == nil {
-		h, err := n.getFrom(ctx, first, earlier(deadline, time.Now().Add(slowDialAfter)))
+		h, err := n.getFrom(ctx, first, label, earlier(deadline, time.Now().Add(slowDialAfter)))
 		if err == nil {
 			return h, nil
 		}
 	}
 	if err := first.Blocked(); err != nil && !n.shouldWaitForOwner(err) {
-		if h, err := n.getFrom(ctx, second, deadline); err == nil {
+		if h, err := n.getFrom(ctx, second, label, deadline); err == nil {
 			return h, nil
 		}
 	}
-	return n.getFrom(ctx, first, deadline)
+	return n.getFrom(ctx, first, label, deadline)
 }
 
 // shouldWaitForOwner reports whether statements wait for the upstream's owner, which refused a
@@ -254,20 +254,50 @@
 	return a
 }
 
+// publicLabel labels connections for callers without a key where others have one. It can't be the name of an
+// organisation.
+const publicLabel = "no organisation"
+
+// label returns the label of connections on behalf of the organisation. Where callers have no keys, all connections
+// are alike.
+func (p *Proxy) label(organisation core.OrganisationID) string {
+	if organisation == "" && p.cfg.Directory.Snapshot().Config.NeedsKeys {
+		return publicLabel
+	}
+	return string(organisation)
+}
+
+// organisationOf returns the organisation that an upstream is told for connections with the label, empty for none.
+func organisationOf(label string) core.OrganisationID {
+	if label == publicLabel {
+		return ""
+	}
+	return core.OrganisationID(label)
+}
+
+// labelIn returns the label to ask the pool for: connections through other VMs serve all organisations, since each
+// command names its own.
+func (n *node) labelIn(p *pool.Pool[*conn], label string) string {
+	if p == n.relayed {
+		return pool.AnyLabel
+	}
+	return label
+}
+
 // getDirect takes a connection to the upstream itself. Statements relayed for other VMs use only these,
 // so that VMs without connections can't forward them in a circle.
-func (n *node) getDirect(ctx context.Context, deadline time.Time) (*pool.Handle[*conn], error) {
-	return n.getFrom(ctx, n.direct, deadline)
+func (n *node) getDirect(ctx context.Context, label string, deadline time.Time) (*pool.Handle[*conn], error) {
+	return n.getFrom(ctx, n.direct, label, deadline)
 }
 
 // canRelay reports whether other VMs' statements can expect a connection of this VM.
 func (n *node) canRelay() bool { return n.direct.Blocked() == nil || n.direct.Stats().Total > 0 }
 
-func (n *node) getFrom(ctx context.Context, p *pool.Pool[*conn], deadline time.Time) (*pool.Handle[*conn], error) {
+func (n *node) getFrom(ctx context.Context, p *pool.Pool[*conn], label string, deadline time.Time) (*pool.Handle[*conn], error) {
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	for {
-		h, err := p.Get(ctx)
+		h, err := p.GetLabeled(ctx, n.labelIn(p, label))
 		if err != nil {
 			return nil, err
 		}
@@ -278,10 +308,10 @@
 	}
 }
 
-// tryGet takes an open idle connection of the pool, if there is one.
-func (n *node) tryGet(p *pool.Pool[*conn]) (*pool.Handle[*conn], bool) {
+// tryGet takes an open idle connection of the pool with the label, if there is one.
+func (n *node) tryGet(p *pool.Pool[*conn], label string) (*pool.Handle[*conn], bool) {
 	for {
-		h, ok := p.TryGet()
+		h, ok := p.TryGetLabeled(n.labelIn(p, label))
 		if !ok {
 			return nil, false
 		}
--- a/core/proxy/fake_test.go
+++ b/core/proxy/fake_test.go
@@ -47,12 +47,17 @@
 	body []byte
 }
 
+// noKey is the key of a caller where callers need none.
+var noKey topo.KeyDigest
+
 // run is one caller statement that ran.
 type run struct {
-	Conn   int
-	Text   string
-	Values string
-	InTx   bool
+	Conn int
+	// Organisation is the one that the connection belongs to.
+	Organisation core.OrganisationID
+	Text         string
+	Values       string
+	InTx         bool
 	// Log is the end of the server's log when the statement ran.
 	Log core.Position
 }
@@ -71,6 +76,7 @@
 
 type fakeConn struct {
 	s                *server
+	organisation     core.OrganisationID
 	n                int
 	status           core.TxStatus
 	values           map[string]string
@@ -198,7 +204,7 @@
 	if write && !fc.s.leads {
 		return core.FaultReadOnly
 	}
-	fc.s.ran = append(fc.s.ran, run{Conn: fc.n, Text: text, Values: fmt.Sprint(fc.values), InTx: fc.status == core.TxOpen, Log: fc.s.log})
+	fc.s.ran = append(fc.s.ran, run{Conn: fc.n, Organisation: fc.organisation, Text: text, Values: fmt.Sprint(fc.values), InTx: fc.status == core.TxOpen, Log: fc.s.log})
 	if write && fc.status == core.TxIdle || text == "COMMIT" {
 		fc.s.log.Offset++
 	}
@@ -329,7 +335,7 @@
 }
 
 // Dial implements core.LineDialer.
-func (r *harness) Dial(ctx context.Context, u core.UpstreamInfo) (core.LineConn, error) {
+func (r *harness) Dial(ctx context.Context, u core.UpstreamInfo, organisation core.OrganisationID) (core.LineConn, error) {
 	if r.unreachable[u.ID] {
 		<-ctx.Done()
 		return nil, ctx.Err()
@@ -342,7 +348,7 @@
 	}
 	s.conns++
 	r.dials.Add(1)
-	return &fakeConn{s: s, n: s.conns, status: core.TxIdle, values: map[string]string{}, prepared: map[string]string{}, canPipelineBegin: r.canPipelineBegin}, nil
+	return &fakeConn{s: s, n: s.conns, organisation: organisation, status: core.TxIdle, values: map[string]string{}, prepared: map[string]string{}, canPipelineBegin: r.canPipelineBegin}, nil
 }
 
 // do executes a statement, given as the caller sent it.
--- a/core/proxy/history_test.go
+++ b/core/proxy/history_test.go
@@ -126,7 +126,7 @@
 // runCaller runs statements of one session until the history ends.
 func (h *history) runCaller(session int, database string, seed uint64) {
 	r := rand.New(rand.NewPCG(seed, uint64(session)))
-	s := h.proxy.Open(database)
+	s := h.proxy.Open(database, noKey)
 	defer s.Close()
 	for h.clock() < historyLength {
 		h.mu.Lock()
--- a/core/proxy/load_test.go
+++ b/core/proxy/load_test.go
@@ -47,7 +47,7 @@
 	var wg sync.WaitGroup
 	for i := range int(length / every) {
 		wg.Go(func() {
-			s := r.proxy.Open(database)
+			s := r.proxy.Open(database, noKey)
 			reply := r.do(s, VerbRead, fmt.Sprintf("READ %d", i))
 			mu.Lock()
 			defer mu.Unlock()
@@ -66,7 +66,7 @@
 		for _, s := range r.servers {
 			s.update(func(s *server) { s.serviceTime = 30 * time.Millisecond })
 		}
-		r.must(r.proxy.Open("strict"), VerbRead, "READ 0")
+		r.must(r.proxy.Open("strict", noKey), VerbRead, "READ 0")
 		faults := r.surge("bounded", 4*time.Millisecond, 3*time.Second)
 		assert.Equal(t, faults[core.FaultNone], 750, "%v", faults)
 		assert.Assert(t, len(r.texts(farID)) > 100, "the far replica served %d", len(r.texts(farID)))
@@ -90,7 +90,7 @@
 		worst := time.Duration(0)
 		for range 40 {
 			began := time.Now()
-			r.must(r.proxy.Open("strict"), VerbRead, "READ urgent")
+			r.must(r.proxy.Open("strict", noKey), VerbRead, "READ urgent")
 			worst = max(worst, time.Since(began))
 			time.Sleep(50 * time.Millisecond)
 		}
@@ -110,7 +110,7 @@
 		for range 200 {
 			wg.Go(func() {
 				began := time.Now()
-				reply := r.do(r.proxy.Open("strict"), VerbRead, "READ")
+				reply := r.do(r.proxy.Open("strict", noKey), VerbRead, "READ")
 				mu.Lock()
 				defer mu.Unlock()
 				if reply.Fault == core.FaultBusy && time.Since(began) < 200*time.Millisecond {
@@ -135,12 +135,12 @@
 		return out
 	}
 	u := topo.Upstream{UpstreamInfo: core.UpstreamInfo{ID: "u", FailureDomain: "here"}}
-	assert.Equal(t, len(planPath("vm-00", vms(6), u, 22).owners), 0)
+	assert.Equal(t, len(planPath("vm-00", vms(6), u, connBudget{connections: 22}).owners), 0)
 	// Three VMs were added, or the list still holds VMs that have stopped.
-	assert.Equal(t, len(planPath("vm-00", vms(9), u, 22).owners), 0)
+	assert.Equal(t, len(planPath("vm-00", vms(9), u, connBudget{connections: 22}).owners), 0)
 	owners := map[core.VMID]int{}
 	for _, vm := range vms(74) {
-		p := planPath(vm.ID, vms(74), u, 46)
+		p := planPath(vm.ID, vms(74), u, connBudget{connections: 46})
 		if len(p.owners) == 0 {
 			owners[vm.ID]++
 			assert.Assert(t, p.conns < 46, "an owner must leave connections to its successor")
@@ -166,10 +166,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		r := newHarness(t, manyVMs()...)
 		began := time.Now()
-		r.must(r.proxy.Open("own"), VerbWrite, "WRITE 1")
+		r.must(r.proxy.Open("own", noKey), VerbWrite, "WRITE 1")
 		assert.Assert(t, time.Since(began) < 700*time.Millisecond, "took %v", time.Since(began))
 		began = time.Now()
-		r.must(r.proxy.Open("own"), VerbWrite, "WRITE 2")
+		r.must(r.proxy.Open("own", noKey), VerbWrite, "WRITE 2")
 		assert.Assert(t, time.Since(began) < 50*time.Millisecond, "an owner that did not answer must be skipped for a while")
 		r.surge("strict", 5*time.Millisecond, time.Second)
 		assert.Assert(t, r.dials.Load() <= 3*maxFallbackConns, "%d direct connections", r.dials.Load())
@@ -180,7 +180,7 @@
 func TestReturnToReachableOwner(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newHarness(t, manyVMs()...)
-		r.must(r.proxy.Open("own"), VerbWrite, "WRITE 1")
+		r.must(r.proxy.Open("own", noKey), VerbWrite, "WRITE 1")
 		ownerDials := 0
 		r.owner = func(id core.UpstreamID) (core.LineConn, error) {
 			ownerDials++
@@ -188,7 +188,7 @@
 		}
 		time.Sleep(suspectTTL)
 		direct := r.dials.Load()
-		r.must(r.proxy.Open("own"), VerbWrite, "WRITE 2")
+		r.must(r.proxy.Open("own", noKey), VerbWrite, "WRITE 2")
 		assert.Equal(t, ownerDials, 1)
 		assert.Equal(t, r.dials.Load(), direct)
 	})
@@ -245,12 +245,12 @@
 // primary had crashed, a group had no primary for 4 s, since the busiest replica couldn't be probed.
 func TestProbeOfReplicaAtConnectionLimit(t *testing.T) {
 	inBubble(t, func(t *testing.T, r *harness) {
-		r.must(r.proxy.Open("strict"), VerbRead, "READ 0")
+		r.must(r.proxy.Open("strict", noKey), VerbRead, "READ 0")
 		r.servers[nearID].update(func(s *server) { s.serviceTime = 120 * time.Millisecond })
 		var wg sync.WaitGroup
 		defer wg.Wait()
 		for range maxConns {
-			wg.Go(func() { r.must(r.proxy.Open("bounded"), VerbRead, "READ 1") })
+			wg.Go(func() { r.must(r.proxy.Open("bounded", noKey), VerbRead, "READ 1") })
 		}
 		time.Sleep(10 * time.Millisecond)
 		r.full.Store(true)
@@ -271,7 +271,7 @@
 		r.unreachable = map[core.UpstreamID]bool{primaryID: true}
 		time.Sleep(2 * dialTimeout)
 		began := time.Now()
-		r.must(r.proxy.Open("own"), VerbWrite, "WRITE 1")
+		r.must(r.proxy.Open("own", noKey), VerbWrite, "WRITE 1")
 		t.Logf("first write after %v", time.Since(began))
 		faults := r.surge("strict", 10*time.Millisecond, 2*time.Second)
 		assert.Equal(t, faults[core.FaultNone], 200, "%v", faults)
@@ -291,7 +291,7 @@
 		var wg sync.WaitGroup
 		defer wg.Wait()
 		for range 3 + extraSlots {
-			wg.Go(func() { r.do(r.proxy.Open("own"), VerbWrite, "WRITE 1") })
+			wg.Go(func() { r.do(r.proxy.Open("own", noKey), VerbWrite, "WRITE 1") })
 		}
 		time.Sleep(10 * time.Millisecond)
 		relay, _, ok := r.proxy.OpenRelay(primaryID)
@@ -313,7 +313,7 @@
 		for _, id := range replicas {
 			r.servers[id].update(func(s *server) { s.log.Offset = 5 })
 		}
-		r.must(r.proxy.Open("strict"), VerbRead, "READ 0")
+		r.must(r.proxy.Open("strict", noKey), VerbRead, "READ 0")
 		const length = 3 * time.Second
 		faults := r.surge("bounded", 10*time.Millisecond, length)
 		assert.Equal(t, faults[core.FaultNone], 300, "%v", faults)
@@ -347,13 +347,13 @@
 		assert.Equal(t, r.dials.Load(), int32(0))
 		refuse.Store(false)
 		time.Sleep(maxDialBackoff)
-		r.must(r.proxy.Open("own"), VerbWrite, "WRITE 1")
+		r.must(r.proxy.Open("own", noKey), VerbWrite, "WRITE 1")
 		assert.Equal(t, r.dials.Load(), int32(0))
 		refuse.Store(true)
 		time.Sleep(relayIdleTimeout + time.Second)
 		r.surge("strict", 5*time.Millisecond, ownerRefusalWait+time.Second)
 		assert.Assert(t, r.dials.Load() > 0)
-		r.must(r.proxy.Open("own"), VerbWrite, "WRITE 2")
+		r.must(r.proxy.Open("own", noKey), VerbWrite, "WRITE 2")
 	})
 }
 
--- a/core/proxy/path.go
+++ b/core/proxy/path.go
@@ -37,11 +37,20 @@
 	return p.conns == other.conns && slices.EqualFunc(p.owners, other.owners, func(x, y core.VM) bool { return x.ID == y.ID && x.Relay == y.Relay })
 }
 
+// connBudget is what the VMs share of an upstream.
+type connBudget struct {
+	// connections is the upstream's connection limit.
+	connections int
+	// byOrganisation is set if each connection serves one organisation only: a few for each VM wouldn't suffice then.
+	byOrganisation bool
+}
+
 // planPath decides how the VM reaches the upstream. While the connections suffice for all VMs, each one
 // dials directly, which is the shortest path and has no point of failure. Otherwise the upstream has an
 // owner in its failure domain, and the other VMs relay through it.
-func planPath(self core.VMID, alive []core.VM, u topo.Upstream, connections int) path {
-	if len(alive)*minConnsPerVM <= connections {
+func planPath(self core.VMID, alive []core.VM, u topo.Upstream, budget connBudget) path {
+	connections := budget.connections
+	if len(alive)*minConnsPerVM <= connections && !budget.byOrganisation {
 		return path{conns: max(1, min(maxConns, connections))}
 	}
 	owners := place.Owners(u.UpstreamInfo, alive, maxOwners)
--- a/core/proxy/permit_test.go
+++ b/core/proxy/permit_test.go
@@ -69,9 +69,9 @@
 func TestNoStatementsWithoutPermit(t *testing.T) {
 	withPermits(t, func(t *testing.T, r *harness, p *fakePermits) {
 		p.set(r, func() { p.admits, p.covers = false, false })
-		assert.Equal(t, r.do(r.proxy.Open("own"), VerbWrite, "WRITE 1 x").Fault, core.FaultBusy)
-		assert.Equal(t, r.do(r.proxy.Open("strict"), VerbRead, "READ 1").Fault, core.FaultBusy)
-		s := r.proxy.Open("strict")
+		assert.Equal(t, r.do(r.proxy.Open("own", noKey), VerbWrite, "WRITE 1 x").Fault, core.FaultBusy)
+		assert.Equal(t, r.do(r.proxy.Open("strict", noKey), VerbRead, "READ 1").Fault, core.FaultBusy)
+		s := r.proxy.Open("strict", noKey)
 		r.must(s, VerbBegin, "BEGIN")
 		assert.Equal(t, r.do(s, VerbRead, "READ 2").Fault, core.FaultBusy)
 		assert.Equal(t, len(r.texts(primaryID)), 0)
@@ -84,7 +84,7 @@
 		p.set(r, func() { p.admits, p.covers = false, false })
 		timer := time.AfterFunc(100*time.Millisecond, func() { p.set(r, func() { p.admits, p.covers = true, true }) })
 		defer timer.Stop()
-		r.must(r.proxy.Open("own"), VerbWrite, "WRITE 1 x")
+		r.must(r.proxy.Open("own", noKey), VerbWrite, "WRITE 1 x")
 	})
 }
 
@@ -95,7 +95,7 @@
 		r.servers[primaryID].update(func(s *server) { s.serviceTime = 200 * time.Millisecond })
 		timer := time.AfterFunc(100*time.Millisecond, func() { p.set(r, func() { p.admits, p.covers = false, false }) })
 		defer timer.Stop()
-		assert.Equal(t, r.do(r.proxy.Open("own"), VerbWrite, "WRITE 1 x").Fault, core.FaultInDoubt)
+		assert.Equal(t, r.do(r.proxy.Open("own", noKey), VerbWrite, "WRITE 1 x").Fault, core.FaultInDoubt)
 		assert.DeepEqual(t, r.texts(primaryID), []string{"WRITE 1 x"})
 	})
 }
@@ -104,7 +104,7 @@
 // answer is in doubt.
 func TestCommitWithoutPermit(t *testing.T) {
 	withPermits(t, func(t *testing.T, r *harness, p *fakePermits) {
-		s := r.proxy.Open("own")
+		s := r.proxy.Open("own", noKey)
 		r.must(s, VerbBegin, "BEGIN")
 		r.must(s, VerbWrite, "WRITE 1 x")
 		p.set(r, func() { p.admits, p.covers = false, false })
@@ -125,7 +125,7 @@
 // again: the old one may have committed it after the new one began to lead.
 func TestWorkOfOldPrimaryEndsAfterPromotion(t *testing.T) {
 	withPermits(t, func(t *testing.T, r *harness, p *fakePermits) {
-		s := r.proxy.Open("own")
+		s := r.proxy.Open("own", noKey)
 		r.must(s, VerbBegin, "BEGIN")
 		r.must(s, VerbWrite, "WRITE 1 x")
 		p.set(r, func() { p.leader, p.epoch = nearID, 7 })
@@ -135,14 +135,14 @@
 		r.servers[primaryID].update(func(s *server) { s.serviceTime = 200 * time.Millisecond })
 		timer := time.AfterFunc(100*time.Millisecond, func() { p.set(r, func() { p.leader, p.epoch = nearID, 9 }) })
 		defer timer.Stop()
-		assert.Equal(t, r.do(r.proxy.Open("own"), VerbWrite, "WRITE 2 x").Fault, core.FaultInDoubt)
+		assert.Equal(t, r.do(r.proxy.Open("own", noKey), VerbWrite, "WRITE 2 x").Fault, core.FaultInDoubt)
 	})
 }
 
 // Guards against refusing a transaction in progress while a planned promotion lets it end.
 func TestCommitWhilePermitEnds(t *testing.T) {
 	withPermits(t, func(t *testing.T, r *harness, p *fakePermits) {
-		s := r.proxy.Open("own")
+		s := r.proxy.Open("own", noKey)
 		r.must(s, VerbBegin, "BEGIN")
 		r.must(s, VerbWrite, "WRITE 1 x")
 		p.set(r, func() { p.admits = false })
@@ -160,9 +160,9 @@
 		r.dir.Put(u)
 		p.set(r, func() { p.leader = nearID })
 		time.Sleep(10 * time.Millisecond)
-		r.must(r.proxy.Open("bounded"), VerbRead, "READ 1")
-		r.must(r.proxy.Open("strict"), VerbRead, "READ 2")
-		r.must(r.proxy.Open("own"), VerbWrite, "WRITE 3 x")
+		r.must(r.proxy.Open("bounded", noKey), VerbRead, "READ 1")
+		r.must(r.proxy.Open("strict", noKey), VerbRead, "READ 2")
+		r.must(r.proxy.Open("own", noKey), VerbWrite, "WRITE 3 x")
 		for _, run := range r.servers[primaryID].runs() {
 			t.Errorf("%s ran on the old primary", run.Text)
 		}
@@ -204,9 +204,9 @@
 			}
 			return r.relayConn(id)
 		}
-		assert.Assert(t, r.do(r.proxy.Open("own"), VerbWrite, "WRITE 1 x").Fault != core.FaultNone)
+		assert.Assert(t, r.do(r.proxy.Open("own", noKey), VerbWrite, "WRITE 1 x").Fault != core.FaultNone)
 		r.proxy.RelayThrough(primaryID, []core.VMID{lender})
 		time.Sleep(time.Second)
-		r.must(r.proxy.Open("own"), VerbWrite, "WRITE 2 x")
+		r.must(r.proxy.Open("own", noKey), VerbWrite, "WRITE 2 x")
 	})
 }
--- a/core/proxy/proxy.go
+++ b/core/proxy/proxy.go
@@ -9,6 +9,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"snipewall/core"
+	"snipewall/core/orgs"
 	"snipewall/core/retry"
 	"snipewall/core/topo"
 )
@@ -36,6 +37,8 @@
 	Refresh func(ctx context.Context) error
 	// Permits limits the use of primaries where a promotion doesn't stop the old one; nil means no limit.
 	Permits core.Permits
+	// Keys identifies callers by their keys; nil means that callers have none.
+	Keys    *orgs.Guard
 	Log     log.Logger
 	Metrics tally.Scope
 	// Now reads a clock that advances while the VM is suspended; nil stands for core.Now.
@@ -178,7 +181,7 @@
 		var nodes []*node
 		for _, u := range snap.Group(id) {
 			seen[u.ID] = true
-			n, nodeChanged := p.node(ctx, g, u, planPath(p.cfg.Self.ID, alive, u, cfg.Connections))
+			n, nodeChanged := p.node(ctx, g, u, planPath(p.cfg.Self.ID, alive, u, connBudget{cfg.Connections, snap.Config.NeedsKeys}))
 			changed = changed || nodeChanged
 			nodes = append(nodes, n)
 		}
--- a/core/proxy/relay.go
+++ b/core/proxy/relay.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"snipewall/core"
+	"snipewall/core/pool"
 	"snipewall/core/queue"
 )
 
@@ -152,7 +153,7 @@
 // runInternal runs a statement that snipewall issues itself, on a connection without a transaction.
 func (r *Relay) runInternal(ctx context.Context, cmd core.Command, deadline time.Time) core.Answer {
 	r.rollback()
-	handle, err := r.n.getDirect(ctx, deadline)
+	handle, err := r.n.getDirect(ctx, pool.AnyLabel, deadline)
 	if err != nil {
 		return core.Answer{Fault: core.FaultOverload, Text: "no connection to the upstream in time", Status: core.TxIdle}
 	}
@@ -171,9 +172,9 @@
 // probe, which takes no slot of the upstream.
 func (r *Relay) connect(ctx context.Context, cmd core.Command, deadline time.Time) (*heldConn, *Reply) {
 	if cmd.Kind != "" {
-		return r.n.acquire(ctx, &queue.Item{Kind: cmd.Kind, Rank: cmd.Rank, OpensTx: true, Deadline: startBy(cmd, deadline)}, r.n.getDirect)
+		return r.n.acquire(ctx, &queue.Item{Kind: cmd.Kind, Rank: cmd.Rank, OpensTx: true, Deadline: startBy(cmd, deadline)}, r.n.p.label(cmd.Organisation), r.n.getDirect)
 	}
-	handle, err := r.n.getDirect(ctx, deadline)
+	handle, err := r.n.getDirect(ctx, pool.AnyLabel, deadline)
 	if err != nil {
 		return nil, &Reply{Fault: core.FaultOverload, Text: "no connection to the upstream in time"}
 	}
@@ -229,7 +230,7 @@
 // admit takes a slot, and a connection unless the transaction holds one.
 func (r *Relay) admit(ctx context.Context, cmd core.Command, deadline time.Time) (*heldConn, *Reply) {
 	if r.held == nil {
-		return r.n.acquire(ctx, &queue.Item{Kind: cmd.Kind, Rank: cmd.Rank, Deadline: startBy(cmd, deadline)}, r.n.getDirect)
+		return r.n.acquire(ctx, &queue.Item{Kind: cmd.Kind, Rank: cmd.Rank, Deadline: startBy(cmd, deadline)}, r.n.p.label(cmd.Organisation), r.n.getDirect)
 	}
 	if r.held.slot != nil {
 		return r.held, nil
--- a/core/proxy/release_test.go
+++ b/core/proxy/release_test.go
@@ -38,7 +38,7 @@
 // Guards against a transaction that is refused because its route changes: a change applies from the next one on.
 func TestTransactionKeepsItsRoute(t *testing.T) {
 	inBubble(t, func(t *testing.T, r *harness) {
-		s := r.proxy.Open("own")
+		s := r.proxy.Open("own", noKey)
 		r.must(s, VerbBegin, "BEGIN")
 		r.must(s, VerbWrite, "WRITE 1")
 		r.setRoutes("strict")
@@ -79,7 +79,7 @@
 	t.Run("open transaction", func(t *testing.T) {
 		inBubble(t, func(t *testing.T, r *harness) {
 			for _, end := range []string{"commit", "rollback", "close"} {
-				s := r.proxy.Open("own")
+				s := r.proxy.Open("own", noKey)
 				r.must(s, VerbBegin, "BEGIN")
 				r.must(s, VerbWrite, "WRITE 1")
 				ends[end](r, s)
@@ -92,7 +92,7 @@
 			t.Run(failure+", "+end, func(t *testing.T) {
 				inBubble(t, func(t *testing.T, r *harness) {
 					for range 2 * maxConns {
-						s := r.proxy.Open("own")
+						s := r.proxy.Open("own", noKey)
 						r.must(s, VerbBegin, "BEGIN")
 						r.must(s, VerbWrite, "WRITE 1")
 						fail(r, s)
--- a/core/proxy/session.go
+++ b/core/proxy/session.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"snipewall/core"
+	"snipewall/core/topo"
 )
 
 // firstConfigTimeout is how long a new connection waits for the first configuration. Callers give up
@@ -80,6 +81,7 @@
 type Session struct {
 	p        *Proxy
 	database string
+	key      topo.KeyDigest
 	values   []value
 	// valueKey encodes all values, for comparison with those of a connection.
 	valueKey string
@@ -92,21 +94,26 @@
 	body              []byte
 }
 
-// Open starts a session on the database.
-func (p *Proxy) Open(database string) *Session { return &Session{p: p, database: database} }
+// Open starts a session on the database for a caller with the key.
+func (p *Proxy) Open(database string, key topo.KeyDigest) *Session {
+	return &Session{p: p, database: database, key: key}
+}
 
-// Admit reports whether the database can be opened: FaultNone, FaultNoDatabase, or FaultBusy if no
-// configuration is known. An entry VM that has just started waits a short time for its first one.
-func (p *Proxy) Admit(ctx context.Context, database string) core.Fault {
+// Admit reports whether a caller with the key can open the database: FaultNone, FaultNoDatabase,
+// FaultUnauthorized, or FaultBusy if no configuration is known, or none that is recent enough to tell whether the
+// key is valid. An entry VM that has just started waits a short time for its first one.
+func (p *Proxy) Admit(ctx context.Context, database string, key topo.KeyDigest) core.Fault {
 	timer := time.NewTimer(firstConfigTimeout)
 	defer timer.Stop()
 	for {
 		snap := p.cfg.Directory.Snapshot()
 		if snap.Config.Version > 0 {
-			if _, ok := snap.Route(database); !ok {
+			route, ok := snap.Route(database)
+			if !ok {
 				return core.FaultNoDatabase
 			}
-			return core.FaultNone
+			_, fault := p.identify(route, key)
+			return fault
 		}
 		select {
 		case <-ctx.Done():
@@ -203,7 +210,7 @@
 	}
 	w, fault := s.newWork(st, began)
 	if fault != nil {
-		return s.fail(*fault)
+		return s.failTx(st, *fault)
 	}
 	if s.tx != nil {
 		return s.runTx(ctx, w)
--- a/core/proxy/session_test.go
+++ b/core/proxy/session_test.go
@@ -24,7 +24,7 @@
 		inBubble(t, func(t *testing.T, r *harness) {
 			r.canPipelineBegin = canPipelineBegin
 			r.servers[primaryID].update(func(s *server) { s.leads = false })
-			s := r.proxy.Open("strict")
+			s := r.proxy.Open("strict", noKey)
 			reply := r.do(s, VerbRead, "READ 1")
 			assert.Equal(t, reply.Fault, core.FaultBusy)
 			if !canPipelineBegin {
@@ -41,11 +41,11 @@
 	inBubble(t, func(t *testing.T, r *harness) {
 		r.servers[primaryID].update(func(s *server) { s.leads = false })
 		for _, database := range []string{"strict", "bounded", "own"} {
-			s := r.proxy.Open(database)
+			s := r.proxy.Open(database, noKey)
 			r.must(s, VerbBegin, "BEGIN")
 			assert.Equal(t, r.do(s, VerbRead, "READ 1").Fault, core.FaultBusy)
 		}
-		s := r.proxy.Open("strict")
+		s := r.proxy.Open("strict", noKey)
 		r.must(s, VerbBeginRead, "BEGIN READ")
 		assert.Equal(t, r.do(s, VerbRead, "READ 2").Fault, core.FaultBusy)
 		for id := range r.servers {
@@ -58,9 +58,9 @@
 // must come from a leader that was queried late enough.
 func TestBoundedReadAwaitsSample(t *testing.T) {
 	inBubble(t, func(t *testing.T, r *harness) {
-		r.must(r.proxy.Open("strict"), VerbRead, "READ 1")
+		r.must(r.proxy.Open("strict", noKey), VerbRead, "READ 1")
 		r.servers[primaryID].update(func(s *server) { s.log.Offset = 20 })
-		s := r.proxy.Open("bounded")
+		s := r.proxy.Open("bounded", noKey)
 		r.must(s, VerbRead, "READ 2")
 		assert.DeepEqual(t, r.texts(nearID), []string{"READ 2"})
 		// The sample at offset 10 is too old now, and the replica lacks the new position.
@@ -75,10 +75,10 @@
 // was suspended.
 func TestSuspensionCountsTowardsSampleAge(t *testing.T) {
 	inBubble(t, func(t *testing.T, r *harness) {
-		r.must(r.proxy.Open("strict"), VerbRead, "READ 1")
+		r.must(r.proxy.Open("strict", noKey), VerbRead, "READ 1")
 		r.servers[primaryID].update(func(s *server) { s.log.Offset = 20 })
 		r.suspended.Store(int64(10 * time.Second))
-		r.must(r.proxy.Open("bounded"), VerbRead, "READ 2")
+		r.must(r.proxy.Open("bounded", noKey), VerbRead, "READ 2")
 		assert.Equal(t, len(r.texts(nearID)), 0)
 		assert.Equal(t, len(r.texts(farID)), 0)
 	})
@@ -87,7 +87,7 @@
 // Guards against a session that doesn't see its own commit on a lagging replica.
 func TestReadYourOwnWrites(t *testing.T) {
 	inBubble(t, func(t *testing.T, r *harness) {
-		s := r.proxy.Open("own")
+		s := r.proxy.Open("own", noKey)
 		r.must(s, VerbWrite, "WRITE 1 x")
 		r.must(s, VerbRead, "READ 1")
 		assert.DeepEqual(t, r.texts(primaryID), []string{"WRITE 1 x", "READ 1"})
@@ -102,7 +102,7 @@
 func TestLostWriteIsInDoubt(t *testing.T) {
 	inBubble(t, func(t *testing.T, r *harness) {
 		r.servers[primaryID].update(func(s *server) { s.broken = true })
-		reply := r.do(r.proxy.Open("own"), VerbWrite, "WRITE 1 x")
+		reply := r.do(r.proxy.Open("own", noKey), VerbWrite, "WRITE 1 x")
 		assert.Equal(t, reply.Fault, core.FaultInDoubt)
 		assert.DeepEqual(t, r.texts(primaryID), []string{"WRITE 1 x"})
 	})
@@ -112,7 +112,7 @@
 func TestBusyWriteIsRetried(t *testing.T) {
 	inBubble(t, func(t *testing.T, r *harness) {
 		r.servers[primaryID].update(func(s *server) { s.busy = 2 })
-		r.must(r.proxy.Open("own"), VerbWrite, "WRITE 1 x")
+		r.must(r.proxy.Open("own", noKey), VerbWrite, "WRITE 1 x")
 		assert.DeepEqual(t, r.texts(primaryID), []string{"WRITE 1 x"})
 	})
 }
@@ -120,10 +120,10 @@
 // Guards against a read with a lost answer that waits until its deadline.
 func TestUnansweredReadIsRetriedElsewhere(t *testing.T) {
 	inBubble(t, func(t *testing.T, r *harness) {
-		r.must(r.proxy.Open("strict"), VerbRead, "READ 0")
+		r.must(r.proxy.Open("strict", noKey), VerbRead, "READ 0")
 		r.servers[nearID].update(func(s *server) { s.silent = true })
 		began := time.Now()
-		r.must(r.proxy.Open("bounded"), VerbRead, "READ 1")
+		r.must(r.proxy.Open("bounded", noKey), VerbRead, "READ 1")
 		assert.Assert(t, time.Since(began) < 400*time.Millisecond, "took %v", time.Since(began))
 	})
 }
@@ -131,7 +131,7 @@
 // Guards against running a statement with the session values of another session.
 func TestSessionValuesAreIsolated(t *testing.T) {
 	inBubble(t, func(t *testing.T, r *harness) {
-		a, b, c := r.proxy.Open("own"), r.proxy.Open("own"), r.proxy.Open("own")
+		a, b, c := r.proxy.Open("own", noKey), r.proxy.Open("own", noKey), r.proxy.Open("own", noKey)
 		a.Execute(t.Context(), &Statement{ID: "1", Verb: VerbSet, Name: "zone", Arg: "a"})
 		b.Execute(t.Context(), &Statement{ID: "1", Verb: VerbSet, Name: "lang", Arg: "b"})
 		r.must(a, VerbWrite, "WRITE a")
@@ -148,7 +148,7 @@
 // Guards against running the prepared statement of another session with the same name.
 func TestPreparedNamesCollide(t *testing.T) {
 	inBubble(t, func(t *testing.T, r *harness) {
-		a, b := r.proxy.Open("own"), r.proxy.Open("own")
+		a, b := r.proxy.Open("own", noKey), r.proxy.Open("own", noKey)
 		for s, text := range map[*Session]string{a: "shape-a", b: "shape-b"} {
 			s.Execute(t.Context(), &Statement{ID: "1", Verb: VerbPrepare, Name: "s1", Arg: text, Write: true})
 		}
@@ -173,7 +173,7 @@
 			}
 			end := core.Position{Term: 1, Offset: 50}
 			r.servers[primaryID].update(func(s *server) { s.log = end })
-			s := r.proxy.Open("bounded")
+			s := r.proxy.Open("bounded", noKey)
 			for i := range 20 {
 				r.must(s, VerbRead, fmt.Sprintf("READ %d", i))
 				time.Sleep(100 * time.Millisecond)
@@ -201,7 +201,7 @@
 			for _, srv := range r.servers {
 				srv.update(func(s *server) { s.body = make([]byte, size) })
 			}
-			s := r.proxy.Open("own")
+			s := r.proxy.Open("own", noKey)
 			assert.Equal(t, len(r.must(s, VerbWrite, "WRITE 1").Body), size)
 			r.must(s, VerbBegin, "BEGIN")
 			assert.Equal(t, len(r.must(s, VerbRead, "READ 1").Body), size)
@@ -231,7 +231,7 @@
 // against statements of other sessions inside it.
 func TestTransactionHasItsOwnConnection(t *testing.T) {
 	inBubble(t, func(t *testing.T, r *harness) {
-		a, b := r.proxy.Open("own"), r.proxy.Open("own")
+		a, b := r.proxy.Open("own", noKey), r.proxy.Open("own", noKey)
 		r.must(a, VerbBegin, "BEGIN")
 		r.must(a, VerbWrite, "WRITE a1")
 		r.must(b, VerbWrite, "WRITE b1")
@@ -258,7 +258,7 @@
 // it is certainly rolled back.
 func TestTransactionOnLostConnection(t *testing.T) {
 	inBubble(t, func(t *testing.T, r *harness) {
-		s := r.proxy.Open("own")
+		s := r.proxy.Open("own", noKey)
 		r.must(s, VerbBegin, "BEGIN")
 		r.must(s, VerbWrite, "WRITE 1")
 		r.servers[primaryID].update(func(s *server) { s.broken = true })
@@ -282,7 +282,7 @@
 // transactions.
 func TestAbortedTransaction(t *testing.T) {
 	inBubble(t, func(t *testing.T, r *harness) {
-		s := r.proxy.Open("own")
+		s := r.proxy.Open("own", noKey)
 		assert.Equal(t, s.TxIdle(), time.Duration(0))
 		r.must(s, VerbBegin, "BEGIN")
 		assert.Equal(t, s.TxIdle(), time.Duration(0), "the transaction must not hold a connection yet")
@@ -308,7 +308,7 @@
 			time.Sleep(time.Millisecond)
 		}
 		setRole(core.RoleReplica)
-		s := r.proxy.Open("own")
+		s := r.proxy.Open("own", noKey)
 		time.AfterFunc(300*time.Millisecond, func() { setRole(core.RolePrimary) })
 		began := time.Now()
 		r.must(s, VerbWrite, "WRITE 1")
@@ -329,9 +329,9 @@
 // missing route.
 func TestRouteChanges(t *testing.T) {
 	inBubble(t, func(t *testing.T, r *harness) {
-		s := r.proxy.Open("own")
+		s := r.proxy.Open("own", noKey)
 		r.must(s, VerbWrite, "WRITE 1")
-		assert.Equal(t, r.proxy.Admit(t.Context(), "gone"), core.FaultNoDatabase)
+		assert.Equal(t, r.proxy.Admit(t.Context(), "gone", noKey), core.FaultNoDatabase)
 		cfg := r.dir.Snapshot().Config
 		cfg.Version++
 		cfg.Routes = map[string]topo.Route{"strict": cfg.Routes["strict"]}
@@ -379,7 +379,7 @@
 // log of the old one is longer.
 func TestNewPrimaryBeforeItsFirstCommit(t *testing.T) {
 	inBubble(t, func(t *testing.T, r *harness) {
-		s := r.proxy.Open("own")
+		s := r.proxy.Open("own", noKey)
 		r.must(s, VerbWrite, "WRITE 1")
 		r.servers[primaryID].update(func(s *server) { s.silent, s.leads = true, false })
 		r.servers[nearID].update(func(s *server) { s.leads = true })
@@ -399,7 +399,7 @@
 // close a session that isn't idle after an operation.
 func TestRefusedCommitEndsTransaction(t *testing.T) {
 	inBubble(t, func(t *testing.T, r *harness) {
-		s := r.proxy.Open("own")
+		s := r.proxy.Open("own", noKey)
 		r.must(s, VerbBegin, "BEGIN")
 		r.must(s, VerbWrite, "WRITE 1")
 		r.servers[primaryID].update(func(s *server) { s.busy = 1000 })
@@ -418,11 +418,11 @@
 		u.Leaving = true
 		r.dir.Put(u)
 		time.Sleep(leavingGrace - time.Second)
-		r.must(r.proxy.Open("strict"), VerbRead, "READ 1")
+		r.must(r.proxy.Open("strict", noKey), VerbRead, "READ 1")
 		time.Sleep(time.Second)
 		ran := len(r.texts(primaryID))
 		for range 20 {
-			reply := r.do(r.proxy.Open("own"), VerbWrite, "WRITE 1")
+			reply := r.do(r.proxy.Open("own", noKey), VerbWrite, "WRITE 1")
 			assert.Assert(t, reply.Fault.IsNotRun(), "%v", reply.Fault)
 		}
 		assert.Equal(t, len(r.texts(primaryID)), ran)
--- a/core/proxy/stepdown.go
+++ b/core/proxy/stepdown.go
@@ -7,6 +7,7 @@
 
 	"snipewall/core"
 	"snipewall/core/lead"
+	"snipewall/core/pool"
 )
 
 const (
@@ -56,7 +57,7 @@
 
 // stepDown asks the upstream to step down with a term above that of its log, and then whether it leads.
 func (n *node) stepDown(ctx context.Context, deadline time.Time, above core.Term) error {
-	handle, err := n.get(ctx, deadline)
+	handle, err := n.get(ctx, pool.AnyLabel, deadline)
 	if err != nil {
 		return err
 	}
--- a/core/proxy/tx.go
+++ b/core/proxy/tx.go
@@ -18,7 +18,9 @@
 	// abortReason is the reason of an abort until a statement has reported it.
 	abortReason string
 	held        *heldConn
-	wrote       bool
+	// organisation is the one that the connection belongs to.
+	organisation core.OrganisationID
+	wrote        bool
 }
 
 // rollback rolls the transaction back on the upstream and releases its connection.
@@ -39,14 +41,14 @@
 
 func (s *Session) runTx(ctx context.Context, w *work) Reply {
 	if w.write && s.tx.readOnly {
-		return s.failTx(w, Reply{Fault: core.FaultReadOnly, Text: "the transaction is read-only"})
+		return s.failTx(w.st, Reply{Fault: core.FaultReadOnly, Text: "the transaction is read-only"})
 	}
 	if s.tx.held == nil {
 		if r := s.beginTx(ctx, w); r != nil {
-			return s.failTx(w, *r)
+			return s.failTx(w.st, *r)
 		}
 	} else if r := s.readmit(ctx, w); r != nil {
-		return s.failTx(w, *r)
+		return s.failTx(w.st, *r)
 	}
 	for {
 		reply, retry := s.sendInTx(w)
@@ -55,7 +57,7 @@
 				s.tx.held.releaseSlot(reply.Fault == core.FaultNone)
 			}
 			if reply.Fault != core.FaultNone {
-				return s.failTx(w, reply)
+				return s.failTx(w.st, reply)
 			}
 			return reply
 		}
@@ -63,11 +65,11 @@
 }
 
 // failTx rolls the transaction back and marks it as failed. A failed COMMIT ends it.
-func (s *Session) failTx(w *work, r Reply) Reply {
+func (s *Session) failTx(st *Statement, r Reply) Reply {
 	if s.tx == nil {
 		return r
 	}
-	if w.st.Verb == VerbCommit {
+	if st.Verb == VerbCommit {
 		s.endTx()
 		return r
 	}
@@ -163,7 +165,7 @@
 			return &Reply{Fault: core.FaultBusy, Text: textReplaced}
 		}
 	}
-	s.tx.held = h
+	s.tx.held, s.tx.organisation = h, w.organisation
 	return nil
 }
 
--- a/core/proxy/work.go
+++ b/core/proxy/work.go
@@ -47,6 +47,8 @@
 	// prepared is the prepared statement of an EXECUTE.
 	prepared *preparedStmt
 	write    bool
+	// organisation is the one on whose behalf the statement runs.
+	organisation core.OrganisationID
 	// receivedAt is an instant after the statement was received; set for reads only.
 	receivedAt core.Instant
 	began      time.Time
@@ -69,7 +71,14 @@
 	if !ok {
 		return nil, &Reply{Fault: core.FaultNoDatabase, Text: "no such database"}
 	}
-	w := &work{st: st, route: route, group: s.p.group(route.Group), began: began, deadline: began.Add(route.StatementTimeout)}
+	organisation, fault := s.p.identify(route, s.key)
+	if fault != core.FaultNone {
+		return nil, &Reply{Fault: fault, Text: textNotIdentified[fault]}
+	}
+	if s.tx != nil && s.tx.held != nil && s.tx.organisation != organisation {
+		return nil, &Reply{Fault: core.FaultAborted, Text: "the key belongs to another organisation since"}
+	}
+	w := &work{st: st, route: route, organisation: organisation, group: s.p.group(route.Group), began: began, deadline: began.Add(route.StatementTimeout)}
 	w.startBy = began.Add(time.Duration(startTimeShare * float64(route.StatementTimeout)))
 	w.write = st.Verb == VerbWrite
 	if st.Verb == VerbExecute {
@@ -86,6 +95,20 @@
 	return w, nil
 }
 
+// textNotIdentified explains why a caller wasn't identified.
+var textNotIdentified = map[core.Fault]string{
+	core.FaultUnauthorized: "the key is unknown or was withdrawn",
+	core.FaultBusy:         "the entry VM can't tell whether keys were withdrawn",
+}
+
+// identify returns the organisation on whose behalf a caller with the key works.
+func (p *Proxy) identify(route topo.Route, key topo.KeyDigest) (core.OrganisationID, core.Fault) {
+	if p.cfg.Keys == nil {
+		return "", core.FaultNone
+	}
+	return p.cfg.Keys.Identify(route, key)
+}
+
 // route returns the route of the open transaction, or the present one.
 func (s *Session) route() (topo.Route, bool) {
 	if s.tx == nil {
@@ -110,6 +133,7 @@
 func (w *work) withQueueing(c core.Command) core.Command {
 	c.Kind, c.Rank = core.Kind(w.route.Database), w.route.Rank
 	c.StartBy, c.Deadline = w.startBy, w.deadline
+	c.Organisation = w.organisation
 	return c
 }
 
@@ -238,22 +262,22 @@
 }
 
 // getter takes a connection, waiting at most until the deadline.
-type getter func(ctx context.Context, deadline time.Time) (*pool.Handle[*conn], error)
+type getter func(ctx context.Context, label string, deadline time.Time) (*pool.Handle[*conn], error)
 
 func (s *Session) acquire(ctx context.Context, w *work, n *node, opensTx bool) (*heldConn, *Reply) {
 	it := &queue.Item{Kind: core.Kind(s.database), Rank: w.route.Rank, OpensTx: opensTx, Deadline: w.startBy}
-	return n.acquire(ctx, it, n.get)
+	return n.acquire(ctx, it, s.p.label(w.organisation), n.get)
 }
 
-// acquire takes a slot and then a connection, waiting at most until the item's deadline.
-func (n *node) acquire(ctx context.Context, it *queue.Item, get getter) (*heldConn, *Reply) {
+// acquire takes a slot and then a connection with the label, waiting at most until the item's deadline.
+func (n *node) acquire(ctx context.Context, it *queue.Item, label string, get getter) (*heldConn, *Reply) {
 	h := &heldConn{node: n}
 	if refused := h.admit(ctx, it); refused != nil {
 		return nil, refused
 	}
 	h.opensTx = it.OpensTx
 	var err error
-	if h.handle, err = get(ctx, it.Deadline); err == nil {
+	if h.handle, err = get(ctx, label, it.Deadline); err == nil {
 		return h, nil
 	}
 	h.releaseSlot(false)
--- a/core/topo/topo.go
+++ b/core/topo/topo.go
@@ -84,7 +84,8 @@
 	// Routes are keyed by database.
 	Routes map[string]Route
 	Groups map[core.GroupID]Group
-	// Organisations and Keys are empty if callers need no keys. Keys holds the organisation of each key.
+	// NeedsKeys is set if callers need a key, except on public routes. Keys holds the organisation of each key.
+	NeedsKeys     bool
 	Organisations map[core.OrganisationID]Organisation
 	Keys          map[KeyDigest]core.OrganisationID
 	// TxIdle is how long a transaction may stay idle; 0 means no limit.
