--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -23,7 +23,9 @@
 type server struct {
 	open, maxOpen, dials atomic.Int32
 	dialErr              atomic.Pointer[error]
-	silent               atomic.Bool
+	// limit is the number of connections from which on dials fail; 0 means no limit.
+	limit  atomic.Int32
+	silent atomic.Bool
 }
 
 type conn struct {
@@ -41,6 +43,9 @@
 	if err := s.dialErr.Load(); err != nil {
 		return nil, *err
 	}
+	if limit := s.limit.Load(); limit > 0 && s.open.Load() >= limit {
+		return nil, errFull
+	}
 	if n := s.open.Add(1); n > s.maxOpen.Load() {
 		s.maxOpen.Store(n)
 	}
@@ -272,6 +277,8 @@
 // connection and without heartbeats waits for the connection's expiry, however long ago it last answered.
 func TestUnusedPoolSleeps(t *testing.T) {
 	runScenario(t, Config[*conn]{Limit: 4, IdleTimeout: 20 * time.Second}, func(t *testing.T, p *Pool[*conn], s *server) {
+		// Run reads the configuration only after it has been woken.
+		synctest.Wait()
 		p.cfg.Ping = nil
 		assert.Equal(t, p.untilNextEvent(time.Now()), maxWait)
 		h, err := p.Get(t.Context())
@@ -281,3 +288,74 @@
 		assert.Equal(t, p.untilNextEvent(time.Now()), 20*time.Second-2*p.cfg.HeartbeatInterval)
 	})
 }
+
+// getLabeled takes a connection with the label.
+func getLabeled(t *testing.T, p *Pool[*conn], label string) *Handle[*conn] {
+	t.Helper()
+	h, err := p.GetLabeled(t.Context(), label)
+	assert.NilError(t, err)
+	assert.Equal(t, h.Value.label, label)
+	return h
+}
+
+// Guards against a connection that serves another label than its own, and against a label that gets none because idle
+// connections of others take all of the limit: the one that was unused for the longest time makes room.
+func TestLabels(t *testing.T) {
+	runScenario(t, Config[*conn]{Limit: 2}, func(t *testing.T, p *Pool[*conn], s *server) {
+		a, b := getLabeled(t, p, "a"), getLabeled(t, p, "b")
+		a.Put()
+		time.Sleep(time.Millisecond)
+		b.Put()
+		_, ok := p.TryGetLabeled("c")
+		assert.Assert(t, !ok)
+		c := getLabeled(t, p, "c")
+		assert.Equal(t, s.maxOpen.Load(), int32(2))
+		assert.Equal(t, p.Stats().Replaced, 1)
+		b, ok = p.TryGetLabeled("b")
+		assert.Assert(t, ok, "the other one was used later")
+		b.Put()
+		time.Sleep(time.Millisecond)
+		c.Put()
+		h, err := p.Get(t.Context())
+		assert.NilError(t, err)
+		assert.Equal(t, h.Value.label, "c", "any label: the most recently used one")
+		h.Put()
+		assert.Equal(t, s.dials.Load(), int32(3))
+	})
+}
+
+// Guards against a label that waits until the idle connections of others expire, when the other side has reached its own
+// limit below that of the pool.
+func TestLabelsAtLimitOfOtherSide(t *testing.T) {
+	runScenario(t, Config[*conn]{Limit: 4}, func(t *testing.T, p *Pool[*conn], s *server) {
+		s.limit.Store(1)
+		getLabeled(t, p, "a").Put()
+		getLabeled(t, p, "b").Put()
+		assert.Equal(t, p.Stats().Replaced, 1)
+	})
+}
+
+// Guards against mixed labels, connections beyond the limit and waiters that are forgotten, under random use.
+func TestLabelsRandomUse(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		limit := rapid.IntRange(1, 4).Draw(rt, "limit")
+		labels := rapid.SliceOfN(rapid.SampledFrom([]string{"a", "b", "c", "d"}), 1, 30).Draw(rt, "labels")
+		hold := rapid.IntRange(0, 40).Draw(rt, "holdMs")
+		runScenario(t, Config[*conn]{Limit: limit, SlowStart: rapid.Bool().Draw(rt, "slowStart")}, func(t *testing.T, p *Pool[*conn], s *server) {
+			done := make(chan struct{}, len(labels))
+			for i, label := range labels {
+				go func() {
+					time.Sleep(time.Duration(i) * 7 * time.Millisecond)
+					h := getLabeled(t, p, label)
+					time.Sleep(time.Duration(hold) * time.Millisecond)
+					h.Put()
+					done <- struct{}{}
+				}()
+			}
+			for range labels {
+				<-done
+			}
+			assert.Assert(t, int(s.maxOpen.Load()) <= limit)
+		})
+	})
+}
