--- a/core/proxy/connect.go
+++ b/core/proxy/connect.go
@@ -47,6 +47,9 @@
 	// connIdleTimeout is how long an unused connection is kept. When VMs lose power, an upstream still
 	// counts their connections for 3 s, so that unused ones would keep the restarting VMs out.
 	connIdleTimeout = 500 * time.Millisecond
+	// organisationIdleTimeout is how long an owner keeps an unused connection that serves one organisation only. A new
+	// one costs the upstream as much time as a statement, and small organisations work every few seconds.
+	organisationIdleTimeout = 15 * time.Second
 	// dialTimeout limits one dial. It is a multiple of the longest handshake and round trip.
 	dialTimeout = time.Second
 	// minDialBackoff and maxDialBackoff limit the time between dials after failures. The maximum is
@@ -67,13 +70,15 @@
 
 // newDirectPool returns the pool of connections to the upstream itself.
 func (n *node) newDirectPool() *pool.Pool[*conn] {
-	limit := n.path.conns
+	limit, idle := n.path.conns, connIdleTimeout
 	if n.path.isIndirect() {
 		limit = maxFallbackConns
+	} else if n.path.byOrganisation {
+		idle = organisationIdleTimeout
 	}
 	return pool.New(pool.Config[*conn]{
 		Limit: limit, Dial: n.dial, Close: closeConn, AtLimit: isAtLimit, OnDialError: n.dialFailed, SlowStart: true,
-		DialTimeout: dialTimeout, SlowDialAfter: slowDialAfter, IdleTimeout: connIdleTimeout, MinBackoff: minDialBackoff, MaxBackoff: maxDialBackoff,
+		DialTimeout: dialTimeout, SlowDialAfter: slowDialAfter, IdleTimeout: idle, MinBackoff: minDialBackoff, MaxBackoff: maxDialBackoff,
 	})
 }
 
--- a/core/proxy/path.go
+++ b/core/proxy/path.go
@@ -29,12 +29,14 @@
 	owners []core.VM
 	// conns is the maximum number of connections.
 	conns int
+	// byOrganisation is set if a direct connection serves one organisation only.
+	byOrganisation bool
 }
 
 func (p path) isIndirect() bool { return len(p.owners) > 0 }
 
 func (p path) equal(other path) bool {
-	return p.conns == other.conns && slices.EqualFunc(p.owners, other.owners, func(x, y core.VM) bool { return x.ID == y.ID && x.Relay == y.Relay })
+	return p.conns == other.conns && p.byOrganisation == other.byOrganisation && slices.EqualFunc(p.owners, other.owners, func(x, y core.VM) bool { return x.ID == y.ID && x.Relay == y.Relay })
 }
 
 // connBudget is what the VMs share of an upstream.
@@ -55,15 +57,15 @@
 	}
 	owners := place.Owners(u.UpstreamInfo, alive, maxOwners)
 	if len(owners) == 0 || owners[0].ID == self {
-		return ownerPath(connections)
+		return ownerPath(budget)
 	}
 	owners = slices.DeleteFunc(owners, func(vm core.VM) bool { return vm.ID == self || vm.Relay == "" })
-	return path{owners: owners, conns: maxRelayConns}
+	return path{owners: owners, conns: maxRelayConns, byOrganisation: budget.byOrganisation}
 }
 
 // ownerPath is the path of an upstream's owner.
-func ownerPath(connections int) path {
-	return path{conns: max(maxConns, int(ownerConnShare*float64(connections)))}
+func ownerPath(budget connBudget) path {
+	return path{conns: max(maxConns, int(ownerConnShare*float64(budget.connections))), byOrganisation: budget.byOrganisation}
 }
 
 // suspects holds the entry VMs that recently didn't answer. It is safe for concurrent use.
--- a/core/proxy/relay.go
+++ b/core/proxy/relay.go
@@ -51,8 +51,8 @@
 		return relayOnly
 	}
 	u := *n.info.Load()
-	connections := p.cfg.Directory.Snapshot().Config.Groups[u.Group].Connections
-	relayOnly = p.newNode(p.ctx, n.group, u, ownerPath(connections))
+	cfg := p.cfg.Directory.Snapshot().Config
+	relayOnly = p.newNode(p.ctx, n.group, u, ownerPath(connBudget{cfg.Groups[u.Group].Connections, cfg.NeedsKeys}))
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.relayOnly[id] = relayOnly
