Check a configuration before it is sent

Cause: operators learn of a wrong or ineffective configuration only from what it does. Change: snipewall configuration check, with line and field: errors, entries that can never match, contradicting limits, and the changes from the version in force with what callers notice. Not begun: limits against the slots of a group.

--- a/cmds/cmds.go
+++ b/cmds/cmds.go
@@ -80,6 +80,7 @@
 			serveCommand(d),
 			entryCommand(d),
 			settingsCommand(d),
+			configurationCommand(d),
 			tableCommand(d),
 			statusCommand(d),
 			dumpCommand(d),
--- a/core/topo/topo.go
+++ b/core/topo/topo.go
@@ -44,6 +44,11 @@
 	ReadYourWrites
 )
 
+var consistencyNames = [...]string{"strict", "bounded", "read-your-writes"}
+
+// String returns the name of the consistency.
+func (c Consistency) String() string { return consistencyNames[c] }
+
 // Route is the configuration for one database.
 type Route struct {
 	Database string
