quota: usable

Cause: limits of organisations have to hold for the sum over all entry VMs, and nothing in the tree counts over VMs. Change: package core/quota. A keeper, elected by a lease in the store, divides the limits (Ledger); VMs hold shares of rate and burst as token buckets (rights, bucket); the keeper's reserve serves operations that find no token. Not wired into the proxy yet. Config: Self, Members (Alive, EnlistedAt, Refresh, as core/permit has them), Call, Store, Directory, Window, Excess, Slack, Log, Metrics, Now.

--- /dev/null
+++ b/core/quota/limiter_test.go
@@ -0,0 +1,134 @@
+package quota
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// runFleet runs a fleet until it is warm, and then the scenario with the usual load.
+func runFleet(t *testing.T, vms, orgs int, scenario func(f *fleet, rates []float64, pick func(org int) *node)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, vms, orgs, 1)
+		rates := f.zipf()
+		f.limit(rates, 1.6)
+		f.upAll()
+		defer f.stop()
+		pick := f.spread(rates)
+		f.load(12*time.Second, rates, pick)
+		f.reset()
+		scenario(f, rates, pick)
+		time.Sleep(2100 * time.Millisecond)
+		f.checkBound(func(org int) Limit { return Limit{1.6 * rates[org], 1.6 * rates[org]} })
+	})
+}
+
+// Guards against callers that notice the limiter while nothing fails and demand is usual.
+func TestCalm(t *testing.T) {
+	runFleet(t, 68, 76, func(f *fleet, rates []float64, pick func(int) *node) {
+		f.load(20*time.Second, rates, pick)
+		time.Sleep(2100 * time.Millisecond)
+		granted, _ := f.logSummary("calm")
+		assert.Assert(t, granted > 0.999)
+		t.Log(f.store.calls)
+	})
+}
+
+// Guards against callers that notice a failure of the keeper, of VMs, of the store or of the network.
+func TestFailures(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		fault func(f *fleet)
+		// min is the share of operations that have to be granted.
+		min float64
+	}{
+		{"keeper dies", func(f *fleet) { f.keepers()[0].restart(2 * time.Second) }, 0.99},
+		{"keeper dies for long", func(f *fleet) { f.keepers()[0].restart(30 * time.Second) }, 0.94},
+		{"half of the VMs die", func(f *fleet) {
+			for i := 0; i < len(f.nodes); i += 2 {
+				f.nodes[i].restart(1300 * time.Millisecond)
+			}
+		}, 0.99},
+		{"half of the VMs and the keeper die for long", func(f *fleet) {
+			f.keepers()[0].restart(20 * time.Second)
+			for i := 0; i < len(f.nodes); i += 2 {
+				f.nodes[i].restart(20 * time.Second)
+			}
+		}, 0.75},
+		{"all VMs restart", func(f *fleet) {
+			for _, n := range f.nodes {
+				n.restart(1300 * time.Millisecond)
+			}
+			time.Sleep(1300 * time.Millisecond)
+		}, 0.98},
+		{"store down", func(f *fleet) {
+			f.store.setDown(true)
+			time.AfterFunc(5*time.Second, func() { f.store.setDown(false) })
+		}, 0.95},
+		{"a quarter is cut off", func(f *fleet) {
+			for i := 0; i < len(f.nodes); i += 4 {
+				f.nodes[i].setGroup(1)
+				time.AfterFunc(5*time.Second, func() { f.nodes[i].setGroup(0) })
+			}
+		}, 0.98},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			runFleet(t, 24, 30, func(f *fleet, rates []float64, pick func(int) *node) {
+				tt.fault(f)
+				f.load(12*time.Second, rates, pick)
+				time.Sleep(2100 * time.Millisecond)
+				granted, _ := f.logSummary(tt.name)
+				assert.Check(t, granted > tt.min)
+				assert.Equal(t, len(f.keepers()), 1)
+			})
+		})
+	}
+}
+
+// Guards against refusals below the limit because the rights lie on other VMs.
+func TestMovedLoad(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		pick func(f *fleet, began time.Time) func(org int) *node
+	}{
+		{"all on one VM", func(f *fleet, _ time.Time) func(int) *node {
+			return func(org int) *node { return f.nodes[org%len(f.nodes)] }
+		}},
+		{"to another VM every 3 s", func(f *fleet, began time.Time) func(int) *node {
+			return func(org int) *node {
+				return f.nodes[(org+7*int(time.Since(began)/(3*time.Second)))%len(f.nodes)]
+			}
+		}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			runFleet(t, 24, 30, func(f *fleet, rates []float64, _ func(int) *node) {
+				f.load(12*time.Second, rates, tt.pick(f, time.Now()))
+				time.Sleep(2100 * time.Millisecond)
+				granted, worst := f.logSummary(tt.name)
+				assert.Check(t, granted > 0.95)
+				assert.Check(t, worst > 0.85)
+			})
+		})
+	}
+}
+
+// Guards against an organisation far above its limit that others notice, or that gets much less or more than its limit.
+func TestSurge(t *testing.T) {
+	for _, org := range []int{0, 4, 25} {
+		runFleet(t, 24, 30, func(f *fleet, rates []float64, pick func(int) *node) {
+			surge := append([]float64(nil), rates...)
+			surge[org] *= 7.5
+			f.load(15*time.Second, surge, pick)
+			time.Sleep(2100 * time.Millisecond)
+			st := f.stats[f.orgs[org]]
+			limit := 1.6 * rates[org]
+			t.Logf("org %d: limit %.1f/s, sent %.1f/s, granted %.1f/s", org, limit, float64(st.sent)/15, float64(st.granted)/15)
+			assert.Check(t, float64(st.granted)/15 > 0.95*limit)
+			delete(f.stats, f.orgs[org])
+			granted, _ := f.logSummary("others")
+			assert.Check(t, granted > 0.999)
+		})
+	}
+}
--- /dev/null
+++ b/core/quota/settle.go
@@ -0,0 +1,134 @@
+package quota
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"snipewall/core"
+)
+
+// settleTime is how long after the beginning of a term rights of earlier terms may last: an earlier keeper may not
+// know yet that the store has lost its lease.
+const settleTime = leaseTTL + rightsLife + clockMargin
+
+var errTermOver = errors.New("the term is over")
+
+// settle asks all VMs for their rights, so that the ledger has everything that may be in use.
+//
+// Two rounds are necessary. A keeper whose lease the store has lost, and which doesn't know it yet, gives up when it is
+// asked. It may have assigned rights until then, but only to VMs that started since they were asked. The second round
+// begins after all have answered and finds those rights, also of VMs that weren't in the list before.
+func (k *keeper) settle(ctx context.Context, t Term) {
+	until := k.l.cfg.Now().Add(settleTime)
+	for range 2 {
+		if err := k.collect(ctx, t, until); err != nil {
+			return
+		}
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.ledger == nil || k.term != t {
+		return
+	}
+	k.ledger.Settle(k.l.cfg.Now())
+	level.Info(k.l.cfg.Log).Log("Msg", "quota keeper knows the rights of all VMs")
+	signal(k.l.wake)
+}
+
+// collect asks all VMs in the store for their rights until they have answered or until has passed.
+func (k *keeper) collect(ctx context.Context, t Term, until core.Instant) error {
+	for k.l.cfg.Now() < until {
+		if err := k.check(ctx, t); err != nil {
+			return err
+		}
+		err := k.refresh(ctx)
+		if err == nil {
+			break
+		}
+		level.Debug(k.l.cfg.Log).Log("Msg", "list of VMs not read", "Err", err)
+		sleep(ctx, reportDelay)
+	}
+	pending := k.l.cfg.Members.Alive()
+	for len(pending) > 0 && k.l.cfg.Now() < until {
+		if err := k.check(ctx, t); err != nil {
+			return err
+		}
+		pending = k.askAll(ctx, t, pending)
+		if len(pending) > 0 {
+			sleep(ctx, reportDelay)
+		}
+	}
+	return ctx.Err()
+}
+
+func (k *keeper) refresh(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	return k.l.cfg.Members.Refresh(ctx)
+}
+
+func (k *keeper) check(ctx context.Context, t Term) error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if ctx.Err() != nil || k.ledger == nil || k.term != t {
+		return errTermOver
+	}
+	return nil
+}
+
+// askAll asks the VMs for their rights at the same time and returns those that didn't answer.
+func (k *keeper) askAll(ctx context.Context, t Term, vms []core.VM) []core.VM {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	var mu sync.Mutex
+	var silent []core.VM
+	var calls sync.WaitGroup
+	for _, vm := range vms {
+		calls.Go(func() {
+			var a ReportAnswer
+			req := &ReportRequest{Term: t}
+			var err error
+			if vm.ID == k.l.cfg.Self.ID {
+				a = k.l.serveReport(req)
+			} else {
+				err = k.l.cfg.Call(ctx, vm.Control, reportMethod, req, &a)
+			}
+			if err == nil && k.note(t, &a) {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			silent = append(silent, vm)
+		})
+	}
+	calls.Wait()
+	return silent
+}
+
+// note records a VM's report. It returns false if the VM hasn't reported.
+func (k *keeper) note(t Term, a *ReportAnswer) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.ledger == nil || k.term != t {
+		return false
+	}
+	if !a.OK {
+		k.end("a VM has left the term")
+		return false
+	}
+	k.ledger.Report(k.l.cfg.Now(), &a.Report)
+	return true
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
