--- a/conf/entry.go
+++ b/conf/entry.go
@@ -32,6 +32,8 @@
 	// KeyRevocation is the time after which a withdrawn key of callers must be out of use on all VMs, also on those
 	// that can't reach the store; 0 means that there is no such bound.
 	KeyRevocation time.Duration
+	// Quota bounds the operations of organisations whose limits the configuration names.
+	Quota EntryQuota
 	// Grace is the time between SIGTERM and SIGKILL, in which the process must stop.
 	Grace time.Duration
 	// Memory is the memory limit of the process in bytes.
@@ -39,6 +41,13 @@
 	Log    Log
 }
 
+// EntryQuota bounds the operations of an organisation on all VMs together: in any Window they stay below
+// (rate x Window + burst) x (1 + Excess) + Slack.
+type EntryQuota struct {
+	Window        time.Duration
+	Excess, Slack float64
+}
+
 // EntryListen holds the listen addresses, host:port.
 type EntryListen struct {
 	// Callers accepts callers' connections.
@@ -64,6 +73,7 @@
 	acceptsMilliseconds = "a number of milliseconds above 0"
 	acceptsMegabytes    = "a number of megabytes above 0"
 
+	acceptsShare                = "a number, 0 or above"
 	acceptsOptionalMilliseconds = "a number of milliseconds, 0 for none"
 )
 
@@ -74,6 +84,13 @@
 	return err == nil && n > 0
 }
 
+// setShare sets n to the number in v and reports whether it is 0 or above.
+func setShare(n *float64, v string) bool {
+	var err error
+	*n, err = strconv.ParseFloat(v, 64)
+	return err == nil && *n >= 0
+}
+
 var entryKeys = []entryKey{
 	{"VM", "ID", "", acceptsName, "Name of this entry VM, unique in the deployment.", func(e *Entry, v string) bool { return setName((*string)(&e.VM.ID), v) }},
 	{"VM", "FailureDomain", "", acceptsName, "Failure domain of this entry VM.", func(e *Entry, v string) bool { return setName((*string)(&e.VM.FailureDomain), v) }},
@@ -98,6 +115,15 @@
 	{"Targets", "KeyRevocationMilliseconds", "0", acceptsOptionalMilliseconds, "Time after which a withdrawn key must be out of use on all VMs, also on those that can't reach the store; 0 if there is no bound.", func(e *Entry, v string) bool {
 		return v == "0" || setPositive(&e.KeyRevocation, v, time.Millisecond)
 	}},
+	{"Quota", "WindowSeconds", "5", acceptsSeconds, "Length of the windows in which the operations of an organisation are bounded.", func(e *Entry, v string) bool {
+		return setPositive(&e.Quota.Window, v, time.Second)
+	}},
+	{"Quota", "Excess", "0.1", acceptsShare, "Share by which the operations in a window may exceed the limit.", func(e *Entry, v string) bool {
+		return setShare(&e.Quota.Excess, v)
+	}},
+	{"Quota", "Slack", "20", acceptsShare, "Operations in a window beyond that.", func(e *Entry, v string) bool {
+		return setShare(&e.Quota.Slack, v)
+	}},
 	{"Stop", "GraceSeconds", "6", acceptsSeconds, "Time between SIGTERM and SIGKILL.", func(e *Entry, v string) bool {
 		return setPositive(&e.Grace, v, time.Second)
 	}},
--- a/core/proxy/metrics.go
+++ b/core/proxy/metrics.go
@@ -7,8 +7,8 @@
 )
 
 type metrics struct {
-	statements, faults, retries, refusals, dials, overloads, aborts, ownerDials tally.Counter
-	latency                                                                     tally.Histogram
+	statements, faults, retries, refusals, dials, overloads, aborts, ownerDials, overQuota tally.Counter
+	latency                                                                                tally.Histogram
 }
 
 // latencyBuckets covers 1 ms to 16 s.
@@ -26,6 +26,7 @@
 		dials:      scope.Counter("Dials"),
 		overloads:  scope.Counter("ConnectionLimit"),
 		ownerDials: scope.Counter("OwnerDials"),
+		overQuota:  scope.Counter("OverQuota"),
 		aborts:     scope.Counter("AbortedTransactions"),
 		latency:    scope.Histogram("StatementTime", latencyBuckets),
 	}
--- a/core/proxy/organisation_test.go
+++ b/core/proxy/organisation_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -140,3 +141,34 @@
 		assert.Equal(t, runs[0].Conn, runs[3].Conn, "the connection was kept")
 	})
 }
+
+// Guards against operations beyond an organisation's limit that run, statements of a transaction that count again, and a
+// refusal that isn't true.
+func TestQuota(t *testing.T) {
+	inKeyedBubble(t, func(t *testing.T, r keyedHarness) {
+		left, asked := 2, 0
+		r.proxy.cfg.Quota = func(_ context.Context, id core.OrganisationID, _ time.Time) (time.Duration, bool) {
+			if id != "a" {
+				return 0, true
+			}
+			asked++
+			left--
+			return 700 * time.Millisecond, left >= 0
+		}
+		a, b := r.proxy.Open("own", orgs.Digest("key-a")), r.proxy.Open("own", orgs.Digest("key-b"))
+		r.must(a, VerbBegin, "BEGIN")
+		r.must(a, VerbWrite, "WRITE 1")
+		r.must(a, VerbWrite, "WRITE 2")
+		r.must(a, VerbCommit, "COMMIT")
+		r.must(a, VerbWrite, "WRITE 3")
+		assert.Equal(t, asked, 2)
+		reply := r.do(a, VerbWrite, "WRITE 4")
+		assert.Equal(t, reply.Fault, core.FaultBusy)
+		assert.Equal(t, reply.Text, "the organisation is at its limit; retry after 700ms")
+		r.must(a, VerbBegin, "BEGIN")
+		assert.Equal(t, r.do(a, VerbWrite, "WRITE 5").Fault, core.FaultBusy)
+		r.must(a, VerbRollback, "ROLLBACK")
+		r.must(b, VerbWrite, "WRITE 6")
+		assert.DeepEqual(t, r.texts(primaryID), []string{"WRITE 1", "WRITE 2", "COMMIT", "WRITE 3", "WRITE 6"})
+	})
+}
--- a/core/proxy/proxy.go
+++ b/core/proxy/proxy.go
@@ -38,7 +38,10 @@
 	// Permits limits the use of primaries where a promotion doesn't stop the old one; nil means no limit.
 	Permits core.Permits
 	// Keys identifies callers by their keys; nil means that callers have none.
-	Keys    *orgs.Guard
+	Keys *orgs.Guard
+	// Quota decides whether an operation of the organisation may run, waiting at most until the deadline, and
+	// otherwise when its caller should come back; nil means that there are no limits.
+	Quota   func(ctx context.Context, organisation core.OrganisationID, deadline time.Time) (retryAfter time.Duration, ok bool)
 	Log     log.Logger
 	Metrics tally.Scope
 	// Now reads a clock that advances while the VM is suspended; nil stands for core.Now.
--- a/core/proxy/single.go
+++ b/core/proxy/single.go
@@ -24,6 +24,9 @@
 
 // runSingle runs a statement outside of transactions.
 func (s *Session) runSingle(ctx context.Context, w *work) Reply {
+	if refused := s.checkQuota(ctx, w); refused != nil {
+		return *refused
+	}
 	strict := false
 	for {
 		t, ok := s.chooseTarget(ctx, w, strict)
--- a/core/proxy/tx.go
+++ b/core/proxy/tx.go
@@ -85,6 +85,9 @@
 
 // beginTx opens the transaction on an upstream before its first statement.
 func (s *Session) beginTx(ctx context.Context, w *work) *Reply {
+	if refused := s.checkQuota(ctx, w); refused != nil {
+		return refused
+	}
 	for {
 		t, ok := s.chooseTxTarget(ctx, w)
 		if !ok {
--- a/core/proxy/work.go
+++ b/core/proxy/work.go
@@ -109,6 +109,23 @@
 	return p.cfg.Keys.Identify(route, key)
 }
 
+// checkQuota counts the operation against the limit of its organisation, and returns the refusal if it is beyond it.
+func (s *Session) checkQuota(ctx context.Context, w *work) *Reply {
+	if s.p.cfg.Quota == nil || w.organisation == "" {
+		return nil
+	}
+	retryAfter, ok := s.p.cfg.Quota(ctx, w.organisation, w.startBy)
+	if ok {
+		return nil
+	}
+	s.p.metrics.overQuota.Inc(1)
+	text := "the organisation is at its limit"
+	if retryAfter > 0 {
+		text += "; retry after " + retryAfter.Round(time.Millisecond).String()
+	}
+	return &Reply{Fault: core.FaultBusy, Text: text, overloaded: true}
+}
+
 // route returns the route of the open transaction, or the present one.
 func (s *Session) route() (topo.Route, bool) {
 	if s.tx == nil {
