--- a/core/proxy/work.go
+++ b/core/proxy/work.go
@@ -119,6 +119,7 @@
 		return nil
 	}
 	s.p.metrics.overQuota.Inc(1)
+	s.p.logDecision("operation over the limit", "Request", w.st.ID, "Organisation", w.organisation, "RetryMs", retryAfter.Milliseconds())
 	text := "the organisation is at its limit"
 	if retryAfter > 0 {
 		text += "; retry after " + retryAfter.Round(time.Millisecond).String()
