Divide what VMs report only after an older keeper has given up

Cause: a new keeper divided the rights that VMs had reported at once. A VM that restarted after its report could get the same rights again from a keeper that didn't know yet that the store had lost its lease, so that the VMs held more than the whole limit together. TestSharesSumUp with two keepers at a time found it. Change: until all VMs have answered, or the older lease has ended, VMs keep what they hold; only later reports are divided anew (Ledger.Rebase).

--- a/core/quota/fleet_test.go
+++ b/core/quota/fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"reflect"
@@ -398,7 +399,16 @@
 	granted, worst, p50, p99 := f.summary()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.t.Logf("%-28s granted %.4f, worst organisation %.3f, waits p50 %v p99 %v, %d messages", title, granted, worst, p50, p99, f.messages)
+	ops, waited := 0, 0
+	for _, st := range f.stats {
+		ops += st.granted
+		for _, w := range st.waits {
+			if w > 0 {
+				waited++
+			}
+		}
+	}
+	f.t.Logf("%-28s granted %.4f, worst organisation %.3f, %.3f waited, p50 %v p99 %v, %d messages", title, granted, worst, float64(waited)/float64(ops), p50, p99, f.messages)
 	return granted, worst
 }
 
@@ -443,6 +453,13 @@
 	clear(s.leases)
 }
 
+// count returns the number of calls by their names.
+func (s *leaseStore) count() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.calls)
+}
+
 func (s *leaseStore) setDown(down bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -97,9 +97,9 @@
 	limits   func(core.OrganisationID) (Limit, bool)
 	vms      map[core.VMID]process
 	accounts map[core.OrganisationID]*account
-	// settled is set once the ledger has all rights that VMs may hold. Before, nothing is assigned beyond what
-	// VMs have reported.
-	settled bool
+	// isBased is set once no other VM believes to be the keeper. Before, VMs keep what they report. settled is set once
+	// the ledger has all rights that VMs may hold. Before, nothing is assigned beyond what VMs have reported.
+	isBased, settled bool
 	// changes are the organisations whose over has changed.
 	changes []core.OrganisationID
 }
@@ -108,6 +108,8 @@
 type process struct {
 	incarnation int64
 	seq         uint64
+	// isKnown is set if the VM's rights are part of what accounts know.
+	isKnown bool
 	// items are the organisations of which the VM has holdings.
 	items map[core.OrganisationID]bool
 }
@@ -130,7 +132,8 @@
 	demand, recent float64
 	users          int
 	summedAt       core.Instant
-	// known is the sum of what VMs held when they reported first. It may be divided before the ledger is settled.
+	// known is the sum of what VMs held when they reported first since the ledger is based. It may be divided before the
+	// ledger is settled.
 	known Right
 	// tokens is what the reserve held at refilledAt.
 	tokens     float64
@@ -152,7 +155,20 @@
 			g.refill(now, a, limit)
 		}
 	}
-	g.settled = true
+	g.isBased, g.settled = true, true
+}
+
+// Rebase notes that no other VM believes to be the keeper any more. What VMs report from now on may be divided anew: an
+// earlier report may be of a VM that has restarted since and got its rights from another keeper.
+func (g *Ledger) Rebase() {
+	if g.isBased {
+		return
+	}
+	g.isBased = true
+	for id, p := range g.vms {
+		p.isKnown = false
+		g.vms[id] = p
+	}
 }
 
 // IsSettled reports whether Settle was called.
@@ -178,7 +194,7 @@
 // Ask records the rights that a VM reports and assigns it others. Tokens of the reserve are given only if mayDraw is
 // set. It returns false if a later request of the VM is known.
 func (g *Ledger) Ask(now core.Instant, r *AskRequest, mayDraw bool) (AskAnswer, bool) {
-	if p, ok := g.vms[r.VM]; r.Partial && (!ok || p.incarnation != r.Incarnation) {
+	if p, ok := g.vms[r.VM]; r.Partial && (!ok || p.incarnation != r.Incarnation || g.isBased && !p.isKnown) {
 		return AskAnswer{NeedsAll: true, Keeper: r.Term}, false
 	}
 	if known, ok := g.begin(now, r); !ok {
@@ -215,13 +231,14 @@
 // known, it returns the incarnation of that one.
 func (g *Ledger) begin(now core.Instant, r *AskRequest) (int64, bool) {
 	known, ok := g.vms[r.VM]
-	if !ok {
-		g.learn(now, r)
-	}
 	if ok && (r.Incarnation < known.incarnation || r.Incarnation == known.incarnation && r.Seq <= known.seq) {
 		return known.incarnation, false
 	}
-	p := process{incarnation: r.Incarnation, seq: r.Seq, items: known.items}
+	p := process{incarnation: r.Incarnation, seq: r.Seq, isKnown: known.isKnown, items: known.items}
+	if g.isBased && !p.isKnown {
+		p.isKnown = true
+		g.learn(now, r)
+	}
 	if p.items == nil {
 		p.items = make(map[core.OrganisationID]bool)
 	}
@@ -244,7 +261,7 @@
 	return 0, true
 }
 
-// learn counts what a VM holds that reports for the first time.
+// learn counts what a VM holds.
 func (g *Ledger) learn(now core.Instant, r *AskRequest) {
 	for i := range r.Items {
 		a := g.account(now, r.Items[i].Organisation)
@@ -292,6 +309,9 @@
 
 // assign returns the right that a VM gets next. The sums of all that VMs may hold aren't above assignable afterwards.
 func (g *Ledger) assign(a *account, h *holding, limit Limit) Right {
+	if !g.isBased {
+		return h.reported
+	}
 	if h.demand <= 0 {
 		return Right{}
 	}
--- a/core/quota/ledger_test.go
+++ b/core/quota/ledger_test.go
@@ -9,69 +9,122 @@
 	"snipewall/core"
 )
 
+// division is some VMs and the keepers that they ask, without a network.
+type division struct {
+	now  core.Instant
+	vms  []*rights
+	term Term
+	// ledgers are those of the terms whose keepers haven't given up, until untilOf.
+	ledgers map[Term]*Ledger
+	untilOf map[Term]core.Instant
+	began   core.Instant
+	answers []lateAnswer
+}
+
+type lateAnswer struct {
+	vm     *rights
+	q      *AskRequest
+	a      AskAnswer
+	sentAt core.Instant
+}
+
+var testLimit = Limit{Rate: 20, Burst: 15}
+
+func testLimits(core.OrganisationID) (Limit, bool) { return testLimit, true }
+
+// begin begins a term. The keeper of the last one goes on until it gives up by its own clock.
+func (d *division) begin() {
+	for t := range d.untilOf {
+		d.untilOf[t] = min(d.untilOf[t], d.now.Add(leaseTTL-leaseMargin))
+	}
+	d.term.Began++
+	d.began = d.now
+	d.ledgers[d.term], d.untilOf[d.term] = NewLedger(testBound, testLimits), d.now.Add(time.Hour)
+}
+
+func (d *division) start(i int) {
+	d.vms[i] = newRights(core.VMID(rune('a'+i)), testBound, int64(d.now), testLimits)
+}
+
+// advance lets time pass. A keeper doesn't hear from all VMs, so that it waits as long as it has to.
+func (d *division) advance(by time.Duration) {
+	d.now = d.now.Add(by)
+	l := d.ledgers[d.term]
+	if d.now.Sub(d.began) >= leaseTTL {
+		l.Rebase()
+	}
+	if d.now.Sub(d.began) >= settleTime {
+		l.Settle(d.now)
+	}
+	for t, until := range d.untilOf {
+		if d.now >= until {
+			delete(d.ledgers, t)
+		}
+	}
+}
+
+func (d *division) ask(vm *rights, t Term, partial, isLost bool) {
+	l := d.ledgers[t]
+	if l == nil || !vm.follow(d.now, t) {
+		return
+	}
+	q := vm.request(d.now, partial, true)
+	if a, ok := l.Ask(d.now, q, true); ok && !isLost {
+		d.answers = append(d.answers, lateAnswer{vm, q, a, d.now})
+	}
+}
+
+func (d *division) sum() (sum Right) {
+	for _, vm := range d.vms {
+		if b := vm.buckets["o"]; b != nil && d.now < b.until {
+			sum.Rate += b.right.Rate
+			sum.Burst += b.right.Burst
+		}
+	}
+	return sum
+}
+
 // Guards against VMs that together hold more than the whole limit: after lost and late answers, restarts, expired
-// rights, and a new keeper that knows only what some of the VMs have reported.
+// rights, with a keeper that doesn't know yet that there is another one, and with a new keeper that knows only what some
+// of the VMs have reported.
 func TestSharesSumUp(t *testing.T) {
-	limit := Limit{Rate: 20, Burst: 15}
-	limits := func(core.OrganisationID) (Limit, bool) { return limit, true }
 	rapid.Check(t, func(rt *rapid.T) {
-		now := core.Instant(time.Hour)
-		ledger, term := NewLedger(testBound, limits), Term{Keeper: "k", Began: 1}
-		ledger.Settle(now)
-		settleAt := now
-		vms := make([]*rights, 5)
-		start := func(i int) {
-			vms[i] = newRights(core.VMID(rune('a'+i)), testBound, int64(now), limits)
-			vms[i].follow(now, term)
-		}
-		for i := range vms {
-			start(i)
+		d := &division{
+			now: core.Instant(time.Hour), vms: make([]*rights, 4), ledgers: make(map[Term]*Ledger),
+			untilOf: make(map[Term]core.Instant), term: Term{Keeper: "k"},
 		}
-		type late struct {
-			vm     *rights
-			q      *AskRequest
-			a      AskAnswer
-			sentAt core.Instant
+		for i := range d.vms {
+			d.start(i)
 		}
-		var answers []late
-		for range rapid.IntRange(1, 150).Draw(rt, "steps") {
-			now = now.Add(time.Duration(rapid.IntRange(1, 1500).Draw(rt, "ms")) * time.Millisecond)
-			if !ledger.IsSettled() && now >= settleAt {
-				ledger.Settle(now)
-			}
-			i := rapid.IntRange(0, len(vms)-1).Draw(rt, "vm")
-			vm := vms[i]
-			switch rapid.IntRange(0, 9).Draw(rt, "action") {
+		d.begin()
+		d.ledgers[d.term].Settle(d.now)
+		for range rapid.IntRange(1, 200).Draw(rt, "steps") {
+			d.advance(time.Duration(rapid.IntRange(1, 700).Draw(rt, "ms")) * time.Millisecond)
+			i := rapid.IntRange(0, len(d.vms)-1).Draw(rt, "vm")
+			vm := d.vms[i]
+			switch action := rapid.IntRange(0, 11).Draw(rt, "action"); action {
 			default:
 				for range rapid.IntRange(0, 30).Draw(rt, "operations") {
-					vm.bucket(now, "o").note(now)
+					vm.bucket(d.now, "o").note(d.now)
 				}
-				vm.follow(now, term)
-				q := vm.request(now, rapid.Bool().Draw(rt, "partial"), true)
-				a, ok := ledger.Ask(now, q, true)
-				if !ok || rapid.IntRange(0, 3).Draw(rt, "lost") == 0 {
-					break
+				term := d.term
+				if action < 3 {
+					term.Began--
 				}
-				answers = append(answers, late{vm, q, a, now})
-			case 6, 7:
-				for _, l := range answers {
-					l.vm.apply(now, l.sentAt, l.q, &l.a)
+				d.ask(vm, term, rapid.Bool().Draw(rt, "partial"), rapid.IntRange(0, 3).Draw(rt, "lost") == 0)
+			case 8, 9:
+				for _, l := range d.answers {
+					l.vm.apply(d.now, l.sentAt, l.q, &l.a)
 				}
-				answers = nil
-			case 8:
-				start(i)
-			case 9:
-				term.Began++
-				ledger, settleAt = NewLedger(testBound, limits), now.Add(settleTime)
-			}
-			var sum Right
-			for _, vm := range vms {
-				if b := vm.buckets["o"]; b != nil && now < b.until {
-					sum.Rate += b.right.Rate
-					sum.Burst += b.right.Burst
+				d.answers = nil
+			case 10:
+				d.start(i)
+			case 11:
+				if d.now.Sub(d.began) > leaseTTL {
+					d.begin()
 				}
 			}
-			if sum.join(assignable) != assignable {
+			if sum := d.sum(); sum.join(assignable) != assignable {
 				rt.Fatalf("the VMs hold %+v", sum)
 			}
 		}
--- a/core/quota/limiter_test.go
+++ b/core/quota/limiter_test.go
@@ -36,7 +36,7 @@
 		time.Sleep(2100 * time.Millisecond)
 		granted, _ := f.logSummary("calm")
 		assert.Assert(t, granted > 0.999)
-		t.Log(f.store.calls)
+		t.Log(f.store.count())
 	})
 }
 
@@ -50,7 +50,8 @@
 	}{
 		{"keeper dies", func(f *fleet) { f.keepers()[0].restart(2 * time.Second) }, 0.99},
 		{"keeper dies for long", func(f *fleet) { f.keepers()[0].restart(30 * time.Second) }, 0.94},
-		{"half of the VMs die", func(f *fleet) {
+		{"half of the VMs and the keeper die", func(f *fleet) {
+			f.keepers()[0].restart(1300 * time.Millisecond)
 			for i := 0; i < len(f.nodes); i += 2 {
 				f.nodes[i].restart(1300 * time.Millisecond)
 			}
@@ -131,7 +132,7 @@
 			began := time.Since(f.start)
 			f.load(15*time.Second, surge, pick)
 			time.Sleep(2100 * time.Millisecond)
-			late, baseline := late(f.grants, began, org, capacity), late(f.sends, began, org, capacity)
+			late, baseline := f.late(f.grants, began, org, capacity), f.late(f.sends, began, org, capacity)
 			f.mu.Lock()
 			st := *f.stats[f.orgs[org]]
 			delete(f.stats, f.orgs[org])
@@ -148,12 +149,14 @@
 }
 
 // late returns the share of the operations of other organisations that a queue with the capacity delays by more than half a second.
-func late(ops map[core.OrganisationID][]time.Duration, began time.Duration, org int, capacity float64) float64 {
+func (f *fleet) late(ops map[core.OrganisationID][]time.Duration, began time.Duration, org int, capacity float64) float64 {
 	type op struct {
 		at      time.Duration
 		isOther bool
 	}
 	var all []op
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	for id, times := range ops {
 		for _, at := range times {
 			if at >= began {
@@ -184,7 +187,7 @@
 		defer f.stop()
 		f.load(5*time.Second, rates, f.spread(rates))
 		assert.Equal(t, f.messages, 0)
-		assert.Equal(t, len(f.store.calls), 0)
+		assert.Equal(t, len(f.store.count()), 0)
 		granted, worst, _, p99 := f.summary()
 		assert.Equal(t, [3]float64{granted, worst, float64(p99)}, [3]float64{1, 1, 0})
 		f.reset()
--- a/core/quota/settle.go
+++ b/core/quota/settle.go
@@ -20,25 +20,38 @@
 // settle asks all VMs for their rights, so that the ledger has everything that may be in use.
 //
 // Two rounds are necessary. A keeper whose lease the store has lost, and which doesn't know it yet, gives up when it is
-// asked. It may have assigned rights until then, but only to VMs that started since they were asked. The second round
-// begins after all have answered and finds those rights, also of VMs that weren't in the list before.
+// asked, or when its lease has ended by its clock. It may have assigned rights until then, but only to VMs that started
+// since they were asked. The second round begins after that and finds those rights, also of VMs that weren't in the list
+// before.
 func (k *keeper) settle(ctx context.Context, t Term) {
-	until := k.l.cfg.Now().Add(settleTime)
-	for range 2 {
-		if err := k.collect(ctx, t, until); err != nil {
-			return
-		}
+	began := k.l.cfg.Now()
+	if err := k.collect(ctx, t, began.Add(leaseTTL)); err != nil {
+		return
 	}
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if k.ledger == nil || k.term != t {
+	if !k.update(t, (*Ledger).Rebase) {
+		return
+	}
+	if err := k.collect(ctx, t, began.Add(settleTime)); err != nil {
+		return
+	}
+	if !k.update(t, func(g *Ledger) { g.Settle(k.l.cfg.Now()) }) {
 		return
 	}
-	k.ledger.Settle(k.l.cfg.Now())
 	level.Info(k.l.cfg.Log).Log("Msg", "quota keeper knows the rights of all VMs")
 	signal(k.l.wake)
 }
 
+// update changes the ledger. It returns false if the term is over.
+func (k *keeper) update(t Term, change func(g *Ledger)) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.ledger == nil || k.term != t {
+		return false
+	}
+	change(k.ledger)
+	return true
+}
+
 // collect asks all VMs in the store for their rights until they have answered or until has passed.
 func (k *keeper) collect(ctx context.Context, t Term, until core.Instant) error {
 	for k.l.cfg.Now() < until {
