--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -41,6 +41,8 @@
 	reservePart = 0.1
 	// transitPart is the part of the slack for tokens that are in transit.
 	transitPart = 0.1
+	// excessPart is the part of the excess that is used at all, for the drift of clocks.
+	excessPart = 0.95
 	// transitTime is how long tokens may be in transit where the excess has to cover it: the reserve refills meanwhile.
 	// A VM with little processor time takes as long to answer.
 	transitTime = 250 * time.Millisecond
@@ -63,13 +65,18 @@
 
 // transit returns how long after its request a VM may add tokens of an answer to its bucket.
 func (b Bound) transit(limit Limit) time.Duration {
-	fromExcess := min(transitTime.Seconds(), b.excess(limit)/2/limit.Rate)
-	return min(maxTransit, time.Duration((fromExcess+transitPart*b.Slack/limit.Rate)*float64(time.Second)))
+	ops := b.transitOps(limit) + transitPart*b.Slack
+	return min(maxTransit, time.Duration(ops/limit.Rate*float64(time.Second)))
+}
+
+// transitOps returns how many operations of the excess are for tokens in transit.
+func (b Bound) transitOps(limit Limit) float64 {
+	return min(limit.Rate*transitTime.Seconds(), 0.75*b.excess(limit))
 }
 
 // pool returns how many operations all buckets may hold together: the burst, and parts of slack and excess.
 func (b Bound) pool(limit Limit) float64 {
-	return limit.Burst + poolPart*b.Slack + max(0, b.excess(limit)-limit.Rate*transitTime.Seconds())
+	return limit.Burst + poolPart*b.Slack + b.excess(limit) - b.transitOps(limit)
 }
 
 // capacity is how many operations a bucket with the right can hold.
@@ -80,7 +87,7 @@
 // excess returns how many operations of the excess are left for tokens in transit and for buckets.
 func (b Bound) excess(limit Limit) float64 {
 	overlap := hardReserve.Rate.of(limit.Rate) * overlapTime.Seconds()
-	return max(0, 0.95*b.Excess*(limit.Rate*b.Window.Seconds()+limit.Burst)-overlap)
+	return max(0, excessPart*b.Excess*(limit.Rate*b.Window.Seconds()+limit.Burst)-overlap)
 }
 
 // Ledger holds the decisions of a keeper: what the VMs hold of each limit, and the reserves. It is not safe for
@@ -90,9 +97,9 @@
 	limits   func(core.OrganisationID) (Limit, bool)
 	vms      map[core.VMID]process
 	accounts map[core.OrganisationID]*account
-	// settled is set once the ledger has all rights that VMs may hold. Before, nothing is assigned beyond what
-	// VMs have reported.
-	settled bool
+	// isBased is set once no other VM believes to be the keeper. Before, VMs keep what they report. settled is set once
+	// the ledger has all rights that VMs may hold. Before, nothing is assigned beyond what VMs have reported.
+	isBased, settled bool
 	// changes are the organisations whose over has changed.
 	changes []core.OrganisationID
 }
@@ -101,6 +108,8 @@
 type process struct {
 	incarnation int64
 	seq         uint64
+	// isKnown is set if the VM's rights are part of what accounts know.
+	isKnown bool
 	// items are the organisations of which the VM has holdings.
 	items map[core.OrganisationID]bool
 }
@@ -123,7 +132,8 @@
 	demand, recent float64
 	users          int
 	summedAt       core.Instant
-	// known is the sum of what VMs held when they reported first. It may be divided before the ledger is settled.
+	// known is the sum of what VMs held when they reported first since the ledger is based. It may be divided before the
+	// ledger is settled.
 	known Right
 	// tokens is what the reserve held at refilledAt.
 	tokens     float64
@@ -145,7 +155,20 @@
 			g.refill(now, a, limit)
 		}
 	}
-	g.settled = true
+	g.isBased, g.settled = true, true
+}
+
+// Rebase notes that no other VM believes to be the keeper any more. What VMs report from now on may be divided anew: an
+// earlier report may be of a VM that has restarted since and got its rights from another keeper.
+func (g *Ledger) Rebase() {
+	if g.isBased {
+		return
+	}
+	g.isBased = true
+	for id, p := range g.vms {
+		p.isKnown = false
+		g.vms[id] = p
+	}
 }
 
 // IsSettled reports whether Settle was called.
@@ -171,13 +194,13 @@
 // Ask records the rights that a VM reports and assigns it others. Tokens of the reserve are given only if mayDraw is
 // set. It returns false if a later request of the VM is known.
 func (g *Ledger) Ask(now core.Instant, r *AskRequest, mayDraw bool) (AskAnswer, bool) {
-	if p, ok := g.vms[r.VM]; r.Partial && (!ok || p.incarnation != r.Incarnation) {
+	if p, ok := g.vms[r.VM]; r.Partial && (!ok || p.incarnation != r.Incarnation || g.isBased && !p.isKnown) {
 		return AskAnswer{NeedsAll: true, Keeper: r.Term}, false
 	}
 	if known, ok := g.begin(now, r); !ok {
 		return AskAnswer{Incarnation: known, Keeper: r.Term}, false
 	}
-	out := AskAnswer{OK: true, Keeper: r.Term, Settling: !g.settled, Items: make([]AnswerItem, 0, len(r.Items))}
+	out := AskAnswer{OK: true, Keeper: r.Term, Keep: !g.isBased, Settling: !g.settled, Items: make([]AnswerItem, 0, len(r.Items))}
 	for i := range r.Items {
 		item := &r.Items[i]
 		limit, ok := g.limits(item.Organisation)
@@ -208,13 +231,14 @@
 // known, it returns the incarnation of that one.
 func (g *Ledger) begin(now core.Instant, r *AskRequest) (int64, bool) {
 	known, ok := g.vms[r.VM]
-	if !ok {
-		g.learn(now, r)
-	}
 	if ok && (r.Incarnation < known.incarnation || r.Incarnation == known.incarnation && r.Seq <= known.seq) {
 		return known.incarnation, false
 	}
-	p := process{incarnation: r.Incarnation, seq: r.Seq, items: known.items}
+	p := process{incarnation: r.Incarnation, seq: r.Seq, isKnown: known.isKnown, items: known.items}
+	if g.isBased && !p.isKnown {
+		p.isKnown = true
+		g.learn(now, r)
+	}
 	if p.items == nil {
 		p.items = make(map[core.OrganisationID]bool)
 	}
@@ -237,7 +261,7 @@
 	return 0, true
 }
 
-// learn counts what a VM holds that reports for the first time.
+// learn counts what a VM holds.
 func (g *Ledger) learn(now core.Instant, r *AskRequest) {
 	for i := range r.Items {
 		a := g.account(now, r.Items[i].Organisation)
@@ -285,6 +309,9 @@
 
 // assign returns the right that a VM gets next. The sums of all that VMs may hold aren't above assignable afterwards.
 func (g *Ledger) assign(a *account, h *holding, limit Limit) Right {
+	if !g.isBased {
+		return h.reported
+	}
 	if h.demand <= 0 {
 		return Right{}
 	}
--- /dev/null
+++ b/core/quota/ledger_test.go
@@ -0,0 +1,142 @@
+package quota
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"snipewall/core"
+)
+
+// division is some VMs and the keepers that they ask, without a network.
+type division struct {
+	now  core.Instant
+	vms  []*rights
+	term Term
+	// ledgers are those of the terms whose keepers haven't given up, until untilOf.
+	ledgers map[Term]*Ledger
+	untilOf map[Term]core.Instant
+	began   core.Instant
+	answers []lateAnswer
+	sent    []*AskRequest
+}
+
+type lateAnswer struct {
+	vm     *rights
+	q      *AskRequest
+	a      AskAnswer
+	sentAt core.Instant
+}
+
+var testLimit = Limit{Rate: 20, Burst: 15}
+
+func testLimits(core.OrganisationID) (Limit, bool) { return testLimit, true }
+
+// begin begins a term. The keeper of the last one goes on until it gives up by its own clock.
+func (d *division) begin() {
+	for t := range d.untilOf {
+		d.untilOf[t] = min(d.untilOf[t], d.now.Add(leaseTTL-leaseMargin))
+	}
+	d.term.Began++
+	d.began = d.now
+	d.ledgers[d.term], d.untilOf[d.term] = NewLedger(testBound, testLimits), d.now.Add(time.Hour)
+}
+
+func (d *division) start(i int) {
+	d.vms[i] = newRights(core.VMID(rune('a'+i)), testBound, int64(d.now), testLimits)
+}
+
+// advance lets time pass. A keeper doesn't hear from all VMs, so that it waits as long as it has to.
+func (d *division) advance(by time.Duration) {
+	d.now = d.now.Add(by)
+	l := d.ledgers[d.term]
+	if d.now.Sub(d.began) >= leaseTTL {
+		l.Rebase()
+	}
+	if d.now.Sub(d.began) >= settleTime {
+		l.Settle(d.now)
+	}
+	for t, until := range d.untilOf {
+		if d.now >= until {
+			delete(d.ledgers, t)
+		}
+	}
+}
+
+func (d *division) ask(vm *rights, t Term, partial, isLost bool) {
+	l := d.ledgers[t]
+	if l == nil || !vm.follow(d.now, t) {
+		return
+	}
+	q := vm.request(d.now, partial, true)
+	d.sent = append(d.sent, q)
+	if a, ok := l.Ask(d.now, q, true); ok && !isLost {
+		d.answers = append(d.answers, lateAnswer{vm, q, a, d.now})
+	}
+}
+
+func (d *division) sum() (sum Right) {
+	for _, vm := range d.vms {
+		if b := vm.buckets["o"]; b != nil && d.now < b.until {
+			sum.Rate += b.right.Rate
+			sum.Burst += b.right.Burst
+		}
+	}
+	return sum
+}
+
+// Guards against VMs that together hold more than the whole limit: after lost and late answers, restarts, expired
+// rights, with a keeper that doesn't know yet that there is another one, and with a new keeper that knows only what some
+// of the VMs have reported.
+func TestSharesSumUp(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		d := &division{
+			now: core.Instant(time.Hour), vms: make([]*rights, 4), ledgers: make(map[Term]*Ledger),
+			untilOf: make(map[Term]core.Instant), term: Term{Keeper: "k"},
+		}
+		for i := range d.vms {
+			d.start(i)
+		}
+		d.begin()
+		d.ledgers[d.term].Settle(d.now)
+		for range rapid.IntRange(1, 200).Draw(rt, "steps") {
+			d.advance(time.Duration(rapid.IntRange(1, 700).Draw(rt, "ms")) * time.Millisecond)
+			i := rapid.IntRange(0, len(d.vms)-1).Draw(rt, "vm")
+			vm := d.vms[i]
+			switch action := rapid.IntRange(0, 11).Draw(rt, "action"); action {
+			default:
+				for range rapid.IntRange(0, 30).Draw(rt, "operations") {
+					vm.bucket(d.now, "o").note(d.now)
+				}
+				term := d.term
+				if action < 3 {
+					term.Began--
+				}
+				d.ask(vm, term, rapid.Bool().Draw(rt, "partial"), rapid.IntRange(0, 3).Draw(rt, "lost") == 0)
+			case 7:
+				// An earlier request arrives once more.
+				if len(d.sent) > 0 {
+					q := d.sent[max(0, len(d.sent)-1-rapid.IntRange(0, 5).Draw(rt, "age"))]
+					if l := d.ledgers[q.Term]; l != nil {
+						l.Ask(d.now, q, true)
+					}
+				}
+			case 8, 9:
+				for _, l := range d.answers {
+					l.vm.apply(d.now, l.sentAt, l.q, &l.a)
+				}
+				d.answers = nil
+			case 10:
+				d.start(i)
+			case 11:
+				if d.now.Sub(d.began) > leaseTTL {
+					d.begin()
+				}
+			}
+			if sum := d.sum(); sum.join(assignable) != assignable {
+				rt.Fatalf("the VMs hold %+v", sum)
+			}
+		}
+	})
+}
