--- a/core/quota/ask.go
+++ b/core/quota/ask.go
@@ -120,6 +120,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.cfg.Now()
+	l.holdDemand(now)
 	l.rights.serve(now)
 	wait := renewInterval
 	if at, ok := l.rights.nextToken(now); ok {
@@ -265,6 +266,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.cfg.Now()
+	l.holdDemand(now)
 	if isSearch {
 		return &AskRequest{VM: l.cfg.Self.ID}, now
 	}
--- a/core/quota/limiter.go
+++ b/core/quota/limiter.go
@@ -37,8 +37,11 @@
 	// (Rate*Window+Burst)*(1+Excess)+Slack operations in any window.
 	Window        time.Duration
 	Excess, Slack float64
-	Log           log.Logger
-	Metrics       tally.Scope
+	// IsServing reports whether callers of organisations are served at all; nil means that they always are. While they
+	// aren't, their demand is unknown, and the VM keeps its rights for the time after that.
+	IsServing func() bool
+	Log       log.Logger
+	Metrics   tally.Scope
 	// Now reads a clock that advances while the VM is suspended; nil stands for core.Now.
 	Now func() core.Instant
 }
@@ -99,6 +102,17 @@
 	return Limit{Rate: o.Rate, Burst: o.Burst}, ok && o.Rate > 0
 }
 
+// holdDemand keeps the measured demand as it is while callers aren't served. The caller holds mu.
+func (l *Limiter) holdDemand(now core.Instant) {
+	if l.cfg.IsServing == nil || l.cfg.IsServing() {
+		return
+	}
+	for _, b := range l.rights.buckets {
+		b.demand.hold(now)
+		b.lastUse = now
+	}
+}
+
 // Take decides about one operation of the organisation. While a request for rights is in progress, it waits at most
 // until the deadline; an organisation whose demand is above its limit is refused at once.
 func (l *Limiter) Take(ctx context.Context, organisation core.OrganisationID, deadline time.Time) Verdict {
--- a/core/quota/meter.go
+++ b/core/quota/meter.go
@@ -46,6 +46,9 @@
 	d.slow.add(now, slowTime)
 }
 
+// hold makes the demand the same as at the last call of another method.
+func (d *demand) hold(now core.Instant) { d.fast.at, d.recent.at, d.slow.at = now, now, now }
+
 // rate returns the average rate. A higher recent one counts as far as it can't be chance.
 func (d *demand) rate(now core.Instant) float64 {
 	recent := d.recent.decay(now, recentTime)
