--- a/core/mirror/confirm_test.go
+++ b/core/mirror/confirm_test.go
@@ -28,7 +28,7 @@
 	}
 	for _, vm := range vms {
 		m := New(Config{Store: store, Members: vms, Self: vm, Call: call, Log: logger, Now: now})
-		if _, watchesMirror := m.watcher(); watchesMirror {
+		if watchesMirror(m) {
 			return m
 		}
 	}
@@ -113,7 +113,7 @@
 // Guards against VMs that call each other without a pause while the store is down for all of them.
 func TestCallsOfMirrorsDuringOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newSimulation(t)
+		s := newSimulation(t, oneDomain)
 		s.vms = s.vms[:2]
 		ctx, cancel := context.WithCancel(t.Context())
 		for _, vm := range s.vms {
--- a/core/mirror/fleet_test.go
+++ b/core/mirror/fleet_test.go
@@ -34,14 +34,28 @@
 	startPhases   = 31
 	prefix        = "p"
 	fleetSize     = 6
+	// treeFleetSize is the number of VMs of a large deployment, in treeDomains failure domains.
+	treeFleetSize = 12
+	treeDomains   = 3
 	// linkRate is the bytes per second of a link of 10 Mbit/s.
 	linkRate = 10e6 / 8
 )
 
-// simulation is a fleet of VMs in one failure domain that follow one key of the store with feeds.
+// layout is how the VMs of a fleet share the watches.
+type layout uint8
+
+const (
+	// oneDomain has fleetSize VMs in one failure domain, whose watchers watch the store.
+	oneDomain layout = iota
+	// tree has treeFleetSize VMs with roots.
+	tree
+)
+
+// simulation is a fleet of VMs that follow one key of the store with feeds.
 type simulation struct {
-	t     *testing.T
-	store *fakeStore
+	t      *testing.T
+	layout layout
+	store  *fakeStore
 	// hidden holds the VMs that are missing from the lists of VMs.
 	hidden map[core.VMID]bool
 	// lists, if set, holds a list of its own for each VM.
@@ -187,15 +201,21 @@
 	return slices.DeleteFunc(slices.Clone(m.s.vms), func(vm core.VM) bool { return m.s.hidden[vm.ID] && vm.ID != m.self })
 }
 
-// simulate runs a fleet. prepare, if set, changes it before its start. disturb changes it at a time that differs in
+// simulate runs fleets of both layouts. prepare, if set, changes it before its start. disturb changes it at a time that differs in
 // each phase, and the store's key changes after that. It returns how long the VM that was last took to learn of the
 // change, over all phases, and fails the test if a VM other than exempt never does.
 func simulate(t *testing.T, prepare, disturb func(s *simulation), exempt func(s *simulation, id core.VMID) bool) time.Duration {
+	t.Helper()
+	return max(simulateLayout(t, oneDomain, prepare, disturb, exempt), simulateLayout(t, tree, prepare, disturb, exempt))
+}
+
+// simulateLayout is simulate for one layout.
+func simulateLayout(t *testing.T, l layout, prepare, disturb func(s *simulation), exempt func(s *simulation, id core.VMID) bool) time.Duration {
 	t.Helper()
 	var worst time.Duration
 	for phase := range phases {
 		synctest.Test(t, func(t *testing.T) {
-			s := newSimulation(t)
+			s := newSimulation(t, l)
 			if prepare != nil {
 				prepare(s)
 			}
@@ -223,15 +243,15 @@
 			}
 		})
 	}
-	t.Logf("latest VM: %v after the change", worst)
+	t.Logf("layout %d: latest VM: %v after the change", l, worst)
 	return worst
 }
 
-// runFleet runs a fleet of n VMs for some time and then the scenario.
+// runFleet runs a fleet of n VMs in one failure domain for some time and then the scenario.
 func runFleet(t *testing.T, n int, scenario func(t *testing.T, s *simulation)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		s := newSimulation(t)
+		s := newSimulation(t, oneDomain)
 		s.vms = s.vms[:n]
 		defer s.group.Wait()
 		ctx, cancel := context.WithCancel(t.Context())
@@ -244,15 +264,20 @@
 	})
 }
 
-func newSimulation(t *testing.T) *simulation {
+func newSimulation(t *testing.T, l layout) *simulation {
+	n, domains := fleetSize, 1
+	if l == tree {
+		n, domains = treeFleetSize, treeDomains
+	}
 	s := &simulation{
-		t: t, store: &fakeStore{version: 5, changed: make(chan struct{})}, hidden: map[core.VMID]bool{},
+		t: t, layout: l, store: &fakeStore{version: 5, changed: make(chan struct{})}, hidden: map[core.VMID]bool{},
 		lists: map[core.VMID][]core.VM{}, mirrors: map[core.VMID]*Mirror{}, links: map[core.VMID]*link{},
 		knownAt: map[core.VMID]map[core.Version]time.Time{}, latest: map[core.VMID]core.Version{},
 	}
-	for i := range fleetSize {
+	for i := range n {
 		id := core.VMID(fmt.Sprintf("vm-%d", i))
-		vm := core.VM{ID: id, FailureDomain: "here", Control: string(id)}
+		domain := core.FailureDomain([]string{"here", "there", "elsewhere"}[i%domains])
+		vm := core.VM{ID: id, FailureDomain: domain, Control: string(id)}
 		s.vms = append(s.vms, vm)
 		s.links[id] = &link{changed: make(chan struct{})}
 		s.knownAt[id] = map[core.Version]time.Time{}
@@ -269,6 +294,9 @@
 		Store: linkedStore{s.store, s.links[vm.ID]}, Members: members{s, vm.ID}, Self: vm, Log: log.NewNopLogger(),
 		Call: s.callFrom(vm.ID), Now: now,
 	})
+	if s.layout == tree {
+		m.treeSize = 1
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.mirrors[vm.ID] = m
@@ -310,7 +338,7 @@
 		}
 	}
 	feed := topo.NewFeed(topo.FeedConfig{
-		Title: "test", Store: m, Prefix: prefix, Log: log.NewNopLogger(),
+		Title: "test", Store: m, Relist: m.Relist, Prefix: prefix, Log: log.NewNopLogger(),
 		Reset: func(_ []core.Entry, at core.Version) { update(at) },
 		Event: func(e core.Event) { learn(e.Version) },
 	})
@@ -384,7 +412,21 @@
 func (s *simulation) watchers() []core.VMID {
 	var out []core.VMID
 	for _, vm := range s.vms {
-		if _, watchesMirror := s.mirror(vm.ID).watcher(); !watchesMirror {
+		if !watchesMirror(s.mirror(vm.ID)) {
+			out = append(out, vm.ID)
+		}
+	}
+	return out
+}
+
+// watchesMirror reports whether the VM follows another one instead of the store.
+func watchesMirror(m *Mirror) bool { return len(m.position().sources) > 0 }
+
+// domainWatchers returns the VMs that follow the roots.
+func (s *simulation) domainWatchers() []core.VMID {
+	var out []core.VMID
+	for _, vm := range s.vms {
+		if p := s.mirror(vm.ID).position(); p.isTree && p.isWatcher && !p.isRoot {
 			out = append(out, vm.ID)
 		}
 	}
--- a/core/mirror/list.go
+++ b/core/mirror/list.go
@@ -33,7 +33,7 @@
 		if !ok {
 			break
 		}
-		if answer, ok := m.listMirror(ctx, vm, prefix); ok {
+		if answer, ok := m.listMirror(ctx, vm, prefix, 0); ok {
 			entries, at, err = answer.Entries, answer.At, nil
 			listedAt = answer.confirmedAt
 		}
@@ -46,17 +46,35 @@
 	v := m.view(prefix)
 	v.reset(entries, at)
 	v.listedAt = listedAt
+	v.confirmListing(at, listedAt)
 	return entries, at, nil
 }
 
+// Relist is List for one who has followed the changes and lacks some, since a watch returned core.ErrCompacted. In a
+// large deployment it asks the mirror that this VM follows first, which has most likely listed the entries again.
+func (m *Mirror) Relist(ctx context.Context, prefix string) ([]core.Entry, core.Version, error) {
+	p := m.position()
+	if p.isTree && len(p.sources) > 0 {
+		if answer, ok := m.listMirror(ctx, p.sources[0], prefix, maxSharedBytes); ok {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			v := m.view(prefix)
+			v.reset(answer.Entries, answer.At)
+			v.listedAt = answer.confirmedAt
+			return answer.Entries, answer.At, nil
+		}
+	}
+	return m.List(ctx, prefix)
+}
+
 func (m *Mirror) listStore(ctx context.Context, prefix string) ([]core.Entry, core.Version, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeListTimeout)
 	defer cancel()
 	return m.cfg.Store.List(ctx, prefix)
 }
 
-// listMirror asks another VM's mirror for a listing. It returns false if there is none that is recent.
-func (m *Mirror) listMirror(ctx context.Context, vm core.VM, prefix string) (ListAnswer, bool) {
+// listMirror asks another VM's mirror for a listing of at most maxBytes, or any size if that is 0. It returns false if there is none that is recent.
+func (m *Mirror) listMirror(ctx context.Context, vm core.VM, prefix string, maxBytes int) (ListAnswer, bool) {
 	callCtx, cancel := context.WithTimeout(ctx, standbyListTimeout)
 	defer cancel()
 	m.mu.Lock()
@@ -64,7 +82,7 @@
 	m.mu.Unlock()
 	began := m.cfg.Now()
 	var out ListAnswer
-	err := m.cfg.Call(callCtx, vm.Control, listMethod, &ListRequest{Prefix: prefix, MinVersion: known, MaxAge: maxListAge}, &out)
+	err := m.cfg.Call(callCtx, vm.Control, listMethod, &ListRequest{Prefix: prefix, MinVersion: known, MaxAge: maxListAge, MaxBytes: maxBytes}, &out)
 	if err == nil && !out.OK {
 		err = errNotCurrent
 	}
--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -2,7 +2,8 @@
 // doesn't grow with the number of VMs.
 //
 // Two VMs in each failure domain, the watchers, watch the store itself, and the other VMs of the domain
-// watch the mirror of one of them. Each VM's mirror keeps the latest changes that the VM knows, whatever
+// watch the mirror of one of them. In a deployment of treeSize VMs or more, two VMs of the whole deployment, the
+// roots, watch the store, and the watchers of each domain watch the mirror of one of them. Each VM's mirror keeps the latest changes that the VM knows, whatever
 // their source. Mirrors and the store use the same versions, so that a VM can continue any watch at the
 // store or at another mirror.
 //
@@ -12,7 +13,8 @@
 // proves nothing. Each VM keeps the time at which the store last confirmed that there are no other
 // changes than those known, directly or through a chain of mirrors, each of which adds the age of its own
 // confirmation to the answer. A watch accepts a confirmation that is as old as its wait time plus a small
-// margin. When it gets older, the VM asks the store itself, whatever the mirrors do. A VM that the store
+// margin. When it gets older, the VM asks the store itself, whatever the mirrors do. Watchers that follow roots do
+// so levelMargin earlier, so that their answer reaches the others of their domain in time. A VM that the store
 // turns away uses the mirror of any VM that has a confirmation.
 //
 // # Usage
@@ -25,6 +27,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -44,6 +47,8 @@
 	// maxSharedBytes is the size up to which VMs send changes to each other. Larger ones come from the store,
 	// since a watcher with a slow link would take too long to send them to all VMs of its domain.
 	maxSharedBytes = 32 << 10
+	// answerMargin is how much earlier than the caller gives up a mirror must answer.
+	answerMargin = 200 * time.Millisecond
 	// minStoreWait is the shortest wait time of a watch of the store.
 	minStoreWait = 10 * time.Millisecond
 	// standbyTries is the number of mirrors that are asked after a failure of the store, standbyTimeout
@@ -59,6 +64,8 @@
 	errNotCurrent = errors.New("mirror has no current view of the store")
 	// errNoHistory says that a mirror lacks the changes that a watch needs. The store may have them.
 	errNoHistory = errors.New("mirror lacks older changes")
+	// errStoreFailed stands for a call of the store that isn't made, since the last one has just failed.
+	errStoreFailed = errors.New("store has failed for this VM")
 	// errTooLarge says that the changes of a mirror exceed the limit.
 	errTooLarge = errors.New("changes are too large to share")
 )
@@ -90,6 +97,8 @@
 
 	mu    sync.Mutex
 	views map[string]*view
+	// treeSize is the number of VMs of a large deployment.
+	treeSize int
 	// retryAt is until when the mirror of a VM isn't called, after it has failed.
 	retryAt map[core.VMID]time.Time
 }
@@ -101,6 +110,7 @@
 	}
 	return &Mirror{
 		cfg: cfg, metrics: newMetrics(cfg.Metrics), views: make(map[string]*view), retryAt: make(map[core.VMID]time.Time),
+		treeSize: treeSize,
 	}
 }
 
@@ -115,27 +125,46 @@
 	after  core.Version
 	// wait is how long the caller relies on what it knows.
 	wait time.Duration
+	// storeWait is how long a watch of the store may take, lead how much earlier than others this VM asks the store.
+	storeWait, lead time.Duration
 }
 
 // maxAge is the age up to which a confirmation suffices.
-func (w watch) maxAge() time.Duration { return w.wait + callMargin }
+func (w watch) maxAge() time.Duration { return w.wait + callMargin - w.lead }
 
 // WatchPrefix implements core.PrefixStore. It watches a mirror only while the last confirmation is recent
 // enough, so that a change is known after wait and callMargin at the latest if the store answers. If the
 // store fails, it asks other mirrors.
 func (m *Mirror) WatchPrefix(ctx context.Context, prefix string, after core.Version, wait time.Duration) ([]core.Event, core.Version, error) {
-	w := watch{prefix: prefix, after: after, wait: wait}
+	p := m.position()
+	w := watch{prefix: prefix, after: after, wait: wait, storeWait: wait, lead: p.lead()}
+	if p.isTree {
+		w.storeWait = max(minStoreWait, wait-levelMargin)
+	}
 	left := w.maxAge() - m.confirmationAge(prefix)
-	if vm, ok := m.source(prefix); ok && left > 0 {
+	if vm, ok := m.source(prefix, p); ok && left > 0 {
 		m.noteSource(prefix, vm.ID)
-		events, at, _, err := m.watchMirror(ctx, vm, w, mirrorCall{hold: min(wait, left), timeout: left, maxBytes: maxSharedBytes})
+		events, at, _, err := m.watchMirror(ctx, vm, w, mirrorCall{hold: max(0, left-answerMargin), timeout: left, maxBytes: maxSharedBytes})
 		if isFinal(ctx, err) {
 			return events, at, err
 		}
+		if p.isTree && errors.Is(err, errNoHistory) {
+			// The store has most likely dropped its history too. A listing is known to another mirror.
+			return nil, 0, core.ErrCompacted
+		}
+		if p.isTree && errors.Is(err, errTooLarge) {
+			m.expectLarge(prefix)
+		}
 	}
-	events, at, err := m.watchStore(ctx, w)
-	if isFinal(ctx, err) {
-		return events, at, err
+	err := errStoreFailed
+	if m.mayCallStore(prefix, p) {
+		var events []core.Event
+		var at core.Version
+		events, at, err = m.watchStore(ctx, w)
+		if isFinal(ctx, err) {
+			return events, at, err
+		}
+		m.noteStoreFailure(prefix)
 	}
 	if events, at, standbyErr := m.watchStandby(ctx, w); standbyErr == nil || errors.Is(standbyErr, core.ErrCompacted) {
 		return events, at, standbyErr
@@ -143,6 +172,24 @@
 	return nil, 0, err
 }
 
+// mayCallStore reports whether this VM may call the store now. In a large deployment, VMs that follow others pause
+// after a failure of the store.
+func (m *Mirror) mayCallStore(prefix string, p position) bool {
+	if !p.isTree || p.isRoot {
+		return true
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !time.Now().Before(m.view(prefix).pausedUntil)
+}
+
+// noteStoreFailure begins the pause that mayCallStore observes.
+func (m *Mirror) noteStoreFailure(prefix string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.view(prefix).pausedUntil = time.Now().Add(minStoreRetry + rand.N(maxStoreRetry-minStoreRetry))
+}
+
 // watchStandby asks the mirrors of other VMs after a failure of the store. A mirror with a recent confirmation
 // is used by the next watches. Without news it returns errNotCurrent.
 func (m *Mirror) watchStandby(ctx context.Context, w watch) ([]core.Event, core.Version, error) {
@@ -203,11 +250,11 @@
 }
 
 // watchStore watches the store itself. The wait is shortened so that the confirmation, which other VMs rely
-// on, doesn't get older than w.wait.
+// on, doesn't get older than w.storeWait.
 func (m *Mirror) watchStore(ctx context.Context, w watch) ([]core.Event, core.Version, error) {
 	m.noteSource(w.prefix, "")
 	m.metrics.storeWatches.Inc(1)
-	wait := max(minStoreWait, w.wait-m.confirmationAge(w.prefix))
+	wait := max(minStoreWait, w.storeWait-m.confirmationAge(w.prefix))
 	ctx, cancel := context.WithTimeout(ctx, wait+core.WatchMargin+transferTime)
 	defer cancel()
 	began := m.cfg.Now()
@@ -241,7 +288,7 @@
 	defer cancel()
 	began := m.cfg.Now()
 	var out WatchAnswer
-	req := &WatchRequest{Prefix: w.prefix, After: w.after, Wait: call.hold, MaxBytes: call.maxBytes}
+	req := &WatchRequest{Prefix: w.prefix, After: w.after, Wait: call.hold, MaxBytes: call.maxBytes, KnownAge: m.confirmationAge(w.prefix)}
 	err = m.cfg.Call(callCtx, vm.Control, watchMethod, req, &out)
 	if err == nil && out.TooLarge {
 		return nil, 0, false, errTooLarge
@@ -279,6 +326,12 @@
 	return m.view(w.prefix).add(w.after, events, at, confirmedAt)
 }
 
+func (m *Mirror) expectLarge(prefix string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.view(prefix).expectLarge()
+}
+
 // lose notes a failure of the store.
 func (m *Mirror) lose(prefix string) {
 	m.mu.Lock()
--- a/core/mirror/mirror_test.go
+++ b/core/mirror/mirror_test.go
@@ -212,7 +212,7 @@
 		known := f.watchAll(t, applyTime/2)
 		time.Sleep(10 * time.Second)
 		for _, vm := range f.vms {
-			if _, watchesMirror := f.mirrors[vm.Control].watcher(); !watchesMirror {
+			if !watchesMirror(f.mirrors[vm.Control]) {
 				f.cut.Store(vm.Control, true)
 			}
 		}
@@ -245,7 +245,7 @@
 		f := newFleet(6)
 		var m *Mirror
 		for _, vm := range f.vms {
-			if _, watchesMirror := f.mirrors[vm.Control].watcher(); watchesMirror {
+			if watchesMirror(f.mirrors[vm.Control]) {
 				m = f.mirrors[vm.Control]
 			}
 		}
--- a/core/mirror/random_test.go
+++ b/core/mirror/random_test.go
@@ -51,22 +51,25 @@
 // or drops its history, and changes of any size.
 func TestLateChangeRandomFaults(t *testing.T) {
 	for seed := *fleetSeed; seed < *fleetSeed+*fleetSeeds; seed++ {
-		synctest.Test(t, func(t *testing.T) { runFaults(t, seed) })
+		synctest.Test(t, func(t *testing.T) { runFaults(t, seed, oneDomain) })
+		synctest.Test(t, func(t *testing.T) { runFaults(t, seed, tree) })
 		if t.Failed() {
 			t.Fatalf("to repeat: go test ./core/mirror -run TestLateChangeRandomFaults -fleet.seed %d -fleet.seeds 1", seed)
 		}
 	}
 }
 
-func runFaults(t *testing.T, seed uint64) {
+func runFaults(t *testing.T, seed uint64, l layout) {
 	f := &faults{
-		simulation: newSimulation(t), rnd: rand.New(rand.NewPCG(seed, 5)), unstable: map[core.VMID]time.Time{},
+		simulation: newSimulation(t, l), rnd: rand.New(rand.NewPCG(seed, 5)), unstable: map[core.VMID]time.Time{},
 		skewed: map[core.VMID]time.Time{}, stop: map[core.VMID]context.CancelFunc{}, aloneAt: map[core.VMID]time.Time{},
 	}
-	// The first and third VM are in another failure domain.
-	for _, i := range []int{0, 2} {
-		f.vms[i].FailureDomain = "there"
-		f.startMirror(f.vms[i])
+	if l == oneDomain {
+		// The first and third VM are in another failure domain.
+		for _, i := range []int{0, 2} {
+			f.vms[i].FailureDomain = "there"
+			f.startMirror(f.vms[i])
+		}
 	}
 	for _, l := range f.links {
 		if f.rnd.IntN(2) == 0 {
--- a/core/mirror/service.go
+++ b/core/mirror/service.go
@@ -11,6 +11,10 @@
 // maxHold limits how long a request of another VM is held, whatever it asks for.
 const maxHold = 5 * time.Second
 
+// minGain is how much newer than the caller's a mirror's confirmation must be to be told at once. Without it, two
+// mirrors that watch each other would call without a pause.
+const minGain = 100 * time.Millisecond
+
 // WatchRequest asks another VM's mirror for the changes after a version. The mirror holds it for Wait at
 // most, until it has a change or a new confirmation of the store.
 type WatchRequest struct {
@@ -19,6 +23,9 @@
 	Wait   time.Duration
 	// MaxBytes limits the size of the changed values; 0 means no limit.
 	MaxBytes int
+	// KnownAge is the age of the caller's confirmation. A mirror with a newer one answers at once. Builds that don't
+	// know it send 0.
+	KnownAge time.Duration
 }
 
 // WatchAnswer holds the changes. Compacted is set if the mirror no longer has all of them, TooLarge if they
@@ -41,6 +48,8 @@
 	Prefix     string
 	MinVersion core.Version
 	MaxAge     time.Duration
+	// MaxBytes limits the size of the values; 0 means no limit.
+	MaxBytes int
 }
 
 // ListAnswer holds the entries if OK is set. They are complete up to At.
@@ -77,13 +86,20 @@
 	if v.entries == nil || v.entriesAt < req.MinVersion || v.age(m.cfg.Now()) > req.MaxAge {
 		return ListAnswer{}
 	}
+	n := 0
+	for _, e := range v.entries {
+		n += len(e.Value)
+	}
+	if req.MaxBytes > 0 && n > req.MaxBytes {
+		return ListAnswer{}
+	}
 	return ListAnswer{OK: true, Entries: slices.Collect(maps.Values(v.entries)), At: v.entriesAt}
 }
 
 func (m *Mirror) serveWatch(req *WatchRequest) WatchAnswer {
 	began := m.cfg.Now()
 	out, updated := m.answer(req, began)
-	if out.Compacted || out.TooLarge || out.Lost || len(out.Events) > 0 || req.Wait <= 0 {
+	if out.Compacted || out.TooLarge || out.Lost || len(out.Events) > 0 || req.Wait <= 0 || out.Age < req.KnownAge-minGain {
 		return out
 	}
 	timer := time.NewTimer(min(req.Wait, maxHold))
@@ -105,7 +121,7 @@
 	if !complete {
 		return WatchAnswer{Compacted: true}, nil
 	}
-	if req.MaxBytes > 0 && size(events) > req.MaxBytes {
+	if req.MaxBytes > 0 && (v.hasLarge || size(events) > req.MaxBytes) {
 		return WatchAnswer{TooLarge: true}, nil
 	}
 	now := m.cfg.Now()
--- a/core/mirror/source.go
+++ b/core/mirror/source.go
@@ -12,38 +12,116 @@
 )
 
 const (
-	// watchers is the number of VMs in each failure domain that watch the store itself. With two, the
-	// failure of one has no effect.
+	// watchers is the number of VMs in each failure domain that watch the store itself, or the roots in a large
+	// deployment. With two, the failure of one has no effect.
 	watchers = 2
+	// rootCount is the number of VMs that watch the store for a large deployment.
+	rootCount = 2
+	// treeSize is the number of VMs from which on a deployment is large. With fewer, watchers in each failure
+	// domain cost little, and save the messages between domains.
+	treeSize = 16
+	// levelMargin is how much earlier than the VMs that follow it a VM asks the store when its source confirms
+	// nothing, and how much shorter the watches of the store are in a large deployment. With it, the failure of a
+	// root costs calls of the watchers only, not of all VMs.
+	levelMargin = 300 * time.Millisecond
 	// mirrorRetryDelay is how long a mirror that didn't answer isn't called again, since each attempt can
 	// delay changes by a whole watch. A mirror that answers but has no recent confirmation costs little.
 	mirrorRetryDelay     = 10 * time.Second
 	notCurrentRetryDelay = time.Second
+	// minStoreRetry and maxStoreRetry limit the random time for which a VM that follows others in a large deployment
+	// doesn't call the store after a failure of the store. The roots call it meanwhile, and their news is passed on.
+	minStoreRetry = 1500 * time.Millisecond
+	maxStoreRetry = 2200 * time.Millisecond
 )
 
-// source returns the VM whose mirror this VM must watch, or false if it must watch the store itself.
-func (m *Mirror) source(prefix string) (core.VM, bool) {
-	if vm, ok := m.watcher(); ok {
-		return vm, true
+// position is a VM's place among those that share the watches of the store.
+type position struct {
+	// sources are the VMs whose mirrors this VM may watch, the preferred one first. It must watch the store itself
+	// if there are none.
+	sources []core.VM
+	// isTree is set in a large deployment: the roots watch the store, the watchers of each failure domain the roots,
+	// and the others the watchers.
+	isTree bool
+	// isRoot and isWatcher tell this VM's level.
+	isRoot, isWatcher bool
+}
+
+// lead is how much earlier than the lowest level this VM asks the store.
+func (p position) lead() time.Duration {
+	if p.isTree && (p.isRoot || p.isWatcher) {
+		return levelMargin
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	v := m.view(prefix)
-	return v.standby, v.standby.ID != "" && time.Now().Before(v.storeRetryAt)
+	return 0
 }
 
-// watcher returns the watcher that this VM must follow, or false if it must watch the store itself.
-func (m *Mirror) watcher() (core.VM, bool) {
+// position returns this VM's place. VMs may have different lists of the live VMs, so that nothing rests on their
+// agreement.
+func (m *Mirror) position() position {
+	alive := m.cfg.Members.Alive()
 	domain := m.cfg.Self.FailureDomain
-	alive := slices.DeleteFunc(slices.Clone(m.cfg.Members.Alive()), func(vm core.VM) bool { return vm.FailureDomain != domain })
-	chosen := place.Owners(watchTask(domain), alive, watchers)
-	if slices.ContainsFunc(chosen, func(vm core.VM) bool { return vm.ID == m.cfg.Self.ID }) {
-		return core.VM{}, false
+	local := slices.DeleteFunc(slices.Clone(alive), func(vm core.VM) bool { return vm.FailureDomain != domain })
+	chosen := place.Owners(watchTask(domain), local, watchers)
+	p := position{isTree: len(alive) >= m.treeSize, isWatcher: m.isAmong(chosen)}
+	if !p.isTree {
+		if !p.isWatcher {
+			p.sources = m.usable(m.others(chosen))
+		}
+		return p
 	}
-	if chosen = m.usable(m.others(chosen)); len(chosen) == 0 {
-		return core.VM{}, false
+	roots := m.roots(alive)
+	p.isRoot = m.isAmong(roots)
+	switch {
+	case p.isRoot:
+	case p.isWatcher:
+		p.sources = m.usable(m.others(roots))
+	default:
+		p.sources = m.usable(m.others(append(chosen, roots...)))
+	}
+	return p
+}
+
+// roots returns the VMs that watch the store for a large deployment, in different failure domains if possible. Those
+// near this VM come first.
+func (m *Mirror) roots(alive []core.VM) []core.VM {
+	ranked := place.Owners(watchTask(""), alive, len(alive))
+	roots := ranked[:min(1, len(ranked))]
+	for _, other := range []bool{true, false} {
+		for _, vm := range ranked[len(roots):] {
+			isOther := !slices.ContainsFunc(roots, func(r core.VM) bool { return r.FailureDomain == vm.FailureDomain })
+			isChosen := slices.ContainsFunc(roots, func(r core.VM) bool { return r.ID == vm.ID })
+			if len(roots) < rootCount && !isChosen && isOther == other {
+				roots = append(slices.Clip(roots), vm)
+			}
+		}
 	}
-	return chosen[0], true
+	slices.SortStableFunc(roots, func(a, b core.VM) int { return m.distance(a) - m.distance(b) })
+	return roots
+}
+
+// distance is 0 for a VM in this one's failure domain, 1 in its region and 2 elsewhere.
+func (m *Mirror) distance(vm core.VM) int {
+	switch {
+	case vm.FailureDomain == m.cfg.Self.FailureDomain:
+		return 0
+	case vm.Region == m.cfg.Self.Region:
+		return 1
+	}
+	return 2
+}
+
+func (m *Mirror) isAmong(vms []core.VM) bool {
+	return slices.ContainsFunc(vms, func(vm core.VM) bool { return vm.ID == m.cfg.Self.ID })
+}
+
+// source returns the VM whose mirror this VM must watch, or false if it must watch the store itself.
+func (m *Mirror) source(prefix string, p position) (core.VM, bool) {
+	if len(p.sources) > 0 {
+		return p.sources[0], true
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	v := m.view(prefix)
+	return v.standby, v.standby.ID != "" && time.Now().Before(v.storeRetryAt)
 }
 
 // nextStandby returns a VM whose mirror this VM can try while the store fails: the last one that had a recent
--- a/core/mirror/view.go
+++ b/core/mirror/view.go
@@ -31,7 +31,9 @@
 	confirmedAt core.Instant
 	// isLost is set after a failure of the store, until there is a newer confirmation.
 	isLost bool
-	// updated is closed at the next change, newer confirmation or failure of the store.
+	// hasLarge is set while this VM reads a change from the store that is too large to share.
+	hasLarge bool
+	// updated is closed at the next change, newer confirmation, failure of the store or large change.
 	updated chan struct{}
 	// source is the VM whose mirror the last watch used, empty for the store.
 	source    core.VMID
@@ -39,6 +41,8 @@
 	// standby replaces the store until storeRetryAt.
 	standby      core.VM
 	storeRetryAt time.Time
+	// pausedUntil is until when a VM that follows others doesn't call the store, after the store has failed.
+	pausedUntil time.Time
 	// standbyTurn counts the attempts to find a standby.
 	standbyTurn int
 }
@@ -98,6 +102,7 @@
 // reports whether there are changes or a newer confirmation.
 func (v *view) add(after core.Version, events []core.Event, at core.Version, confirmedAt core.Instant) bool {
 	v.apply(after, events, at)
+	v.hasLarge = false
 	if after != v.maxVersion {
 		// The VM has listed the entries since: the changes in between are unknown.
 		v.events, v.minVersion = nil, after
@@ -126,12 +131,28 @@
 
 // lose notes a failure of the store, so that other VMs don't wait for this one.
 func (v *view) lose() {
+	v.hasLarge = false
 	if !v.isLost {
 		v.isLost = true
 		v.wake()
 	}
 }
 
+// expectLarge notes that this VM is about to read a large change from the store, so that those that follow it read the
+// change at the same time.
+func (v *view) expectLarge() {
+	v.hasLarge = true
+	v.wake()
+}
+
+// confirmListing starts the view with a listing of the store, which was complete at listedAt. Afterwards only watches
+// confirm the view, since a listing is not made by the one who follows the changes.
+func (v *view) confirmListing(at core.Version, listedAt core.Instant) {
+	if !v.isConfirmed && v.maxVersion == 0 {
+		v.add(at, nil, at, listedAt)
+	}
+}
+
 func (v *view) wake() {
 	close(v.updated)
 	v.updated = make(chan struct{})
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -46,6 +46,8 @@
 	// settleTime is how long after this VM got its entry a listing has all VMs that started at the same time: a
 	// listing may be seconds old.
 	settleTime = 8 * time.Second
+	// foundTime is how long after this VM got its entry a listing has most VMs that started at the same time.
+	foundTime = firstListInterval - 100*time.Millisecond
 	// retryInterval is the time until the next attempt after a failed call.
 	retryInterval = time.Second
 	// missingGracePeriod is how long a VM stays in the list after its entry disappeared. The VM writes
@@ -80,9 +82,11 @@
 	vms     map[core.VMID]member
 	leaving bool
 	changed chan struct{}
-	// enlisted is closed when the entry is first written, at enlistedAt.
-	enlisted   chan struct{}
+	// enlistedAt is when the entry was first written.
 	enlistedAt core.Instant
+	// found is closed when the list was read foundTime after enlistedAt.
+	found   chan struct{}
+	isFound bool
 	// settled is set once the list was read settleTime after enlistedAt.
 	settled bool
 	lease   core.LeaseID
@@ -99,7 +103,7 @@
 // New returns a roster that lists only this entry VM until Run is called.
 func New(cfg Config) *Roster {
 	return &Roster{
-		cfg: cfg, wake: make(chan struct{}, 1), changed: make(chan struct{}), enlisted: make(chan struct{}),
+		cfg: cfg, wake: make(chan struct{}, 1), changed: make(chan struct{}), found: make(chan struct{}),
 		vms: map[core.VMID]member{cfg.Self.ID: {vm: cfg.Self}},
 	}
 }
@@ -155,8 +159,9 @@
 	return r.changed
 }
 
-// Enlisted returns a channel that is closed once this VM has an entry, so that listings by other VMs have it.
-func (r *Roster) Enlisted() <-chan struct{} { return r.enlisted }
+// Found returns a channel that is closed once this VM has an entry and its list has most VMs that started at the same
+// time.
+func (r *Roster) Found() <-chan struct{} { return r.found }
 
 // EnlistedAt returns when this VM got its entry, or false if it has none yet.
 func (r *Roster) EnlistedAt() (core.Instant, bool) {
@@ -206,6 +211,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.settled = r.settled || r.enlistedAt != 0 && began.Sub(r.enlistedAt) >= settleTime
+	if !r.isFound && r.enlistedAt != 0 && began.Sub(r.enlistedAt) >= foundTime {
+		r.isFound = true
+		close(r.found)
+	}
 	return nil
 }
 
@@ -344,7 +353,6 @@
 	r.mu.Lock()
 	if r.enlistedAt == 0 {
 		r.enlistedAt = core.Now()
-		close(r.enlisted)
 	}
 	r.lease, r.written, r.writtenAt = id, r.leaving == leaving, time.Now()
 	r.mu.Unlock()
--- a/core/topo/feed.go
+++ b/core/topo/feed.go
@@ -33,6 +33,8 @@
 	// Title identifies the feed in logs and in its service name.
 	Title string
 	Store core.PrefixStore
+	// Relist lists the keys again when the history that a watch needs is gone; nil stands for Store.List.
+	Relist func(ctx context.Context, prefix string) ([]core.Entry, core.Version, error)
 	// Prefix selects the keys.
 	Prefix string
 	// Target is the time within which a change must be known after the store has acknowledged it; 0 means
@@ -61,6 +63,9 @@
 	if cfg.Target <= 0 {
 		cfg.Target = defaultTarget
 	}
+	if cfg.Relist == nil {
+		cfg.Relist = cfg.Store.List
+	}
 	return &Feed{cfg: cfg}
 }
 
@@ -71,16 +76,21 @@
 // While the store can't be reached, the state that was delivered last stays in force.
 func (f *Feed) Run(ctx context.Context) error {
 	var version core.Version
-	listed := false
+	listed, hasListed := false, false
 	for ctx.Err() == nil {
 		began := time.Now()
 		var err error
 		if !listed {
-			version, err = f.list(ctx)
+			list := f.cfg.Store.List
+			if hasListed {
+				list = f.cfg.Relist
+			}
+			version, err = f.list(ctx, list)
 			listed = err == nil
-			if listed {
+			if listed && !hasListed {
 				f.awaitReady(ctx)
 			}
+			hasListed = hasListed || listed
 		} else {
 			version, err = f.watch(ctx, version)
 			if errors.Is(err, core.ErrCompacted) {
@@ -107,10 +117,13 @@
 	}
 }
 
-func (f *Feed) list(ctx context.Context) (core.Version, error) {
+// lister lists the keys with a prefix.
+type lister func(ctx context.Context, prefix string) ([]core.Entry, core.Version, error)
+
+func (f *Feed) list(ctx context.Context, list lister) (core.Version, error) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	entries, at, err := f.cfg.Store.List(ctx, f.cfg.Prefix)
+	entries, at, err := list(ctx, f.cfg.Prefix)
 	if err != nil {
 		return 0, err
 	}
