--- a/core/mirror/fleet_test.go
+++ b/core/mirror/fleet_test.go
@@ -37,6 +37,9 @@
 	// treeFleetSize is the number of VMs of a large deployment, in treeDomains failure domains.
 	treeFleetSize = 12
 	treeDomains   = 3
+	// largeFleetSize and largeDomains are those of the fleet in which calls are counted.
+	largeFleetSize = 66
+	largeDomains   = 6
 	// linkRate is the bytes per second of a link of 10 Mbit/s.
 	linkRate = 10e6 / 8
 )
@@ -49,6 +52,8 @@
 	oneDomain layout = iota
 	// tree has treeFleetSize VMs with roots.
 	tree
+	// large is tree with largeFleetSize VMs.
+	large
 )
 
 // simulation is a fleet of VMs that follow one key of the store with feeds.
@@ -80,6 +85,8 @@
 	storeSilent, storeRefuses bool
 	// transferTime is how long each change in an answer of the store takes to arrive.
 	transferTime time.Duration
+	// answerDelay is how much later the store's answers to watches arrive, by turns not at all, once and twice.
+	answerDelay time.Duration
 	// sendRate limits the bytes per second that the VM sends to other VMs; 0 means no limit. sentAt is when it
 	// will have sent the answers so far.
 	sendRate int
@@ -103,7 +110,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return link{
-		storeSilent: l.storeSilent, transferTime: l.transferTime, storeRefuses: l.storeRefuses, deaf: l.deaf, mute: l.mute, isolated: l.isolated, changed: l.changed,
+		storeSilent: l.storeSilent, transferTime: l.transferTime, answerDelay: l.answerDelay, storeRefuses: l.storeRefuses, deaf: l.deaf, mute: l.mute, isolated: l.isolated, changed: l.changed,
 	}
 }
 
@@ -152,7 +159,7 @@
 		<-answerCtx.Done()
 		return nil, 0, answerCtx.Err()
 	}
-	if transfer(ctx, time.Duration(len(events))*state.transferTime) != nil {
+	if transfer(ctx, time.Duration(len(events))*state.transferTime+time.Duration(s.turn()%3)*state.answerDelay) != nil {
 		return nil, 0, core.ErrCompacted
 	}
 	return events, at, err
@@ -266,8 +273,11 @@
 
 func newSimulation(t *testing.T, l layout) *simulation {
 	n, domains := fleetSize, 1
-	if l == tree {
+	switch l {
+	case tree:
 		n, domains = treeFleetSize, treeDomains
+	case large:
+		n, domains = largeFleetSize, largeDomains
 	}
 	s := &simulation{
 		t: t, layout: l, store: &fakeStore{version: 5, changed: make(chan struct{})}, hidden: map[core.VMID]bool{},
@@ -276,7 +286,7 @@
 	}
 	for i := range n {
 		id := core.VMID(fmt.Sprintf("vm-%d", i))
-		domain := core.FailureDomain([]string{"here", "there", "elsewhere"}[i%domains])
+		domain := core.FailureDomain(fmt.Sprintf("domain-%d", i%domains))
 		vm := core.VM{ID: id, FailureDomain: domain, Control: string(id)}
 		s.vms = append(s.vms, vm)
 		s.links[id] = &link{changed: make(chan struct{})}
--- a/core/mirror/mirror_test.go
+++ b/core/mirror/mirror_test.go
@@ -46,6 +46,21 @@
 	return s.version
 }
 
+func (s *fakeStore) turn() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// takeCalls returns the number of calls since the last time.
+func (s *fakeStore) takeCalls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := s.calls
+	s.calls = 0
+	return n
+}
+
 func (s *fakeStore) setDown(down bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -70,6 +85,10 @@
 func (s *fakeStore) List(_ context.Context, prefix string) ([]core.Entry, core.Version, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.calls++
+	if s.down {
+		return nil, 0, errDown
+	}
 	return []core.Entry{{Key: prefix, Version: s.version, Value: s.value}}, s.version, nil
 }
 
--- a/core/mirror/source.go
+++ b/core/mirror/source.go
@@ -83,16 +83,13 @@
 // roots returns the VMs that watch the store for a large deployment, in different failure domains if possible. Those
 // near this VM come first.
 func (m *Mirror) roots(alive []core.VM) []core.VM {
-	ranked := place.Owners(watchTask(""), alive, len(alive))
-	roots := ranked[:min(1, len(ranked))]
-	for _, other := range []bool{true, false} {
-		for _, vm := range ranked[len(roots):] {
-			isOther := !slices.ContainsFunc(roots, func(r core.VM) bool { return r.FailureDomain == vm.FailureDomain })
-			isChosen := slices.ContainsFunc(roots, func(r core.VM) bool { return r.ID == vm.ID })
-			if len(roots) < rootCount && !isChosen && isOther == other {
-				roots = append(slices.Clip(roots), vm)
-			}
+	roots := place.Owners(watchTask(""), alive, 1)
+	for _, root := range roots {
+		elsewhere := slices.DeleteFunc(slices.Clone(alive), func(vm core.VM) bool { return vm.FailureDomain == root.FailureDomain })
+		if len(elsewhere) == 0 {
+			return place.Owners(watchTask(""), alive, rootCount)
 		}
+		roots = append(slices.Clip(roots), place.Owners(watchTask(""), elsewhere, rootCount-1)...)
 	}
 	slices.SortStableFunc(roots, func(a, b core.VM) int { return m.distance(a) - m.distance(b) })
 	return roots
