--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -109,6 +109,21 @@
 	})
 }
 
+// Guards against VMs that start at the same time and begin to share work before they find each other.
+func TestFound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeStore{entries: map[string]core.Entry{}}
+		a := start(t, s, "a")
+		time.Sleep(300 * time.Millisecond)
+		b := start(t, s, "b")
+		for _, r := range []*Roster{a, b} {
+			<-r.Found()
+			assert.Equal(t, len(r.Alive()), 2)
+		}
+		assert.Assert(t, a.enlistedAt != 0)
+	})
+}
+
 // Guards against dropping live VMs whose entries the store has lost, and against an entry that is not
 // written again.
 func TestEntriesLost(t *testing.T) {
--- a/core/topo/topo_test.go
+++ b/core/topo/topo_test.go
@@ -156,6 +156,36 @@
 	})
 }
 
+// Guards against a feed that asks the store again for what another VM has listed, and against one that takes its first
+// listing from somewhere else or delays a watch after the first.
+func TestListsAgainElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeStore{version: 3}
+		relists := 0
+		f := NewFeed(FeedConfig{
+			Title: "test", Store: s, Prefix: "p", Log: log.NewNopLogger(), Ready: make(chan struct{}),
+			Relist: func(ctx context.Context, prefix string) ([]core.Entry, core.Version, error) {
+				relists++
+				return s.List(ctx, prefix)
+			},
+			Reset: func([]core.Entry, core.Version) {}, Event: func(core.Event) {},
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		end := make(chan error, 1)
+		go func() { end <- f.Run(ctx) }()
+		time.Sleep(readyTimeout - time.Millisecond)
+		s.set(func(s *fakeStore) { assert.Equal(t, s.watches, 0) })
+		assert.Equal(t, relists, 0)
+		time.Sleep(time.Second)
+		s.set(func(s *fakeStore) { s.version = 9 })
+		time.Sleep(defaultTarget/2 + 10*time.Millisecond)
+		assert.Equal(t, relists, 1)
+		s.set(func(s *fakeStore) { assert.Assert(t, s.watches >= 3, "%d watches", s.watches) })
+		cancel()
+		assert.NilError(t, <-end)
+	})
+}
+
 // Guards against calling a store that is down without a backoff, and against a slow recovery after it is
 // back.
 func TestStoreDown(t *testing.T) {
