--- a/core/mirror/list.go
+++ b/core/mirror/list.go
@@ -51,10 +51,11 @@
 }
 
 // Relist is List for one who has followed the changes and lacks some, since a watch returned core.ErrCompacted. In a
-// large deployment it asks the mirror that this VM follows first, which has most likely listed the entries again.
+// large deployment it asks the mirror that this VM follows first, which has most likely listed the entries again. A
+// listing from another failure domain would cost more for its bytes than one of the store.
 func (m *Mirror) Relist(ctx context.Context, prefix string) ([]core.Entry, core.Version, error) {
 	p := m.position()
-	if p.isTree && len(p.sources) > 0 {
+	if p.isTree && len(p.sources) > 0 && m.distance(p.sources[0]) == 0 {
 		if answer, ok := m.listMirror(ctx, p.sources[0], prefix, maxSharedBytes); ok {
 			m.mu.Lock()
 			defer m.mu.Unlock()
