--- a/core/mirror/tree_test.go
+++ b/core/mirror/tree_test.go
@@ -17,9 +17,15 @@
 
 // runLarge runs a large fleet for 10 s and then the scenario.
 func runLarge(t *testing.T, scenario func(t *testing.T, s *simulation)) {
+	t.Helper()
+	runLayout(t, large, scenario)
+}
+
+// runLayout runs a fleet for 10 s and then the scenario.
+func runLayout(t *testing.T, l layout, scenario func(t *testing.T, s *simulation)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		s := newSimulation(t, large)
+		s := newSimulation(t, l)
 		defer s.group.Wait()
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
@@ -93,6 +99,42 @@
 	})
 }
 
+// Guards against confirmations that get too old for permits and callers' keys, in calm and when the VMs freeze that the
+// others follow: both rest on the watch's time and callMargin at every VM, and on less in calm.
+func TestConfirmationAges(t *testing.T) {
+	// calls is the time of a short watch of the store and of the messages.
+	const wait, calls = applyTime / 2, minStoreWait + 10*messageTime
+	frozen := map[string]func(s *simulation) []core.VMID{
+		"no VM":    func(*simulation) []core.VMID { return nil },
+		"a root":   func(s *simulation) []core.VMID { return s.watchers()[:1] },
+		"roots":    (*simulation).watchers,
+		"watchers": (*simulation).domainWatchers,
+		"both":     func(s *simulation) []core.VMID { return append(s.watchers(), s.domainWatchers()...) },
+	}
+	for name, choose := range frozen {
+		for phase := range 20 {
+			runLayout(t, tree, func(t *testing.T, s *simulation) {
+				time.Sleep(time.Duration(phase) * wait / 20)
+				ids := choose(s)
+				for _, id := range ids {
+					s.links[id].set(freeze)
+				}
+				limit := wait + callMargin + calls
+				if len(ids) == 0 {
+					limit = wait - levelMargin + calls
+				}
+				for range 500 {
+					time.Sleep(10 * time.Millisecond)
+					for _, vm := range s.vms {
+						age := now().Sub(s.mirror(vm.ID).ConfirmedAt(prefix))
+						assert.Assert(t, slices.Contains(ids, vm.ID) || age <= limit, "%s frozen: age %v at %s", name, age, vm.ID)
+					}
+				}
+			})
+		}
+	}
+}
+
 // Guards against a listing of the store by each VM after it has dropped its history.
 func TestStoreCallsAfterCompaction(t *testing.T) {
 	runLarge(t, func(t *testing.T, s *simulation) {
