--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -160,16 +160,7 @@
 
 // Rebase notes that no other VM believes to be the keeper any more. What VMs report from now on may be divided anew: an
 // earlier report may be of a VM that has restarted since and got its rights from another keeper.
-func (g *Ledger) Rebase() {
-	if g.isBased {
-		return
-	}
-	g.isBased = true
-	for id, p := range g.vms {
-		p.isKnown = false
-		g.vms[id] = p
-	}
-}
+func (g *Ledger) Rebase() { g.isBased = true }
 
 // IsSettled reports whether Settle was called.
 func (g *Ledger) IsSettled() bool { return g.settled }
--- a/core/quota/ledger_test.go
+++ b/core/quota/ledger_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
 	"snipewall/core"
@@ -33,6 +34,38 @@
 
 func testLimits(core.OrganisationID) (Limit, bool) { return testLimit, true }
 
+func newDivision() *division {
+	d := &division{
+		now: core.Instant(time.Hour), vms: make([]*rights, 4), ledgers: make(map[Term]*Ledger),
+		untilOf: make(map[Term]core.Instant), term: Term{Keeper: "k"},
+	}
+	for i := range d.vms {
+		d.start(i)
+	}
+	d.begin()
+	d.ledgers[d.term].Settle(d.now)
+	return d
+}
+
+// use runs operations on a VM, which asks the keeper of the term twice and gets its answers.
+func (d *division) use(i int, t Term) {
+	for range 2 {
+		for range 30 {
+			d.vms[i].bucket(d.now, "o").note(d.now)
+		}
+		d.ask(d.vms[i], t, false, false)
+		d.apply()
+	}
+}
+
+// apply lets all answers arrive.
+func (d *division) apply() {
+	for _, l := range d.answers {
+		l.vm.apply(d.now, l.sentAt, l.q, &l.a)
+	}
+	d.answers = nil
+}
+
 // begin begins a term. The keeper of the last one goes on until it gives up by its own clock.
 func (d *division) begin() {
 	for t := range d.untilOf {
@@ -90,16 +123,8 @@
 // rights, with a keeper that doesn't know yet that there is another one, and with a new keeper that knows only what some
 // of the VMs have reported.
 func TestSharesSumUp(t *testing.T) {
-	rapid.Check(t, func(rt *rapid.T) {
-		d := &division{
-			now: core.Instant(time.Hour), vms: make([]*rights, 4), ledgers: make(map[Term]*Ledger),
-			untilOf: make(map[Term]core.Instant), term: Term{Keeper: "k"},
-		}
-		for i := range d.vms {
-			d.start(i)
-		}
-		d.begin()
-		d.ledgers[d.term].Settle(d.now)
+	play := func(rt *rapid.T) {
+		d := newDivision()
 		for range rapid.IntRange(1, 200).Draw(rt, "steps") {
 			d.advance(time.Duration(rapid.IntRange(1, 700).Draw(rt, "ms")) * time.Millisecond)
 			i := rapid.IntRange(0, len(d.vms)-1).Draw(rt, "vm")
@@ -123,10 +148,7 @@
 					}
 				}
 			case 8, 9:
-				for _, l := range d.answers {
-					l.vm.apply(d.now, l.sentAt, l.q, &l.a)
-				}
-				d.answers = nil
+				d.apply()
 			case 10:
 				d.start(i)
 			case 11:
@@ -138,5 +160,40 @@
 				rt.Fatalf("the VMs hold %+v", sum)
 			}
 		}
-	})
+	}
+	// Faults that need two keepers show in one of some thousand cases.
+	for range 20 {
+		rapid.Check(t, play)
+	}
+}
+
+// Guards against a keeper that assigns what a VM reported to it, while that VM has restarted and got the same rights from an
+// older keeper.
+func TestRestartedVMAsksOlderKeeper(t *testing.T) {
+	d := newDivision()
+	d.use(0, d.term)
+	older := d.term
+	d.begin()
+	d.use(0, d.term)
+	d.advance(2 * time.Second)
+	d.start(0)
+	d.use(0, older)
+	d.advance(6300 * time.Millisecond)
+	d.use(1, d.term)
+	assert.Equal(t, d.sum().join(assignable), assignable)
+}
+
+// Guards against a keeper that renews rights which an older keeper assigns again once they expire.
+func TestOlderKeeperDoesNotKnowRenewal(t *testing.T) {
+	d := newDivision()
+	d.use(0, d.term)
+	older := d.term
+	d.advance(6 * time.Second)
+	d.begin()
+	d.use(0, d.term)
+	d.advance(2200 * time.Millisecond)
+	d.use(1, older)
+	sum := d.sum()
+	assert.Equal(t, sum.join(assignable), assignable)
+	assert.Assert(t, sum.Burst > 0, "the older keeper assigned nothing")
 }
