Order the store's versions by era

Cause: when the store comes back from an older copy, revisions go back. Fencing tokens and the versions of entries go back with them: the list of upstreams freezes (TestUpstreamsAfterReturn), tokens are refused, and lost leases and records are granted or written anew while their holders act. Measured: TestUpstreamsAfterReturn passes; tests of core/lead, core/permit, core/roster, core/topo and core/mirror pass.

--- a/core/lead/driver.go
+++ b/core/lead/driver.go
@@ -12,6 +12,7 @@
 	"github.com/go-kit/log/level"
 
 	"snipewall/core"
+	"snipewall/core/eras"
 )
 
 const (
@@ -80,8 +81,10 @@
 	Permits Permits
 	// Pauser is needed where it does and commits may wait for replicas.
 	Pauser Pauser
-	Self   core.VMID
-	Log    log.Logger
+	// Eras keeps the newest era of the store; nil stands for a store that never comes back from a copy.
+	Eras *eras.Tracker
+	Self core.VMID
+	Log  log.Logger
 	// StartedAt is when this VM started, if all other VMs may have started at the same time; zero
 	// otherwise.
 	StartedAt time.Time
@@ -111,6 +114,8 @@
 var (
 	errAlreadyReplaced = errors.New("the store names another primary")
 	errLeaseHeld       = errors.New("another VM holds the group's lease")
+	errNewEra          = errors.New("a lease that the store has lost may last")
+	errLeaseOfOldEra   = errors.New("the lease is of an older era of the store")
 )
 
 // lease is a group's lease in the store, which entitles its holder to promote an upstream.
@@ -127,6 +132,9 @@
 	if cfg.Now == nil {
 		cfg.Now = core.Now
 	}
+	if cfg.Eras == nil {
+		cfg.Eras = eras.New(eras.Config{Now: cfg.Now})
+	}
 	return &Driver{cfg: cfg, groups: make(map[core.GroupID]*groupState), completions: make(chan func(), 16)}
 }
 
@@ -331,30 +339,57 @@
 
 // acquire acquires the group's lease, or returns the held one if it is certainly still valid. The
 // lifetime counts from before the call that granted the lease.
+//
+// In a new era the store may have lost the lease of a VM that doesn't know that yet. Others than that VM acquire the lease
+// only once they have known the era for the lease's whole life, when that VM has stopped by its own clock.
 func (d *Driver) acquire(ctx context.Context, id core.GroupID, held lease) (lease, error) {
 	requestedAt := d.cfg.Now()
-	if held.expiresAt.Sub(requestedAt) > leaseMargin {
+	isHolder := held.expiresAt.Sub(requestedAt) > leaseMargin
+	// Another VM may have written a record before this one got the lease, which the store has lost with the lease.
+	needsWait := !isHolder || d.cfg.Permits != nil && !d.wroteHold(id)
+	if isHolder && d.isOfNewestEra(held) {
 		return held, nil
 	}
+	if needsWait && d.cfg.Eras.Remaining(leaseTTL) > 0 {
+		return keepHolder(held, isHolder), errNewEra
+	}
 	// When a primary fails, most VMs find the lease taken. Reading the key first saves them two calls.
 	switch _, err := d.cfg.Store.Get(ctx, keyPrefix+string(id)); {
 	case err == nil:
-		return lease{}, errLeaseHeld
+		return keepHolder(held, isHolder), errLeaseHeld
 	case !errors.Is(err, core.ErrNotFound):
-		return lease{}, err
+		return keepHolder(held, isHolder), err
 	}
 	granted, err := d.cfg.Store.Grant(ctx, leaseTTL)
 	if err != nil {
-		return lease{}, err
+		return keepHolder(held, isHolder), err
 	}
 	token, err := d.cfg.Store.CompareAndSwap(ctx, keyPrefix+string(id), []byte(d.cfg.Self), 0, granted)
 	if err != nil {
 		d.release(ctx, lease{id: granted})
-		return lease{}, err
+		return keepHolder(held, isHolder), err
+	}
+	next := lease{id: granted, token: token, expiresAt: requestedAt.Add(leaseTTL)}
+	if needsWait && d.cfg.Eras.Remaining(leaseTTL) > 0 {
+		// The era has changed during the calls.
+		d.release(ctx, next)
+		return lease{}, errNewEra
+	}
+	return next, nil
+}
+
+// keepHolder returns the lease of an older era if this VM is its holder, which entitles it to acquire the one of the
+// newest era without waiting.
+func keepHolder(held lease, isHolder bool) lease {
+	if isHolder {
+		return held
 	}
-	return lease{id: granted, token: token, expiresAt: requestedAt.Add(leaseTTL)}, nil
+	return lease{}
 }
 
+// isOfNewestEra reports whether the lease was granted in the newest era. Otherwise the store may have granted it to another VM.
+func (d *Driver) isOfNewestEra(l lease) bool { return l.token.Era() == d.cfg.Eras.Newest() }
+
 func (d *Driver) release(ctx context.Context, l lease) {
 	if err := d.cfg.Store.Revoke(ctx, l.id); err != nil {
 		level.Info(d.cfg.Log).Log("Msg", "lease not revoked; it will expire", "Err", err)
@@ -401,6 +436,9 @@
 		if held.expiresAt.Sub(d.cfg.Now()) <= leaseMargin {
 			return errors.New("the lease may have expired")
 		}
+		if !d.isOfNewestEra(*held) {
+			return errLeaseOfOldEra
+		}
 		err = d.cfg.Promoter.Promote(ctx, g.ID, target, d.cfg.Self, held.token)
 		if err == nil || errors.Is(err, core.ErrFenced) {
 			return err
--- a/core/lead/hold.go
+++ b/core/lead/hold.go
@@ -31,6 +31,8 @@
 // *permit.Guard implements it.
 type Permits interface {
 	Record(id core.GroupID) (permit.Record, bool)
+	// IsStored reports whether the store has that record. It may have lost it at a change of its era.
+	IsStored(id core.GroupID) bool
 	// Write writes the group's record to the store. It fails if another VM has written one meanwhile.
 	Write(ctx context.Context, id core.GroupID, r permit.Record) error
 	// Refresh reads the list of VMs from the store.
@@ -41,6 +43,9 @@
 	Reachable(ctx context.Context, id core.UpstreamID) []core.VMID
 }
 
+// errOverwritten says that another record than this VM's hold is in force.
+var errOverwritten = errors.New("the hold is no longer in force")
+
 var errReachable = errors.New("other VMs reach the primary")
 
 // survey asks the other VMs whether they reach the primary, and makes this one relay through those that do. The
@@ -100,7 +105,7 @@
 // promotion that may be sent, since another VM that finishes it must promote the same one.
 func (d *Driver) writeHold(ctx context.Context, g Group, target core.UpstreamID) error {
 	rec, ok := d.cfg.Permits.Record(g.ID)
-	if ok && rec.Held && rec.Holder == d.cfg.Self && rec.Target == target {
+	if ok && rec.Held && rec.Holder == d.cfg.Self && rec.Target == target && d.cfg.Permits.IsStored(g.ID) {
 		return nil
 	}
 	rec = permit.Record{Held: true, Old: g.Primary, Target: target, Holder: d.cfg.Self, Planned: g.Leaving}
@@ -146,6 +151,10 @@
 	if err == nil {
 		target, best, err = d.selectHeld(ctx, g, req)
 	}
+	if err == nil && !d.holds(g.ID) {
+		// A record that the store had lost at a change of its era may be known since.
+		err = errOverwritten
+	}
 	if err != nil {
 		if earlier == "" {
 			d.endHold(ctx, g)
@@ -164,6 +173,15 @@
 	return target, best, d.writeHold(ctx, g, target)
 }
 
+// holds reports whether this VM's hold is in force and in the store.
+func (d *Driver) holds(id core.GroupID) bool { return d.wroteHold(id) && d.cfg.Permits.IsStored(id) }
+
+// wroteHold reports whether the last known record is a hold of this VM, which the store may have lost.
+func (d *Driver) wroteHold(id core.GroupID) bool {
+	rec, ok := d.cfg.Permits.Record(id)
+	return ok && rec.Held && rec.Holder == d.cfg.Self
+}
+
 // stepDown makes the group's leaving primary a replica, so that VMs that don't answer can't use it either.
 func (d *Driver) stepDown(ctx context.Context, g Group) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
@@ -184,6 +202,9 @@
 
 // keepLease extends the lease if it would expire soon.
 func (d *Driver) keepLease(ctx context.Context, held *lease) error {
+	if !d.isOfNewestEra(*held) {
+		return errLeaseOfOldEra
+	}
 	requestedAt := d.cfg.Now()
 	if held.expiresAt.Sub(requestedAt) > leaseTTL/2 {
 		return nil
@@ -200,7 +221,7 @@
 
 // endHold gives the group back to its old primary, if this VM holds it. It must not be called after a promotion was sent.
 func (d *Driver) endHold(ctx context.Context, g Group) {
-	if rec, ok := d.cfg.Permits.Record(g.ID); g.Primary == "" || !ok || !rec.Held || rec.Holder != d.cfg.Self {
+	if g.Primary == "" || !d.wroteHold(g.ID) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
--- a/core/lead/hold_test.go
+++ b/core/lead/hold_test.go
@@ -26,6 +26,8 @@
 	// The fields below are guarded by the cluster's mu.
 	record  permit.Record
 	isKnown bool
+	// isLost is set if the store has lost the record.
+	isLost  bool
 	records []permit.Record
 	heldAt  time.Time
 }
@@ -36,6 +38,12 @@
 	return p.record, p.isKnown
 }
 
+func (p *fakePermits) IsStored(core.GroupID) bool {
+	p.f.mu.Lock()
+	defer p.f.mu.Unlock()
+	return p.isKnown && !p.isLost
+}
+
 func (p *fakePermits) Write(_ context.Context, _ core.GroupID, r permit.Record) error {
 	p.f.mu.Lock()
 	defer p.f.mu.Unlock()
@@ -46,7 +54,7 @@
 	if r.Held {
 		p.heldAt = time.Now()
 	}
-	p.record, p.isKnown = r, true
+	p.record, p.isKnown, p.isLost = r, true, false
 	p.records = append(p.records, r)
 	return nil
 }
--- a/core/mirror/list.go
+++ b/core/mirror/list.go
@@ -38,6 +38,9 @@
 			listedAt = answer.confirmedAt
 		}
 	}
+	if err == nil && !m.cfg.Eras.Note(at.Era()) {
+		err = errNotCurrent
+	}
 	if err != nil {
 		return nil, 0, err
 	}
@@ -65,7 +68,7 @@
 	began := m.cfg.Now()
 	var out ListAnswer
 	err := m.cfg.Call(callCtx, vm.Control, listMethod, &ListRequest{Prefix: prefix, MinVersion: known, MaxAge: maxListAge}, &out)
-	if err == nil && !out.OK {
+	if err == nil && (!out.OK || !m.cfg.Eras.Note(out.At.Era())) {
 		err = errNotCurrent
 	}
 	if err != nil {
--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -15,6 +15,12 @@
 // margin. When it gets older, the VM asks the store itself, whatever the mirrors do. A VM that the store
 // turns away uses the mirror of any VM that has a confirmation.
 //
+// # Eras
+//
+// The store may come back from an older copy in a newer era. A mirror whose view is of an older era than the newest that
+// it knows confirms nothing. A VM that watches from an older era lists again. VMs learn of a newer era from the versions
+// in each other's calls.
+//
 // # Usage
 //
 //	m := mirror.New(mirror.Config{Store: store, Members: roster, Self: vm, Call: client.Call, Log: logger})
@@ -32,6 +38,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"snipewall/core"
+	"snipewall/core/eras"
 )
 
 const (
@@ -63,7 +70,7 @@
 	errTooLarge = errors.New("changes are too large to share")
 )
 
-// Config configures a Mirror. Metrics and Now may be nil.
+// Config configures a Mirror. Metrics, Eras and Now may be nil.
 type Config struct {
 	Store   core.PrefixStore
 	Members Members
@@ -72,6 +79,8 @@
 	Call    func(ctx context.Context, address, method string, req, answer any) error
 	Log     log.Logger
 	Metrics tally.Scope
+	// Eras keeps the newest era of the store; nil stands for one that only the mirrors' versions raise.
+	Eras *eras.Tracker
 	// Now reads a clock that advances while the VM is suspended; nil stands for core.Now.
 	Now func() core.Instant
 }
@@ -99,6 +108,9 @@
 	if cfg.Now == nil {
 		cfg.Now = core.Now
 	}
+	if cfg.Eras == nil {
+		cfg.Eras = eras.New(eras.Config{Log: cfg.Log})
+	}
 	return &Mirror{
 		cfg: cfg, metrics: newMetrics(cfg.Metrics), views: make(map[string]*view), retryAt: make(map[core.VMID]time.Time),
 	}
@@ -124,6 +136,9 @@
 // enough, so that a change is known after wait and callMargin at the latest if the store answers. If the
 // store fails, it asks other mirrors.
 func (m *Mirror) WatchPrefix(ctx context.Context, prefix string, after core.Version, wait time.Duration) ([]core.Event, core.Version, error) {
+	if !m.cfg.Eras.Note(after.Era()) {
+		return nil, 0, core.ErrCompacted
+	}
 	w := watch{prefix: prefix, after: after, wait: wait}
 	left := w.maxAge() - m.confirmationAge(prefix)
 	if vm, ok := m.source(prefix); ok && left > 0 {
@@ -246,6 +261,9 @@
 	if err == nil && out.TooLarge {
 		return nil, 0, false, errTooLarge
 	}
+	if err == nil && !m.cfg.Eras.Note(out.At.Era()) {
+		err = errNotCurrent
+	}
 	if err == nil && !out.Compacted && len(out.Events) == 0 && (!out.HasAge || out.Lost || out.Age > w.maxAge()) {
 		err = errNotCurrent
 	}
@@ -259,6 +277,9 @@
 	if out.Compacted {
 		return nil, 0, false, errNoHistory
 	}
+	if out.At.Era() != w.after.Era() {
+		return nil, 0, false, errNoHistory
+	}
 	for i := range out.Events {
 		out.Events[i].Source = vm.ID
 	}
--- a/core/mirror/service.go
+++ b/core/mirror/service.go
@@ -21,7 +21,7 @@
 	MaxBytes int
 }
 
-// WatchAnswer holds the changes. Compacted is set if the mirror no longer has all of them, TooLarge if they
+// WatchAnswer holds the changes up to At. Compacted is set if the mirror no longer has all of them, TooLarge if they
 // exceed the limit of the request and are left out.
 type WatchAnswer struct {
 	Events              []core.Event
@@ -74,7 +74,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	v := m.view(req.Prefix)
-	if v.entries == nil || v.entriesAt < req.MinVersion || v.age(m.cfg.Now()) > req.MaxAge {
+	if v.entries == nil || v.entriesAt < req.MinVersion || v.entriesAt.Era() != m.cfg.Eras.Newest() || v.age(m.cfg.Now()) > req.MaxAge {
 		return ListAnswer{}
 	}
 	return ListAnswer{OK: true, Entries: slices.Collect(maps.Values(v.entries)), At: v.entriesAt}
@@ -82,6 +82,7 @@
 
 func (m *Mirror) serveWatch(req *WatchRequest) WatchAnswer {
 	began := m.cfg.Now()
+	m.cfg.Eras.Note(req.After.Era())
 	out, updated := m.answer(req, began)
 	if out.Compacted || out.TooLarge || out.Lost || len(out.Events) > 0 || req.Wait <= 0 {
 		return out
@@ -101,9 +102,13 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	v := m.view(req.Prefix)
+	if !m.cfg.Eras.Note(v.maxVersion.Era()) || v.maxVersion.Era() < req.After.Era() {
+		// What this VM knows is of an older era, and confirms nothing about the newest one.
+		return WatchAnswer{Lost: true, At: v.maxVersion}, nil
+	}
 	events, complete := v.eventsAfter(req.After)
 	if !complete {
-		return WatchAnswer{Compacted: true}, nil
+		return WatchAnswer{Compacted: true, At: v.maxVersion}, nil
 	}
 	if req.MaxBytes > 0 && size(events) > req.MaxBytes {
 		return WatchAnswer{TooLarge: true}, nil
--- a/core/mirror/view.go
+++ b/core/mirror/view.go
@@ -55,9 +55,14 @@
 
 // reset sets the entries to a complete listing, to which later changes that are known are applied.
 func (v *view) reset(entries []core.Entry, at core.Version) {
-	if v.entries != nil && at < v.entriesAt {
+	if v.entries != nil && at < v.entriesAt || at.Era() < v.maxVersion.Era() {
 		return
 	}
+	if at.Era() > v.maxVersion.Era() {
+		// The store has lost an unknown part of the changes.
+		v.events, v.minVersion, v.maxVersion = nil, at, at
+		v.wake()
+	}
 	v.entries, v.entriesAt = make(map[string]core.Entry, len(entries)), at
 	for _, e := range entries {
 		v.entries[e.Key] = e
@@ -97,6 +102,10 @@
 // add adds the changes after a version, which are complete up to at. A zero confirmedAt confirms nothing. It
 // reports whether there are changes or a newer confirmation.
 func (v *view) add(after core.Version, events []core.Event, at core.Version, confirmedAt core.Instant) bool {
+	if after.Era() < v.maxVersion.Era() {
+		// A newer era was listed during the watch.
+		return false
+	}
 	v.apply(after, events, at)
 	if after != v.maxVersion {
 		// The VM has listed the entries since: the changes in between are unknown.
--- a/core/orgs/guard.go
+++ b/core/orgs/guard.go
@@ -11,6 +11,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"snipewall/core"
+	"snipewall/core/eras"
 	"snipewall/core/topo"
 )
 
@@ -18,6 +19,10 @@
 // watches may hear nothing for a second while changes are made, and the rest covers that.
 const maxAgeShare = 0.7
 
+// restoreTime is how long after a VM has seen a new era of the store a configuration that the store has lost may still be
+// missing there. The operator writes it again.
+const restoreTime = 2500 * time.Millisecond
+
 // digestLabel keeps digests of keys apart from those of other texts.
 var digestLabel = []byte("snipewall caller key")
 
@@ -30,13 +35,15 @@
 	return d
 }
 
-// Config configures a Guard. Metrics and Now may be nil.
+// Config configures a Guard. Eras, Metrics and Now may be nil.
 type Config struct {
 	Directory *topo.Directory
 	// Revocation is the time after which a withdrawn key must be out of use on all VMs, counted from the
 	// acknowledgment of the configuration without it; 0 means that there is no bound.
 	Revocation time.Duration
-	Log        log.Logger
+	// Eras keeps the newest era of the store; nil stands for a store that never comes back from a copy.
+	Eras *eras.Tracker
+	Log  log.Logger
 	Metrics    tally.Scope
 	// Now reads a clock that advances while the VM is suspended; nil stands for core.Now.
 	Now func() core.Instant
@@ -52,6 +59,10 @@
 	confirmedAt core.Instant
 	// isUnreadable is set while the newest configuration can't be read, so that nobody knows which keys it withdraws.
 	isUnreadable bool
+	// readAt is the newest version of the store at which its configuration was read. isOlder is set while that
+	// configuration is older than the adopted one, so that the store may also lack newer ones.
+	readAt  core.Version
+	isOlder bool
 	// isStale is set since callers with keys are refused.
 	isStale bool
 }
@@ -61,17 +72,24 @@
 	if cfg.Now == nil {
 		cfg.Now = core.Now
 	}
+	if cfg.Eras == nil {
+		cfg.Eras = eras.New(eras.Config{Now: cfg.Now})
+	}
 	if cfg.Metrics == nil {
 		cfg.Metrics = tally.NoopScope
 	}
 	return &Guard{cfg: cfg, unauthorized: cfg.Metrics.Counter("Unauthorized"), unconfirmed: cfg.Metrics.Counter("KeysUnconfirmed")}
 }
 
-// Confirm records that the store had no other configuration than the adopted one at the given time.
+// Confirm records that the store had no other configuration than the adopted one at the given time. It does nothing while
+// the store, come back from an older copy, may lack the newest configuration.
 func (g *Guard) Confirm(at core.Instant) {
+	if since := g.cfg.Eras.Since(); since != 0 && at < since.Add(restoreTime) {
+		return
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.isUnreadable {
+	if !g.isUnreadable && !g.isOlder {
 		g.confirmedAt = max(g.confirmedAt, at)
 	}
 }
@@ -83,6 +101,22 @@
 	g.isUnreadable = !ok
 }
 
+// NoteStored records that the store had the given version of the configuration, 0 if it had none, at a version of the store.
+// It must be called after the configuration was adopted.
+func (g *Guard) NoteStored(config, at core.Version) {
+	adopted := g.cfg.Directory.Snapshot().Config.Version
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if at < g.readAt {
+		return
+	}
+	isOlder := config < adopted
+	if isOlder != g.isOlder {
+		level.Warn(g.cfg.Log).Log("Msg", "configuration in the store", "IsOlder", isOlder, "Stored", config, "Adopted", adopted)
+	}
+	g.readAt, g.isOlder = at, isOlder
+}
+
 // Identify returns the organisation of the key on the route. The fault is FaultUnauthorized if the key is unknown or
 // was withdrawn, and FaultBusy if this VM can't tell whether it was withdrawn lately. A caller of a public route
 // has no organisation.
--- a/core/permit/guard.go
+++ b/core/permit/guard.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log/level"
 
 	"snipewall/core"
+	"snipewall/core/eras"
 )
 
 const (
@@ -33,6 +34,13 @@
 	expiryMargin = 50 * time.Millisecond
 	// spreadTimeout limits a call to one VM. It is several round trips between regions.
 	spreadTimeout = 150 * time.Millisecond
+	// RestoreTime is how long after a VM has seen a new era of the store the records that the store has lost may be missing
+	// there. Other VMs that know them write them again. The leases of those that promote end within it.
+	RestoreTime = 5 * time.Second
+	// restoreStep is the time between the attempts of two VMs to write a record again, so that most find it written,
+	// and maxRestoreDelay is the latest attempt.
+	restoreStep     = 100 * time.Millisecond
+	maxRestoreDelay = 1500 * time.Millisecond
 	// reachAge is the age of a primary's last proof of leadership up to which it counts as reachable.
 	reachAge = 400 * time.Millisecond
 )
@@ -50,7 +58,7 @@
 	Refresh(ctx context.Context) error
 }
 
-// Config configures a Guard. Now may be nil.
+// Config configures a Guard. Eras and Now may be nil.
 type Config struct {
 	Store   core.Store
 	Members Members
@@ -63,7 +71,9 @@
 	Changed func()
 	// KeyPrefix is the prefix of the records' keys in the store; the group's id follows.
 	KeyPrefix string
-	Log       log.Logger
+	// Eras keeps the newest era of the store; nil stands for a store that never comes back from a copy.
+	Eras *eras.Tracker
+	Log  log.Logger
 	// Now reads a clock that advances while the VM is suspended; nil stands for core.Now.
 	Now func() core.Instant
 }
@@ -85,6 +95,9 @@
 	if cfg.Now == nil {
 		cfg.Now = core.Now
 	}
+	if cfg.Eras == nil {
+		cfg.Eras = eras.New(eras.Config{Now: cfg.Now})
+	}
 	return &Guard{cfg: cfg, state: newState(TTL)}
 }
 
@@ -160,8 +173,13 @@
 }
 
 // Confirm renews the permits: the store had no other records than those known at the given time. It does nothing
-// if a VM that wrote a hold by then didn't find this one.
+// if a VM that wrote a hold by then didn't find this one, or if the store may have lacked records then because it had come
+// back from an older copy. Votes renew the permits meanwhile: a VM that promotes has told the record to so many VMs that the
+// others are no majority.
 func (g *Guard) Confirm(at core.Instant) {
+	if since := g.cfg.Eras.Since(); since != 0 && at < since.Add(RestoreTime) {
+		return
+	}
 	if enlistedAt, ok := g.cfg.Members.EnlistedAt(); !ok || at < enlistedAt {
 		return
 	}
@@ -186,8 +204,14 @@
 // if another VM has written one.
 func (g *Guard) Write(ctx context.Context, id core.GroupID, r Record) error {
 	g.mu.Lock()
-	known := g.state.groups[id].version
+	known := g.state.groups[id]
 	g.mu.Unlock()
+	r.Era, r.Number = max(known.record.Era, g.cfg.Eras.Newest()), known.record.Number+1
+	return g.put(ctx, id, r, known.version)
+}
+
+// put writes a record over the one that has the given version, and adopts it.
+func (g *Guard) put(ctx context.Context, id core.GroupID, r Record, known core.Version) error {
 	v, err := g.cfg.Store.CompareAndSwap(ctx, g.cfg.KeyPrefix+string(id), r.encode(), known, "")
 	if err != nil {
 		return err
@@ -208,6 +232,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
+			g.restore(ctx)
 			if g.needsVote() {
 				g.vote(ctx)
 			}
--- a/core/permit/peers.go
+++ b/core/permit/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -24,8 +25,12 @@
 	Version core.Version
 }
 
-// RecordAnswer acknowledges the record.
-type RecordAnswer struct{}
+// RecordAnswer acknowledges the record. Refused is set if the VM doesn't hold the group although the record is a hold,
+// since it knows a newer one, which is then Known.
+type RecordAnswer struct {
+	Refused bool
+	Known   VersionedRecord
+}
 
 // VoteRequest asks another VM for the records that it knows.
 type VoteRequest struct{}
@@ -48,6 +53,9 @@
 // ReachAnswer has OK set if the upstream has recently proved to the VM that it leads.
 type ReachAnswer struct{ OK bool }
 
+// errNewerRecord says that a VM knows a newer record than a hold.
+var errNewerRecord = errors.New("a VM knows a newer record")
+
 // Service serves calls of other VMs over RPC.
 type Service struct{ g *Guard }
 
@@ -55,13 +63,19 @@
 func (g *Guard) Service() *Service { return &Service{g} }
 
 // Record adopts a record. It answers once this VM no longer uses the old primary.
-func (s *Service) Record(req *RecordRequest, _ *RecordAnswer) error {
+func (s *Service) Record(req *RecordRequest, out *RecordAnswer) error {
 	s.g.adopt(req.Group, req.Record, req.Version)
 	if !req.Record.Held {
 		return nil
 	}
 	time.Sleep(req.Record.drain())
-	s.g.revoke(req.Group, req.Version)
+	s.g.mu.Lock()
+	defer s.g.mu.Unlock()
+	st := s.g.state.groups[req.Group].revoke()
+	s.g.state.groups[req.Group] = st
+	if !st.record.Held {
+		*out = RecordAnswer{Refused: true, Known: VersionedRecord{st.record, st.version}}
+	}
 	return nil
 }
 
@@ -84,11 +98,11 @@
 	return nil
 }
 
-// revoke ends the permit of a group, unless a later record than the hold is known.
-func (g *Guard) revoke(id core.GroupID, v core.Version) {
+// revoke ends the permit of a group, unless another record than the hold is known since.
+func (g *Guard) revoke(id core.GroupID, r Record) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if st := g.state.groups[id]; st.version == v {
+	if st := g.state.groups[id]; st.record == r {
 		g.state.groups[id] = st.revoke()
 	}
 }
@@ -107,7 +121,12 @@
 	t := Tally{Members: 1, Held: 1}
 	silent := []core.VMID{}
 	g.callAll(ctx, spreadTimeout+st.record.drain(), func(ctx context.Context, vm core.VM) {
-		err := g.cfg.Call(ctx, vm.Control, recordMethod, req, &RecordAnswer{})
+		var ans RecordAnswer
+		err := g.cfg.Call(ctx, vm.Control, recordMethod, req, &ans)
+		if err == nil && ans.Refused {
+			g.adopt(id, ans.Known.Record, ans.Known.Version)
+			err = errNewerRecord
+		}
 		mu.Lock()
 		defer mu.Unlock()
 		t.Members++
@@ -118,7 +137,7 @@
 		t.Held++
 	})
 	if st.record.Held {
-		g.revoke(id, st.version)
+		g.revoke(id, st.record)
 	}
 	if len(silent) > 0 {
 		level.Info(g.cfg.Log).Log("Msg", "VMs didn't acknowledge a record", "Group", id, "Held", st.record.Held, "Members", t.Members, "Silent", len(silent), "First", silent[0])
--- a/core/permit/record.go
+++ b/core/permit/record.go
@@ -15,10 +15,20 @@
 	Old, Target core.UpstreamID
 	// Holder is the VM that wrote the record.
 	Holder core.VMID
+	// Era is the era of the store in which the record was first written, and Number counts the records of the group. They
+	// order the records that the store has lost and those that it has instead; see isNewer.
+	Era    core.Era `json:",omitempty"`
+	Number uint64   `json:",omitempty"`
 	// Planned is set on a hold if the old primary works, so that statements in progress may end.
 	Planned bool
 }
 
+// isNewer reports whether the record was written after another one of the group. One that was lost is newer than those
+// that the copy of the store has, and older than those written since, whose writers waited for lost ones.
+func (r Record) isNewer(than Record) bool {
+	return r.Era > than.Era || r.Era == than.Era && r.Number > than.Number
+}
+
 // drain is how long statements in progress may take after the record became known.
 func (r Record) drain() time.Duration {
 	if r.Held && r.Planned {
--- a/core/permit/state.go
+++ b/core/permit/state.go
@@ -24,9 +24,12 @@
 
 // groupState is the last known record of a group.
 type groupState struct {
-	record  Record
+	record Record
+	// version is the newest known version of the record's key in the store, where it has another record than this one if
+	// isLost is set. 0 means that no record is known.
 	version core.Version
-	// epoch is the version of the last record that isn't a hold.
+	isLost  bool
+	// epoch is the version at which the last record that isn't a hold became known.
 	epoch core.Version
 	// heldAt is when this VM heard of the hold, closeAt when its permit ends because of it.
 	heldAt, closeAt core.Instant
@@ -67,10 +70,31 @@
 
 // apply returns the state with the record, unless a later one is known. After a planned hold, work that is in
 // progress may end within a short time, but not after the permit's end.
+//
+// Where the store came back from an older copy, a record that it has lost remains in force until a newer one is known.
 func (g groupState) apply(now core.Instant, l life, r Record, v core.Version) groupState {
-	if v <= g.version {
-		return g
+	if v.Era() == g.version.Era() && !g.isLost {
+		if v <= g.version {
+			return g
+		}
+		return g.adopt(now, l, r, v)
+	}
+	next := g
+	switch {
+	case r == g.record:
+		next.isLost = g.isLost && v < g.version
+	case r.isNewer(g.record) || !g.record.isNewer(r) && v > g.version:
+		next = g.adopt(now, l, r, v)
+		next.isLost = v < g.version
+	case v > g.version:
+		next.isLost = true
 	}
+	next.version = max(v, g.version)
+	return next
+}
+
+// adopt returns the state with the record.
+func (g groupState) adopt(now core.Instant, l life, r Record, v core.Version) groupState {
 	next := groupState{record: r, version: v, epoch: v}
 	if r.Held {
 		next.epoch = g.epoch
@@ -82,6 +106,14 @@
 	return next
 }
 
+// listed returns the state after a complete listing of the store at a version had no record of the group.
+func (g groupState) listed(at core.Version) groupState {
+	if at.Era() > g.version.Era() {
+		g.version, g.isLost = at.Era().Start(), true
+	}
+	return g
+}
+
 // revoke returns the state without a permit if the group is held.
 func (g groupState) revoke() groupState {
 	if g.record.Held {
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -28,6 +28,7 @@
 	"github.com/go-kit/log/level"
 
 	"snipewall/core"
+	"snipewall/core/eras"
 )
 
 // Prefix is the prefix of the entries' keys; the VM's id follows.
@@ -65,7 +66,9 @@
 	// Self is this entry VM.
 	Self  core.VM
 	Store Store
-	Log   log.Logger
+	// Eras keeps the newest era of the store; nil stands for a store that never comes back from a copy.
+	Eras *eras.Tracker
+	Log  log.Logger
 }
 
 // Roster maintains this VM's entry and the list of live entry VMs. It implements core.Service and is safe
@@ -80,9 +83,10 @@
 	vms     map[core.VMID]member
 	leaving bool
 	changed chan struct{}
-	// enlisted is closed when the entry is first written, at enlistedAt.
-	enlisted   chan struct{}
-	enlistedAt core.Instant
+	// enlisted is closed when the entry is first written. enlistedAt is when it was first written in enlistedEra.
+	enlisted    chan struct{}
+	enlistedAt  core.Instant
+	enlistedEra core.Era
 	// settled is set once the list was read settleTime after enlistedAt.
 	settled bool
 	lease   core.LeaseID
@@ -98,6 +102,9 @@
 
 // New returns a roster that lists only this entry VM until Run is called.
 func New(cfg Config) *Roster {
+	if cfg.Eras == nil {
+		cfg.Eras = eras.New(eras.Config{})
+	}
 	return &Roster{
 		cfg: cfg, wake: make(chan struct{}, 1), changed: make(chan struct{}), enlisted: make(chan struct{}),
 		vms: map[core.VMID]member{cfg.Self.ID: {vm: cfg.Self}},
@@ -158,11 +165,13 @@
 // Enlisted returns a channel that is closed once this VM has an entry, so that listings by other VMs have it.
 func (r *Roster) Enlisted() <-chan struct{} { return r.enlisted }
 
-// EnlistedAt returns when this VM got its entry, or false if it has none yet.
+// EnlistedAt returns when this VM got its entry, or false if it has none yet. A store that has come back from an older copy
+// may have lost it, until it is written again.
 func (r *Roster) EnlistedAt() (core.Instant, bool) {
+	newest := r.cfg.Eras.Newest()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.enlistedAt, r.enlistedAt != 0
+	return r.enlistedAt, r.enlistedAt != 0 && r.enlistedEra == newest
 }
 
 // IsSettled reports whether the list was read at least settleTime after this VM got its entry.
@@ -272,7 +281,7 @@
 	var renewAt, listAt time.Time
 	interval := firstListInterval
 	for ctx.Err() == nil {
-		now := time.Now()
+		now, changed := time.Now(), r.cfg.Eras.Changed()
 		var err error
 		if !now.Before(renewAt) || !r.isWritten() {
 			err = r.refreshEntry(ctx)
@@ -292,33 +301,37 @@
 			next = now.Add(retryInterval)
 			renewAt, listAt = next, next
 		}
-		r.sleep(ctx, time.Until(next)+rand.N(retryInterval/10))
+		r.sleep(ctx, time.Until(next)+rand.N(retryInterval/10), changed)
 	}
 	return nil
 }
 
-// sleep waits for d, or until Leave is called or ctx ends.
-func (r *Roster) sleep(ctx context.Context, d time.Duration) {
+// sleep waits for d, or until Leave is called, the channel is closed or ctx ends.
+func (r *Roster) sleep(ctx context.Context, d time.Duration, changed <-chan struct{}) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
 	case <-timer.C:
 	case <-r.wake:
+	case <-changed:
 	}
 }
 
+// isWritten reports whether the entry in the store is up to date. A newer era of the store may lack it.
 func (r *Roster) isWritten() bool {
+	newest := r.cfg.Eras.Newest()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.written
+	return r.written && r.enlistedEra == newest
 }
 
 // refreshEntry renews the lease, and writes the entry if it is missing or out of date.
 func (r *Roster) refreshEntry(ctx context.Context) error {
 	r.mu.Lock()
-	written, leaving, id := r.written, r.leaving, r.lease
+	leaving, id := r.leaving, r.lease
 	r.mu.Unlock()
+	written := r.isWritten()
 	if id != "" {
 		err := r.cfg.Store.KeepAlive(ctx, id)
 		if errors.Is(err, core.ErrLeaseLost) {
@@ -338,34 +351,36 @@
 	}
 	vm := r.cfg.Self
 	vm.Leaving = leaving
-	if err := r.writeEntry(ctx, vm, id); err != nil {
+	at, err := r.writeEntry(ctx, vm, id)
+	if err != nil {
 		return err
 	}
 	r.mu.Lock()
 	if r.enlistedAt == 0 {
-		r.enlistedAt = core.Now()
 		close(r.enlisted)
 	}
+	if r.enlistedAt == 0 || r.enlistedEra != at.Era() {
+		r.enlistedAt, r.enlistedEra = core.Now(), at.Era()
+	}
 	r.lease, r.written, r.writtenAt = id, r.leaving == leaving, time.Now()
 	r.mu.Unlock()
 	return nil
 }
 
-// writeEntry writes the entry. It replaces one that an earlier process of the same VM may have left.
-func (r *Roster) writeEntry(ctx context.Context, vm core.VM, id core.LeaseID) error {
+// writeEntry writes the entry and returns its version. It replaces one that an earlier process of the same VM may have left.
+func (r *Roster) writeEntry(ctx context.Context, vm core.VM, id core.LeaseID) (core.Version, error) {
 	value, err := json.Marshal(vm)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	key := Prefix + string(vm.ID)
-	_, err = r.cfg.Store.CompareAndSwap(ctx, key, value, 0, id)
+	at, err := r.cfg.Store.CompareAndSwap(ctx, key, value, 0, id)
 	if !errors.Is(err, core.ErrVersionConflict) {
-		return err
+		return at, err
 	}
 	e, err := r.cfg.Store.Get(ctx, key)
 	if err != nil {
-		return err
+		return 0, err
 	}
-	_, err = r.cfg.Store.CompareAndSwap(ctx, key, value, e.Version, id)
-	return err
+	return r.cfg.Store.CompareAndSwap(ctx, key, value, e.Version, id)
 }
--- a/core/topo/topo.go
+++ b/core/topo/topo.go
@@ -146,12 +146,15 @@
 	current atomic.Pointer[Snapshot]
 	// left holds the upstreams that left lately, so that a listing which is older than the change doesn't bring them back.
 	left map[core.UpstreamID]departure
+	// era is the newest era of a change or listing. What is older changes nothing.
+	era core.Era
 }
 
 // departure is the removal of an upstream.
 type departure struct {
-	// revision is that of the upstream's last entry, or of its deletion.
+	// revision is that of the upstream's last entry, or of its deletion, or of an older entry in a newer era.
 	revision core.Version
+	born     int64
 	at       time.Time
 }
 
@@ -179,19 +182,19 @@
 
 // Put adds or replaces an upstream, unless a later revision of it is known.
 func (d *Directory) Put(u Upstream) {
-	d.update(func(m map[core.UpstreamID]Upstream) { d.put(m, u) })
+	d.update(u.Revision, func(m map[core.UpstreamID]Upstream) { d.put(m, u) })
 }
 
 // Remove handles the disappearance of an upstream's entry at the given version.
 func (d *Directory) Remove(id core.UpstreamID, at core.Version) {
-	d.update(func(m map[core.UpstreamID]Upstream) {
+	d.update(at, func(m map[core.UpstreamID]Upstream) {
 		d.markMissing(m, id, at)
 		if u, ok := m[id]; ok && u.Revision < at {
 			u.Revision = at
 			m[id] = u
 		}
 		if left, ok := d.left[id]; ok && left.revision < at {
-			d.left[id] = departure{at, left.at}
+			d.left[id] = departure{at, left.born, left.at}
 		}
 	})
 }
@@ -199,11 +202,11 @@
 // Sync updates all upstreams from a complete listing at the given version. Changes may have arrived since the
 // listing was made, and those are kept.
 func (d *Directory) Sync(all []Upstream, at core.Version) {
-	d.update(func(m map[core.UpstreamID]Upstream) {
+	d.update(at, func(m map[core.UpstreamID]Upstream) {
 		listed := make(map[core.UpstreamID]bool, len(all))
 		for _, u := range all {
 			listed[u.ID] = true
-			d.put(m, u)
+			d.put(m, d.restore(m, u))
 		}
 		for id := range m {
 			if !listed[id] {
@@ -213,6 +216,19 @@
 	})
 }
 
+// restore returns a listed upstream with what the store may have lost of it at a change of the era: that it is leaving,
+// or that it has left. Both last until the upstream starts anew or its entry is written again. The caller holds mu.
+func (d *Directory) restore(m map[core.UpstreamID]Upstream, u Upstream) Upstream {
+	if left, ok := d.left[u.ID]; ok && left.revision.Era() < u.Revision.Era() && left.born == u.Born {
+		left.revision = u.Revision
+		d.left[u.ID] = left
+	}
+	if known, ok := m[u.ID]; ok && known.Revision.Era() < u.Revision.Era() && known.Born == u.Born {
+		u.Leaving = u.Leaving || known.Leaving
+	}
+	return u
+}
+
 // put adds or replaces an upstream. The caller holds mu.
 func (d *Directory) put(m map[core.UpstreamID]Upstream, u Upstream) {
 	if left, ok := d.left[u.ID]; ok && u.Revision <= left.revision {
@@ -232,16 +248,21 @@
 	}
 	if u.Leaving {
 		delete(m, id)
-		d.left[id] = departure{u.Revision, time.Now()}
+		d.left[id] = departure{u.Revision, u.Born, time.Now()}
 		return
 	}
 	u.MissingSince = time.Now()
 	m[id] = u
 }
 
-func (d *Directory) update(change func(m map[core.UpstreamID]Upstream)) {
+// update makes a change that is known from the store at a version, unless a newer era is known.
+func (d *Directory) update(at core.Version, change func(m map[core.UpstreamID]Upstream)) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if at.Era() < d.era {
+		return
+	}
+	d.era = at.Era()
 	old := d.current.Load()
 	m := maps.Clone(old.Upstreams)
 	if m == nil {
