Test the adapter, leases, records and upstreams over changes of era

A lost record tells peers the version at which the store had it, since the key's newest one is another record's.

--- a/core/fakes/store.go
+++ b/core/fakes/store.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"strings"
 	"sync"
 	"time"
 
@@ -23,6 +25,16 @@
 	delay         time.Duration
 	answersToLose int
 	calls         int
+	// era is the store's era, saved the copy that it comes back from.
+	era   core.Era
+	saved storeCopy
+}
+
+// storeCopy is a former state of the store.
+type storeCopy struct {
+	entries map[string]core.Entry
+	leases  map[core.LeaseID]bool
+	next    uint64
 }
 
 var _ core.Store = (*Store)(nil)
@@ -62,6 +74,49 @@
 	}
 }
 
+// Save keeps a copy of the store's state.
+func (s *Store) Save() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.saved = storeCopy{entries: maps.Clone(s.entries), leases: make(map[core.LeaseID]bool), next: s.next}
+	for id := range s.leases {
+		s.saved.leases[id] = true
+	}
+}
+
+// ComeBack makes the store come back from the saved copy in the next era. Versions and leases are given out again, except
+// that they contain the era.
+func (s *Store) ComeBack() core.Era {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.next, s.entries = s.saved.next, make(map[string]core.Entry)
+	for key, e := range s.saved.entries {
+		e.Version = s.era.Start() + core.Version(e.Version.Revision())
+		s.entries[key] = e
+	}
+	for id, t := range s.leases {
+		if !s.saved.leases[id] {
+			t.Stop()
+			delete(s.leases, id)
+		}
+	}
+	return s.era
+}
+
+// Entries returns all entries with the prefix, and the version of the store.
+func (s *Store) Entries(prefix string) ([]core.Entry, core.Version) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []core.Entry
+	for key, e := range s.entries {
+		if strings.HasPrefix(key, prefix) {
+			out = append(out, e)
+		}
+	}
+	return out, s.era.Start() + core.Version(s.next)
+}
+
 // Close stops all timers.
 func (s *Store) Close() { s.ExpireLeases() }
 
@@ -121,14 +176,14 @@
 func (s *Store) CompareAndSwap(ctx context.Context, key string, value []byte, expect core.Version, lease core.LeaseID) (core.Version, error) {
 	var v core.Version
 	err := s.do(ctx, func() error {
-		if s.entries[key].Version != expect {
+		if e, ok := s.entries[key]; e.Version != expect && (ok || expect != s.era.Start()) {
 			return core.ErrVersionConflict
 		}
 		if _, ok := s.leases[lease]; lease != "" && !ok {
 			return core.ErrLeaseLost
 		}
 		s.next++
-		v = core.Version(s.next)
+		v = s.era.Start() + core.Version(s.next)
 		s.entries[key] = core.Entry{Key: key, Value: value, Version: v, Lease: lease}
 		return nil
 	})
@@ -145,7 +200,7 @@
 	var id core.LeaseID
 	err := s.do(ctx, func() error {
 		s.next++
-		id = core.LeaseID(fmt.Sprintf("lease-%d", s.next))
+		id = core.LeaseID(fmt.Sprintf("lease-%d.%d", s.era, s.next))
 		s.leases[id] = time.AfterFunc(ttl, func() {
 			s.mu.Lock()
 			defer s.mu.Unlock()
--- a/core/lead/hold_test.go
+++ b/core/lead/hold_test.go
@@ -21,6 +21,8 @@
 	reaches []core.VMID
 	// otherHold is written by another VM before the next record.
 	otherHold *permit.Record
+	// onSpread is called with the cluster's mu held when a record is sent to the other VMs; it may be nil.
+	onSpread func()
 	// refreshErr is the result of reading the list of VMs.
 	refreshErr error
 	// The fields below are guarded by the cluster's mu.
@@ -64,6 +66,9 @@
 func (p *fakePermits) Spread(context.Context, core.GroupID) permit.Tally {
 	p.f.mu.Lock()
 	defer p.f.mu.Unlock()
+	if p.onSpread != nil {
+		p.onSpread()
+	}
 	return permit.Tally{Members: 3, Held: 3 - p.silent}
 }
 
--- a/core/orgs/guard.go
+++ b/core/orgs/guard.go
@@ -42,9 +42,9 @@
 	// acknowledgment of the configuration without it; 0 means that there is no bound.
 	Revocation time.Duration
 	// Eras keeps the newest era of the store; nil stands for a store that never comes back from a copy.
-	Eras *eras.Tracker
-	Log  log.Logger
-	Metrics    tally.Scope
+	Eras    *eras.Tracker
+	Log     log.Logger
+	Metrics tally.Scope
 	// Now reads a clock that advances while the VM is suspended; nil stands for core.Now.
 	Now func() core.Instant
 }
--- a/core/permit/guard_test.go
+++ b/core/permit/guard_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -13,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"snipewall/core"
+	"snipewall/core/eras"
 	"snipewall/core/fakes"
 )
 
@@ -23,6 +25,7 @@
 	store  *fakes.Store
 	start  time.Time
 	guards map[core.VMID]*Guard
+	eras   map[core.VMID]*eras.Tracker
 
 	mu sync.Mutex
 	// isolated are the VMs that no other one reaches.
@@ -44,6 +47,7 @@
 	for id := range m.f.guards {
 		out = append(out, core.VM{ID: id, Control: string(id)})
 	}
+	slices.SortFunc(out, func(a, b core.VM) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	return out
 }
 
@@ -54,11 +58,13 @@
 func newFleet(t *testing.T, ids ...core.VMID) *fleet {
 	t.Helper()
 	f := &fleet{
-		store: fakes.NewStore(), start: time.Now(), guards: map[core.VMID]*Guard{}, isolated: map[core.VMID]bool{}, unsettled: map[core.VMID]bool{},
+		store: fakes.NewStore(), start: time.Now(), guards: map[core.VMID]*Guard{}, eras: map[core.VMID]*eras.Tracker{}, isolated: map[core.VMID]bool{}, unsettled: map[core.VMID]bool{},
 		proved: map[core.VMID]time.Duration{}, changes: map[core.VMID]int{},
 	}
 	for _, id := range ids {
+		f.eras[id] = eras.New(eras.Config{Now: f.now})
 		f.guards[id] = New(Config{
+			Eras:  f.eras[id],
 			Store: f.store, Members: member{f, id}, Self: id, KeyPrefix: "lead/", Log: log.NewNopLogger(), Now: f.now,
 			Call: func(ctx context.Context, address, method string, req, answer any) error {
 				return f.call(ctx, id, core.VMID(address), method, req, answer)
--- a/core/permit/peers.go
+++ b/core/permit/peers.go
@@ -41,7 +41,7 @@
 	Records map[core.GroupID]VersionedRecord
 }
 
-// VersionedRecord is a record with its version in the store.
+// VersionedRecord is a record with the newest version at which the store is known to have had it.
 type VersionedRecord struct {
 	Record  Record
 	Version core.Version
@@ -74,7 +74,7 @@
 	st := s.g.state.groups[req.Group].revoke()
 	s.g.state.groups[req.Group] = st
 	if !st.record.Held {
-		*out = RecordAnswer{Refused: true, Known: VersionedRecord{st.record, st.version}}
+		*out = RecordAnswer{Refused: true, Known: VersionedRecord{st.record, st.writtenAt}}
 	}
 	return nil
 }
@@ -86,7 +86,7 @@
 	out.OK = s.g.state.life.confirmedAt != 0
 	out.Records = make(map[core.GroupID]VersionedRecord, len(s.g.state.groups))
 	for id, st := range s.g.state.groups {
-		out.Records[id] = VersionedRecord{Record: st.record, Version: st.version}
+		out.Records[id] = VersionedRecord{Record: st.record, Version: st.writtenAt}
 	}
 	return nil
 }
@@ -116,7 +116,7 @@
 	g.mu.Lock()
 	st := g.state.groups[id]
 	g.mu.Unlock()
-	req := &RecordRequest{Group: id, Record: st.record, Version: st.version}
+	req := &RecordRequest{Group: id, Record: st.record, Version: st.writtenAt}
 	var mu sync.Mutex
 	t := Tally{Members: 1, Held: 1}
 	silent := []core.VMID{}
--- a/core/permit/state.go
+++ b/core/permit/state.go
@@ -25,10 +25,10 @@
 // groupState is the last known record of a group.
 type groupState struct {
 	record Record
-	// version is the newest known version of the record's key in the store, where it has another record than this one if
-	// isLost is set. 0 means that no record is known.
-	version core.Version
-	isLost  bool
+	// version is the newest known version of the record's key in the store, 0 if no record is known. The store has the
+	// record there unless isLost is set. writtenAt is the newest version at which the store is known to have had the record.
+	version, writtenAt core.Version
+	isLost             bool
 	// epoch is the version at which the last record that isn't a hold became known.
 	epoch core.Version
 	// heldAt is when this VM heard of the hold, closeAt when its permit ends because of it.
@@ -83,6 +83,7 @@
 	switch {
 	case r == g.record:
 		next.isLost = g.isLost && v < g.version
+		next.writtenAt = max(v, g.writtenAt)
 	case r.isNewer(g.record) || !g.record.isNewer(r) && v > g.version:
 		next = g.adopt(now, l, r, v)
 		next.isLost = v < g.version
@@ -95,7 +96,7 @@
 
 // adopt returns the state with the record.
 func (g groupState) adopt(now core.Instant, l life, r Record, v core.Version) groupState {
-	next := groupState{record: r, version: v, epoch: v}
+	next := groupState{record: r, version: v, writtenAt: v, epoch: v}
 	if r.Held {
 		next.epoch = g.epoch
 		next.heldAt, next.closeAt = now, min(now.Add(r.drain()), l.expiresAt())
--- a/core/topo/topo.go
+++ b/core/topo/topo.go
@@ -223,7 +223,9 @@
 		left.revision = u.Revision
 		d.left[u.ID] = left
 	}
-	if known, ok := m[u.ID]; ok && known.Revision.Era() < u.Revision.Era() && known.Born == u.Born {
+	known, ok := m[u.ID]
+	isSame := known.Revision.Era() < u.Revision.Era() || known.Revision == u.Revision
+	if ok && isSame && known.Born == u.Born {
 		u.Leaving = u.Leaving || known.Leaving
 	}
 	return u
