--- a/core/mirror/mirror_test.go
+++ b/core/mirror/mirror_test.go
@@ -40,6 +40,17 @@
 	s.changed = make(chan struct{})
 }
 
+// comeBack makes the store come back without its last n changes. Their versions are given out again in the next era.
+func (s *fakeStore) comeBack(n uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	revision := s.version.Revision()
+	s.version = (s.version.Era() + 1).Start() + core.Version(revision-min(n, revision-1))
+	s.compacted = s.version
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 func (s *fakeStore) newest() core.Version {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/core/mirror/random_test.go
+++ b/core/mirror/random_test.go
@@ -36,6 +36,8 @@
 	stop             map[core.VMID]context.CancelFunc
 	// aloneAt is when the store refused the VM and it reached no VM with a current view.
 	aloneAt map[core.VMID]time.Time
+	// withEras is set if the store also comes back from older copies.
+	withEras bool
 	// acked holds the changes in the order of their versions.
 	acked []ackedChange
 }
@@ -51,17 +53,29 @@
 // or drops its history, and changes of any size.
 func TestLateChangeRandomFaults(t *testing.T) {
 	for seed := *fleetSeed; seed < *fleetSeed+*fleetSeeds; seed++ {
-		synctest.Test(t, func(t *testing.T) { runFaults(t, seed) })
+		synctest.Test(t, func(t *testing.T) { runFaults(t, seed, false) })
 		if t.Failed() {
 			t.Fatalf("to repeat: go test ./core/mirror -run TestLateChangeRandomFaults -fleet.seed %d -fleet.seeds 1", seed)
 		}
 	}
 }
 
-func runFaults(t *testing.T, seed uint64) {
+// Guards against the same while the store also comes back from copies that lack up to 40 changes: a VM that keeps what it knew
+// before, or that a VM with an older view confirms.
+func TestLateChangeRandomEras(t *testing.T) {
+	for seed := *fleetSeed; seed < *fleetSeed+*fleetSeeds; seed++ {
+		synctest.Test(t, func(t *testing.T) { runFaults(t, seed, true) })
+		if t.Failed() {
+			t.Fatalf("to repeat: go test ./core/mirror -run TestLateChangeRandomEras -fleet.seed %d -fleet.seeds 1", seed)
+		}
+	}
+}
+
+func runFaults(t *testing.T, seed uint64, withEras bool) {
 	f := &faults{
 		simulation: newSimulation(t), rnd: rand.New(rand.NewPCG(seed, 5)), unstable: map[core.VMID]time.Time{},
 		skewed: map[core.VMID]time.Time{}, stop: map[core.VMID]context.CancelFunc{}, aloneAt: map[core.VMID]time.Time{},
+		withEras: withEras,
 	}
 	// The first and third VM are in another failure domain.
 	for _, i := range []int{0, 2} {
@@ -179,7 +193,11 @@
 func (f *faults) inject(ctx context.Context) {
 	vm := f.vms[f.rnd.IntN(len(f.vms))]
 	d := time.Duration(f.rnd.IntN(7000)) * time.Millisecond
-	switch f.rnd.IntN(9) {
+	kinds := 9
+	if f.withEras {
+		kinds = 11
+	}
+	switch f.rnd.IntN(kinds) {
 	case 0:
 		f.changeLink(vm, d, func(l *link, on bool) { l.deaf = on })
 	case 1:
@@ -207,6 +225,11 @@
 			f.mark(f.skewed, vm.ID, mutedFor)
 		}
 		f.group.Go(func() { f.store.forget(mutedFor) })
+	case 9, 10:
+		for _, vm := range f.vms {
+			f.mark(f.skewed, vm.ID, 0)
+		}
+		f.store.comeBack(f.rnd.Uint64N(40))
 	}
 }
 
