--- a/core/lead/era_test.go
+++ b/core/lead/era_test.go
@@ -46,6 +46,11 @@
 		second.eras.Note(store.ComeBack())
 		seenAt := time.Now()
 		var next lease
+		calls := store.Calls()
+		time.Sleep(leaseTTL / 2)
+		_, err = second.acquire(t.Context(), "g", lease{})
+		assert.ErrorIs(t, err, errNewEra)
+		assert.Equal(t, store.Calls(), calls, "the store is asked although the answer doesn't matter yet")
 		for {
 			if next, err = second.acquire(t.Context(), "g", lease{}); err == nil {
 				break
--- a/core/mirror/era_test.go
+++ b/core/mirror/era_test.go
@@ -1,6 +1,7 @@
 package mirror
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -79,4 +80,46 @@
 	assert.Equal(t, v.entriesAt, newEra+30)
 	_, complete := v.eventsAfter(60)
 	assert.Assert(t, !complete)
+	v.entries = nil
+	v.reset([]core.Entry{{Key: "a", Version: 70}}, 70)
+	assert.Assert(t, v.entries == nil, "%v", v.entries)
+}
+
+// Guards against answers of a VM that knows an older era than this one, and against a newer era that a VM learns of from
+// another one only and doesn't follow.
+func TestAnswersOfOtherEras(t *testing.T) {
+	newEra := core.Era(1).Start()
+	store := &fakeStore{version: newEra + 5, changed: make(chan struct{})}
+	m := newTestMirror(store)
+	var watched WatchAnswer
+	var listed ListAnswer
+	m.cfg.Call = func(_ context.Context, _, method string, _, answer any) error {
+		if method == listMethod {
+			*answer.(*ListAnswer) = listed
+			return nil
+		}
+		*answer.(*WatchAnswer) = watched
+		return nil
+	}
+	_, at, err := m.List(t.Context(), prefix)
+	assert.NilError(t, err)
+	w := watch{prefix: prefix, after: at, wait: time.Second}
+	other := core.VM{ID: "other"}
+	ask := func() error {
+		_, _, _, err := m.watchMirror(t.Context(), other, w, mirrorCall{timeout: time.Second})
+		return err
+	}
+	watched = WatchAnswer{At: 9, Events: []core.Event{{Entry: core.Entry{Key: "a", Version: 9}}}, HasAge: true}
+	assert.ErrorIs(t, ask(), errNotCurrent)
+	listed = ListAnswer{OK: true, At: 9}
+	_, ok := m.listMirror(t.Context(), other, prefix)
+	assert.Assert(t, !ok)
+	watched = WatchAnswer{At: core.Era(2).Start() + 3, Compacted: true}
+	assert.ErrorIs(t, ask(), errNoHistory)
+	_, _, err = m.WatchPrefix(t.Context(), prefix, at, time.Second)
+	assert.ErrorIs(t, err, core.ErrCompacted)
+	assert.Equal(t, store.calls, 0)
+	listed = ListAnswer{OK: true, At: core.Era(2).Start() + 3}
+	_, ok = m.listMirror(t.Context(), other, prefix)
+	assert.Assert(t, ok)
 }
--- a/core/mirror/view.go
+++ b/core/mirror/view.go
@@ -55,7 +55,7 @@
 
 // reset sets the entries to a complete listing, to which later changes that are known are applied.
 func (v *view) reset(entries []core.Entry, at core.Version) {
-	if v.entries != nil && at < v.entriesAt || at.Era() < v.maxVersion.Era() {
+	if v.entries != nil && at < v.entriesAt {
 		return
 	}
 	if at.Era() > v.maxVersion.Era() {
