Don't take a deposed primary for the leader

Cause: where a promotion doesn't stop the old primary, that one still answers probes as a leader. When the promoted one failed, the replacing VM recorded the deposed one as the leader. Change: only the upstreams that the group's record names can lead. TestDeposedPrimaryIsNotTheLeader fails with the mechanism taken out.

--- a/core/lead/hold.go
+++ b/core/lead/hold.go
@@ -182,6 +182,16 @@
 	return ok && rec.Held && rec.Holder == d.cfg.Self
 }
 
+// isDeposed reports whether the upstream can't be the primary although it may act as one: where a promotion doesn't stop the
+// old primary, only the upstreams that the group's record names can lead.
+func (d *Driver) isDeposed(id core.GroupID, upstream core.UpstreamID) bool {
+	if d.cfg.Permits == nil {
+		return false
+	}
+	rec, ok := d.cfg.Permits.Record(id)
+	return ok && upstream != rec.Target && (!rec.Held || upstream != rec.Old)
+}
+
 // stepDown makes the group's leaving primary a replica, so that VMs that don't answer can't use it either.
 func (d *Driver) stepDown(ctx context.Context, g Group) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
--- a/core/lead/hold_test.go
+++ b/core/lead/hold_test.go
@@ -299,3 +299,23 @@
 		assert.Equal(t, p.lastRecord(t).Target, core.UpstreamID("b"))
 	})
 }
+
+// Guards against recording a deposed primary as the leader when the one that was promoted fails: it still acts as a primary
+// and answers probes as one, but lacks what the other has committed. TestUnfencedEraSoak found that with seed 6.
+func TestDeposedPrimaryIsNotTheLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeCluster()
+		p := newFakePermits(f)
+		p.record, p.isKnown = permit.Record{Old: "a", Target: "b", Holder: "vm-2"}, true
+		f.view = Group{ID: "g", Primary: "b", Replicas: []core.UpstreamID{"a", "c"}, Members: 3, IsMonitor: true}
+		f.stored = f.view
+		f.probes["c"] = ProbeResult{Log: core.Position{Term: 2, Offset: 12}}
+		f.unresponsive["b"] = true
+		promotions := f.run(t, 2*time.Second)
+		assert.Equal(t, len(promotions), 1)
+		assert.Equal(t, promotions[0].ID, core.UpstreamID("c"))
+		for _, r := range p.records {
+			assert.Equal(t, r.Target, core.UpstreamID("c"))
+		}
+	})
+}
--- a/core/permit/guard_test.go
+++ b/core/permit/guard_test.go
@@ -34,6 +34,28 @@
 	unsettled map[core.VMID]bool
 	proved    map[core.VMID]time.Duration
 	changes   map[core.VMID]int
+	// cutOff are the VMs that don't reach the store.
+	cutOff map[core.VMID]bool
+}
+
+// linkedStore is the store as one VM reaches it.
+type linkedStore struct {
+	*fakes.Store
+	f  *fleet
+	id core.VMID
+}
+
+func (s linkedStore) CompareAndSwap(ctx context.Context, key string, value []byte, expect core.Version, lease core.LeaseID) (core.Version, error) {
+	if s.f.isCutOff(s.id) {
+		return 0, errors.New("store is out of reach")
+	}
+	return s.Store.CompareAndSwap(ctx, key, value, expect, lease)
+}
+
+func (f *fleet) isCutOff(id core.VMID) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.cutOff[id]
 }
 
 // member is a VM's view of the fleet.
@@ -59,13 +81,13 @@
 	t.Helper()
 	f := &fleet{
 		store: fakes.NewStore(), start: time.Now(), guards: map[core.VMID]*Guard{}, eras: map[core.VMID]*eras.Tracker{}, isolated: map[core.VMID]bool{}, unsettled: map[core.VMID]bool{},
-		proved: map[core.VMID]time.Duration{}, changes: map[core.VMID]int{},
+		proved: map[core.VMID]time.Duration{}, changes: map[core.VMID]int{}, cutOff: map[core.VMID]bool{},
 	}
 	for _, id := range ids {
 		f.eras[id] = eras.New(eras.Config{Now: f.now})
 		f.guards[id] = New(Config{
 			Eras:  f.eras[id],
-			Store: f.store, Members: member{f, id}, Self: id, KeyPrefix: "lead/", Log: log.NewNopLogger(), Now: f.now,
+			Store: linkedStore{f.store, f, id}, Members: member{f, id}, Self: id, KeyPrefix: "lead/", Log: log.NewNopLogger(), Now: f.now,
 			Call: func(ctx context.Context, address, method string, req, answer any) error {
 				return f.call(ctx, id, core.VMID(address), method, req, answer)
 			},
--- a/core/version.go
+++ b/core/version.go
@@ -7,8 +7,9 @@
 	// revisionBits is the size of a revision in a Version; the era takes the bits above. A fencing token stays below 2^53,
 	// which any reader of numbers takes, up to era 8191.
 	revisionBits = 40
-	// MaxEra and MaxRevision are the largest ones that fit into a Version.
-	MaxEra      Era    = 1<<(64-revisionBits) - 1
+	// MaxEra is the largest era that fits into a Version.
+	MaxEra Era = 1<<(64-revisionBits) - 1
+	// MaxRevision is the largest revision that fits into a Version.
 	MaxRevision uint64 = 1<<revisionBits - 1
 )
 
