--- a/core/permit/erahistory_test.go
+++ b/core/permit/erahistory_test.go
@@ -20,8 +20,10 @@
 	// historyLease is the life of the lease of a VM that promotes, historyMargin its rest that isn't used.
 	historyLease  = RestoreTime
 	historyMargin = time.Second
-	// maxCutTime is how long a VM reaches neither the store or no other VM. Lost records are written again by RestoreTime.
-	maxCutTime = 3500 * time.Millisecond
+	// maxCutTime is how long a VM doesn't reach the store: lost records are written again by RestoreTime. maxSilentTime is how
+	// long it doesn't reach other VMs, more than a promotion waits for it.
+	maxCutTime    = 3500 * time.Millisecond
+	maxSilentTime = 8 * time.Second
 )
 
 // history is a fleet whose VMs promote upstreams while the store comes back from older copies.
@@ -31,8 +33,6 @@
 	rnd  *rand.Rand
 	mu   sync.Mutex
 	held heldLease
-	// saved is the lease at the time of the store's copy.
-	saved heldLease
 	// leader is the upstream that leads, and promotions is the number of promotions.
 	leader     core.UpstreamID
 	promotions int
@@ -102,18 +102,16 @@
 		})
 	}
 	for _, vm := range []core.VMID{"a", "b", "c", "d"} {
-		repeat(500*time.Millisecond, func() {
+		repeat(1500*time.Millisecond, func() {
 			if !h.isCutOff(vm) {
 				h.read(vm)
 				h.guards[vm].Confirm(h.now())
 			}
 		})
 		repeat(4*time.Second, func() { h.promote(ctx, vm) })
-		repeat(4*time.Second, func() { h.cut(h.isolated, vm) })
-		repeat(4*time.Second, func() { h.cut(h.cutOff, vm) })
+		repeat(4*time.Second, func() { h.cut(h.isolated, vm, maxSilentTime) })
+		repeat(4*time.Second, func() { h.cut(h.cutOff, vm, maxCutTime) })
 	}
-	repeat(3*time.Second, func() { h.change(func() { h.store.Save(); h.saved = h.held }) })
-	repeat(8*time.Second, func() { h.change(func() { h.store.ComeBack(); h.held = h.saved }) })
 	repeat(20*time.Millisecond, h.check)
 	running.Wait()
 }
@@ -125,14 +123,14 @@
 }
 
 // cut makes the VM not reach the others or the store for a while.
-func (h *history) cut(links map[core.VMID]bool, vm core.VMID) {
+func (h *history) cut(links map[core.VMID]bool, vm core.VMID, longest time.Duration) {
 	set := func(cut bool) {
 		h.fleet.mu.Lock()
 		defer h.fleet.mu.Unlock()
 		links[vm] = cut
 	}
 	set(true)
-	time.Sleep(h.draw(maxCutTime))
+	time.Sleep(h.draw(longest))
 	set(false)
 	// It reads the store and writes lost records again before it is cut off once more.
 	time.Sleep(1500 * time.Millisecond)
@@ -206,6 +204,16 @@
 	if !h.acquire(vm) {
 		return
 	}
+	h.store.Save()
+	if h.draw(4) == 0 {
+		// The copy has neither the lease nor the hold.
+		time.AfterFunc(h.draw(TTL+time.Second), func() {
+			h.change(func() {
+				h.store.ComeBack()
+				h.held = heldLease{}
+			})
+		})
+	}
 	target := core.UpstreamID(fmt.Sprintf("u%d", h.draw(1000)))
 	if rec, ok := g.Record(testGroup); ok && rec.Held {
 		target = rec.Target
