--- a/core/quota/limiter.go
+++ b/core/quota/limiter.go
@@ -11,6 +11,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"snipewall/core"
+	"snipewall/core/eras"
 	"snipewall/core/place"
 	"snipewall/core/topo"
 )
@@ -31,6 +32,8 @@
 	// Call calls a method of another entry VM at its control address.
 	Call  func(ctx context.Context, address, method string, req, answer any) error
 	Store core.Store
+	// Eras keeps the newest era of the store; nil stands for a store that never comes back from a copy.
+	Eras *eras.Tracker
 	// Directory has the limits of the organisations.
 	Directory *topo.Directory
 	// Window, Excess and Slack are the settings of the bound: an organisation runs fewer than
@@ -84,6 +87,9 @@
 	if cfg.Now == nil {
 		cfg.Now = core.Now
 	}
+	if cfg.Eras == nil {
+		cfg.Eras = eras.New(eras.Config{Now: cfg.Now})
+	}
 	l := &Limiter{
 		cfg: cfg, bound: Bound{Window: cfg.Window, Excess: cfg.Excess, Slack: cfg.Slack}, metrics: newMetrics(cfg.Metrics),
 		wake: make(chan struct{}, 1), keepWake: make(chan struct{}, 1),
--- a/core/quota/settle.go
+++ b/core/quota/settle.go
@@ -11,27 +11,30 @@
 	"snipewall/core"
 )
 
-// settleTime is how long after the beginning of a term rights of earlier terms may last: an earlier keeper may not
-// know yet that the store has lost its lease.
-const settleTime = leaseTTL + rightsLife + clockMargin
+// settleTime is how long after the end of all earlier terms their rights may last.
+const settleTime = rightsLife + clockMargin
 
 var errTermOver = errors.New("the term is over")
 
 // settle asks all VMs for their rights, so that the ledger has everything that may be in use.
 //
-// Two rounds are necessary. A keeper whose lease the store has lost, and which doesn't know it yet, gives up when it is
-// asked, or when its lease has ended by its clock. It may have assigned rights until then, but only to VMs that started
-// since they were asked. The second round begins after that and finds those rights, also of VMs that weren't in the list
-// before.
+// A lease ends in the store after it has ended by its holder's clock, so that no other keeper is active when this term
+// begins. Only a store that has come back from an older copy may have lost a lease whose holder doesn't know it. Two rounds
+// are necessary then. That keeper gives up when it is asked, or when its lease has ended by its clock. It may have assigned
+// rights until then, but only to VMs that started since they were asked. The second round begins after that and finds those
+// rights, also of VMs that weren't in the list before.
 func (k *keeper) settle(ctx context.Context, t Term) {
-	began := k.l.cfg.Now()
-	if err := k.collect(ctx, t, began.Add(leaseTTL)); err != nil {
-		return
+	end := k.l.cfg.Now()
+	if wait := k.l.cfg.Eras.Remaining(leaseTTL); wait > 0 {
+		end = end.Add(wait)
+		if err := k.collect(ctx, t, end); err != nil {
+			return
+		}
 	}
 	if !k.update(t, (*Ledger).Rebase) {
 		return
 	}
-	if err := k.collect(ctx, t, began.Add(settleTime)); err != nil {
+	if err := k.collect(ctx, t, end.Add(settleTime)); err != nil {
 		return
 	}
 	if !k.update(t, func(g *Ledger) { g.Settle(k.l.cfg.Now()) }) {
