--- a/core/mirror/fleet_test.go
+++ b/core/mirror/fleet_test.go
@@ -208,11 +208,12 @@
 	return slices.DeleteFunc(slices.Clone(m.s.vms), func(vm core.VM) bool { return m.s.hidden[vm.ID] && vm.ID != m.self })
 }
 
-// simulate runs fleets of both layouts. prepare, if set, changes it before its start. disturb changes it at a time that differs in
+// simulate runs fleets of both layouts, beside other tests, since it takes long. prepare, if set, changes it before its start. disturb changes it at a time that differs in
 // each phase, and the store's key changes after that. It returns how long the VM that was last took to learn of the
 // change, over all phases, and fails the test if a VM other than exempt never does.
 func simulate(t *testing.T, prepare, disturb func(s *simulation), exempt func(s *simulation, id core.VMID) bool) time.Duration {
 	t.Helper()
+	t.Parallel()
 	return max(simulateLayout(t, oneDomain, prepare, disturb, exempt), simulateLayout(t, tree, prepare, disturb, exempt))
 }
 
--- a/core/mirror/random_test.go
+++ b/core/mirror/random_test.go
@@ -50,6 +50,7 @@
 // reach each other, restart, leave or have different lists, a store that turns VMs away, doesn't answer them
 // or drops its history, and changes of any size.
 func TestLateChangeRandomFaults(t *testing.T) {
+	t.Parallel()
 	for seed := *fleetSeed; seed < *fleetSeed+*fleetSeeds; seed++ {
 		synctest.Test(t, func(t *testing.T) { runFaults(t, seed, oneDomain) })
 		synctest.Test(t, func(t *testing.T) { runFaults(t, seed, tree) })
--- a/core/mirror/tree_test.go
+++ b/core/mirror/tree_test.go
@@ -41,6 +41,7 @@
 // Guards against changes that are late at a VM which reaches the store, because the VMs between it and the roots are
 // silent, with or without the roots.
 func TestLateChangeSilentLevels(t *testing.T) {
+	t.Parallel()
 	for _, withRoots := range []bool{false, true} {
 		frozen := map[core.VMID]bool{}
 		worst := simulateLayout(t, tree, nil, func(s *simulation) {
