Let owners refuse at once what another upstream serves sooner

With 91 VMs before 24 upstreams each VM sends less than two statements a second to a group, so that its own measurements say nothing of an owner's queue, and reads waited at the nearest upstream while others had room. An owner tells the wait, the service time and its own time with each answer. A statement that several upstreams may serve carries its patience: how long it may wait before the next upstream is better, by round trip, wait, service time and the price of the bytes between failure domains (package core/spill, setting Placement.CrossingMillisecondsPerKilobyte). The owner, which knows its queue, refuses at once what would wait longer. A refusal for load carries the time after which the queue would accept the statement; a write or strict read returns then, spread at random, or is refused at once if that is too late. A read isn't sent a second time while it may still wait in the owner's queue.

--- a/conf/entry.go
+++ b/conf/entry.go
@@ -32,6 +32,8 @@
 	// KeyRevocation is the time after which a withdrawn key of callers must be out of use on all VMs, also on those
 	// that can't reach the store; 0 means that there is no such bound.
 	KeyRevocation time.Duration
+	// CrossingPrice is how long a caller may wait to save a KiB between failure domains; 0 if it costs nothing.
+	CrossingPrice time.Duration
 	// Grace is the time between SIGTERM and SIGKILL, in which the process must stop.
 	Grace time.Duration
 	// Memory is the memory limit of the process in bytes.
@@ -98,6 +100,9 @@
 	{"Targets", "KeyRevocationMilliseconds", "0", acceptsOptionalMilliseconds, "Time after which a withdrawn key must be out of use on all VMs, also on those that can't reach the store; 0 if there is no bound.", func(e *Entry, v string) bool {
 		return v == "0" || setPositive(&e.KeyRevocation, v, time.Millisecond)
 	}},
+	{"Placement", "CrossingMillisecondsPerKilobyte", "20", acceptsOptionalMilliseconds, "Price of bytes between failure domains, as the time that a caller may wait to save a kilobyte; 0 if they cost nothing.", func(e *Entry, v string) bool {
+		return v == "0" || setPositive(&e.CrossingPrice, v, time.Millisecond)
+	}},
 	{"Stop", "GraceSeconds", "6", acceptsSeconds, "Time between SIGTERM and SIGKILL.", func(e *Entry, v string) bool {
 		return setPositive(&e.Grace, v, time.Second)
 	}},
--- a/core/line.go
+++ b/core/line.go
@@ -118,6 +118,9 @@
 	Kind              Kind
 	Rank              Rank
 	StartBy, Deadline time.Time
+	// Patience is how long the command may wait for a slot before the other VM refuses it at once, since another
+	// upstream would serve it sooner; 0 means until StartBy.
+	Patience time.Duration
 	// MaxAge asks for Answer.Sample, which must not be older; 0 asks for none. It is only used for OpBegin that goes to
 	// another VM.
 	MaxAge time.Duration
@@ -141,6 +144,8 @@
 	// Position is the end of the upstream's log after the command; zero if it was not reported. On a replica it is
 	// what the replica has applied.
 	Position Position
+	// Load is what the VM that owns the upstream tells of it; zero from the upstream itself.
+	Load Load
 	// Sample is set if the command asked for one and the other VM has one.
 	Sample Sample
 	// Received is the end of the log that the upstream has received, whether applied or not. It is only set in the
@@ -148,6 +153,17 @@
 	Received Position
 }
 
+// Load is the load of an upstream.
+type Load struct {
+	// Wait is the expected time until a further statement of the same kind gets a slot, and Run the average time that
+	// statements take from then on. Took is the time from the command's arrival to the answer.
+	Wait, Run, Took time.Duration
+	// RetryAfter is set if the queue refused the command: the time after which it would accept it. IsDeclined is set if
+	// it did so only because of Command.Patience.
+	RetryAfter time.Duration
+	IsDeclined bool
+}
+
 // Sample states that a primary had Position, and was proved to lead, at some time within Age before the answer.
 type Sample struct {
 	Position Position
--- a/core/proxy/choose.go
+++ b/core/proxy/choose.go
@@ -1,6 +1,10 @@
 package proxy
 
-import "time"
+import (
+	"time"
+
+	"snipewall/core/spill"
+)
 
 const (
 	// interRegionRTT and intraRegionRTT are the round trips to another region and to another failure
@@ -21,8 +25,10 @@
 	primary bool
 	// distance is the round-trip time to the upstream.
 	distance time.Duration
-	// wait is the expected time until the answer, without the round trip.
-	wait time.Duration
+	// wait is the expected time until the read starts, and run that until its answer from then on.
+	wait, run time.Duration
+	// toll is the price of the bytes, if the upstream is in another failure domain.
+	toll time.Duration
 	// lagging is set if the upstream recently reported that it lacks the position.
 	lagging bool
 	// skip is set if it reported so repeatedly and must not be tried.
@@ -31,33 +37,32 @@
 	failing bool
 }
 
-// cost is the estimated time to the answer, with penalties for the load that the read puts on others.
-func (c candidate) cost() time.Duration {
-	d := c.distance + c.wait
+// offer returns the candidate with penalties for the load that the read puts on others and for tries in vain.
+func (c candidate) offer() spill.Offer {
+	o := spill.Offer{Hop: c.distance, Wait: c.wait, Run: c.run, Toll: c.toll, Skip: c.skip}
 	if c.primary {
-		d += primaryPenalty
+		o.Burden += primaryPenalty
 	}
 	if c.lagging {
-		d += lagPenalty
+		o.Burden += lagPenalty
 	}
 	if c.failing {
-		d += failPenalty
+		o.Burden += failPenalty
 	}
-	return d
+	return o
 }
 
-// cheapest returns the index of the candidate with the lowest cost, or -1 if all are skipped. Load
-// pattern: a surge of one kind of reads in one failure domain, which spills over to other regions only
-// once the local wait exceeds the round trip.
-func cheapest(cands []candidate) int {
-	best := -1
+// cheapest returns the index of the candidate with the lowest cost, or -1 if all are skipped, and how long the read may
+// wait there before the next one is better. Load pattern: a surge of one kind of reads in one failure domain, of which
+// the part spills over to others that would wait longer than the round trip.
+func cheapest(cands []candidate) (int, time.Duration) {
+	offers := make([]spill.Offer, len(cands))
 	for i := range cands {
-		if cands[i].skip {
-			continue
-		}
-		if best < 0 || cands[i].cost() < cands[best].cost() {
-			best = i
-		}
+		offers[i] = cands[i].offer()
+	}
+	i := spill.Cheapest(offers)
+	if i < 0 {
+		return i, 0
 	}
-	return best
+	return i, spill.Patience(offers, i)
 }
--- a/core/proxy/fake_test.go
+++ b/core/proxy/fake_test.go
@@ -266,8 +266,21 @@
 	return newHarnessWithPermits(t, nil, others...)
 }
 
+// newHarnessIn returns a harness whose VM is in the failure domain.
+func newHarnessIn(t *testing.T, domain core.FailureDomain, others ...core.VM) *harness {
+	t.Helper()
+	return newHarnessAs(t, core.VM{ID: "vm-1", FailureDomain: domain, Region: testRegions[domain]}, nil, others...)
+}
+
+var testRegions = map[core.FailureDomain]core.Region{"here": "home", "there": "away"}
+
 // newHarnessWithPermits returns a harness whose proxy needs permits.
 func newHarnessWithPermits(t *testing.T, permits core.Permits, others ...core.VM) *harness {
+	t.Helper()
+	return newHarnessAs(t, core.VM{ID: "vm-1", FailureDomain: "here", Region: "home"}, permits, others...)
+}
+
+func newHarnessAs(t *testing.T, self core.VM, permits core.Permits, others ...core.VM) *harness {
 	t.Helper()
 	r := &harness{t: t, servers: map[core.UpstreamID]*server{}, dir: topo.NewDirectory(), start: time.Now()}
 	r.dir.Apply(topo.Config{
@@ -293,11 +306,10 @@
 		}
 		r.dir.Put(u)
 	}
-	self := core.VM{ID: "vm-1", FailureDomain: "here", Region: "home"}
 	r.alive = append([]core.VM{self}, others...)
 	r.proxy = New(Config{
 		Directory: r.dir, Dialer: r, Self: self, Members: r, DialOwner: r.dialOwner, Permits: permits,
-		Regions: map[core.FailureDomain]core.Region{"here": "home", "there": "away"},
+		Regions: testRegions,
 		Log:     log.NewNopLogger(),
 		Now: func() core.Instant {
 			return core.Instant(time.Since(r.start) + time.Duration(r.suspended.Load()) + time.Hour)
--- a/core/proxy/group.go
+++ b/core/proxy/group.go
@@ -38,6 +38,8 @@
 	provedBy core.UpstreamID
 	// missingSince is when statements first found no primary; zero while there is one.
 	missingSince time.Time
+	// bytes is the moving average size of a statement with its answer.
+	bytes float64
 }
 
 func newGroup(id core.GroupID, permits core.Permits, leavingGrace time.Duration) *group {
--- a/core/proxy/load_test.go
+++ b/core/proxy/load_test.go
@@ -36,7 +36,10 @@
 		{"a failing upstream is the last choice", []candidate{{failing: true}, {primary: true, lagging: true, distance: interRegionRTT}}, 1},
 	}
 	for _, tt := range tests {
-		t.Run(tt.name, func(t *testing.T) { assert.Equal(t, cheapest(tt.cands), tt.want) })
+		t.Run(tt.name, func(t *testing.T) {
+			i, _ := cheapest(tt.cands)
+			assert.Equal(t, i, tt.want)
+		})
 	}
 }
 
--- a/core/proxy/metrics.go
+++ b/core/proxy/metrics.go
@@ -7,7 +7,7 @@
 )
 
 type metrics struct {
-	statements, faults, retries, refusals, dials, overloads, aborts, ownerDials tally.Counter
+	statements, faults, retries, refusals, dials, overloads, aborts, ownerDials, declined, crossings tally.Counter
 	latency                                                                     tally.Histogram
 }
 
@@ -26,6 +26,8 @@
 		dials:      scope.Counter("Dials"),
 		overloads:  scope.Counter("ConnectionLimit"),
 		ownerDials: scope.Counter("OwnerDials"),
+		declined:   scope.Counter("Declined"),
+		crossings:  scope.Counter("Crossings"),
 		aborts:     scope.Counter("AbortedTransactions"),
 		latency:    scope.Histogram("StatementTime", latencyBuckets),
 	}
--- a/core/proxy/node.go
+++ b/core/proxy/node.go
@@ -56,6 +56,7 @@
 	// latency is the moving average of answer times, without the round trip.
 	latency    time.Duration
 	answeredAt time.Time
+	told       told
 	// laggedAt is when the upstream last lacked a position, laggedPosition is that position, and
 	// lagCount is how often in a row this happened.
 	laggedAt       time.Time
@@ -111,7 +112,7 @@
 	defer old.mu.Unlock()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.latency, n.answeredAt = old.latency, old.answeredAt
+	n.latency, n.answeredAt, n.told = old.latency, old.answeredAt, old.told
 	n.laggedAt, n.laggedPosition, n.lagCount = old.laggedAt, old.laggedPosition, old.lagCount
 	n.denied, n.proved, n.evidenceAt = old.denied, old.proved, old.evidenceAt
 	n.failures, n.failedAt = old.failures, old.failedAt
@@ -232,23 +233,22 @@
 }
 
 // asCandidate returns the node as a candidate for a read that awaits the position.
-func (n *node) asCandidate(now time.Time, await core.Position) candidate {
-	n.mu.Lock()
-	defer n.mu.Unlock()
+func (n *node) asCandidate(now time.Time, w *work, await core.Position) candidate {
 	u := n.info.Load()
-	latency := n.latency
-	for d := now.Sub(n.answeredAt); d > latencyHalfLife && latency > time.Millisecond; d -= latencyHalfLife {
-		latency /= 2
+	c := candidate{distance: n.p.distance(u)}
+	if u.FailureDomain != n.p.cfg.Self.FailureDomain {
+		c.toll = n.group.toll(n.p.cfg.Tariff)
 	}
-	lagging, skip := n.lagState(now, await)
-	return candidate{
-		primary:  n.isPrimaryClaimant(),
-		distance: n.p.distance(u),
-		wait:     latency * time.Duration(1+n.pending.Load()) / time.Duration(n.limit),
-		lagging:  lagging,
-		skip:     skip,
-		failing:  n.failures >= failThreshold && now.Sub(n.failedAt) < failBackoff,
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.told.hop > 0 {
+		c.distance = n.told.hop
 	}
+	c.primary = n.isPrimaryClaimant()
+	c.wait, c.run = n.expectation(now, core.Kind(w.route.Database), w.route.Rank)
+	c.lagging, c.skip = n.lagState(now, await)
+	c.failing = n.failures >= failThreshold && now.Sub(n.failedAt) < failBackoff
+	return c
 }
 
 // distance returns the round-trip time to the upstream.
--- a/core/proxy/proxy.go
+++ b/core/proxy/proxy.go
@@ -11,6 +11,7 @@
 	"snipewall/core"
 	"snipewall/core/orgs"
 	"snipewall/core/retry"
+	"snipewall/core/spill"
 	"snipewall/core/topo"
 )
 
@@ -33,6 +34,8 @@
 	DialOwner func(ctx context.Context, owner core.VM, id core.UpstreamID) (core.LineConn, error)
 	// DrainTarget is the time after which an upstream that announced its stop must get no new work; 0 means that it is long.
 	DrainTarget time.Duration
+	// Tariff is the price of bytes between failure domains.
+	Tariff spill.Tariff
 	// Refresh updates the directory from the store.
 	Refresh func(ctx context.Context) error
 	// Permits limits the use of primaries where a promotion doesn't stop the old one; nil means no limit.
--- a/core/proxy/relay.go
+++ b/core/proxy/relay.go
@@ -71,6 +71,15 @@
 
 // Execute executes one command. Its answer is due at the deadline.
 func (r *Relay) Execute(ctx context.Context, cmd core.Command, deadline time.Time) core.Answer {
+	began := time.Now()
+	ans := r.execute(ctx, cmd, deadline)
+	if cmd.Kind != "" {
+		ans.Load.Took = max(time.Since(began), 1)
+	}
+	return ans
+}
+
+func (r *Relay) execute(ctx context.Context, cmd core.Command, deadline time.Time) core.Answer {
 	r.followNode()
 	switch cmd.Op {
 	case core.OpReset:
@@ -131,7 +140,7 @@
 	r.beginRefused = true
 	h, refused := r.connect(ctx, cmd, deadline)
 	if refused != nil {
-		return core.Answer{Fault: refused.Fault, Text: refused.Text, Status: core.TxFailed}
+		return core.Answer{Fault: refused.Fault, Text: refused.Text, Status: core.TxFailed, Load: r.load(cmd, refused)}
 	}
 	cmds := append(h.handle.Value.setUpCommands(&r.session, nil), cmd)
 	requestedAt := r.n.p.cfg.Now()
@@ -177,7 +186,7 @@
 // probe, which takes no slot of the upstream.
 func (r *Relay) connect(ctx context.Context, cmd core.Command, deadline time.Time) (*heldConn, *Reply) {
 	if cmd.Kind != "" {
-		return r.n.acquire(ctx, &queue.Item{Kind: cmd.Kind, Rank: cmd.Rank, OpensTx: true, Deadline: startBy(cmd, deadline)}, r.n.p.label(cmd.Organisation), r.n.getDirect)
+		return r.n.acquire(ctx, &queue.Item{Kind: cmd.Kind, Rank: cmd.Rank, OpensTx: true, Patience: cmd.Patience, Deadline: startBy(cmd, deadline)}, r.n.p.label(cmd.Organisation), r.n.getDirect)
 	}
 	handle, err := r.n.getDirect(ctx, pool.AnyLabel, deadline)
 	if err != nil {
@@ -208,7 +217,7 @@
 	}
 	h, refused := r.admit(ctx, cmd, deadline)
 	if refused != nil {
-		return core.Answer{Fault: refused.Fault, Text: refused.Text, Status: r.status()}
+		return core.Answer{Fault: refused.Fault, Text: refused.Text, Status: r.status(), Load: r.load(cmd, refused)}
 	}
 	cmds := append(h.handle.Value.setUpCommands(&r.session, ps), cmd)
 	sent := time.Now()
@@ -220,6 +229,7 @@
 	now := time.Now()
 	r.n.noteAnswer(now, now.Sub(sent), ans.Position)
 	ans = r.copyBody(ans)
+	ans.Load = r.load(cmd, nil)
 	switch {
 	case r.held == nil:
 		h.free(ans.Fault == core.FaultNone)
@@ -235,7 +245,7 @@
 // admit takes a slot, and a connection unless the transaction holds one.
 func (r *Relay) admit(ctx context.Context, cmd core.Command, deadline time.Time) (*heldConn, *Reply) {
 	if r.held == nil {
-		return r.n.acquire(ctx, &queue.Item{Kind: cmd.Kind, Rank: cmd.Rank, Deadline: startBy(cmd, deadline)}, r.n.p.label(cmd.Organisation), r.n.getDirect)
+		return r.n.acquire(ctx, &queue.Item{Kind: cmd.Kind, Rank: cmd.Rank, Patience: cmd.Patience, Deadline: startBy(cmd, deadline)}, r.n.p.label(cmd.Organisation), r.n.getDirect)
 	}
 	if r.held.slot != nil {
 		return r.held, nil
--- a/core/proxy/sample_test.go
+++ b/core/proxy/sample_test.go
@@ -16,6 +16,11 @@
 	cmds  []core.Command
 	// before replaces what VMs of an earlier version don't know.
 	before func(*core.Answer)
+	// hop is the round trip to the other VM, and arrives the arrival of the commands there.
+	hop     time.Duration
+	arrives time.Time
+	// ignoresPatience is set for VMs that know no patience.
+	ignoresPatience bool
 }
 
 func (l *relayLine) InitialPosition() core.Position { return core.Position{} }
@@ -25,12 +30,17 @@
 
 func (l *relayLine) Send(cmds []core.Command) error {
 	l.cmds = append(l.cmds, cmds...)
+	l.arrives = time.Now().Add(l.hop / 2)
 	return nil
 }
 
 func (l *relayLine) Receive(deadline time.Time) (core.Answer, error) {
+	time.Sleep(time.Until(l.arrives))
 	cmd := l.cmds[0]
 	l.cmds = l.cmds[1:]
+	if l.ignoresPatience {
+		cmd.Patience = 0
+	}
 	ans := l.relay.Execute(l.relay.n.p.ctx, cmd, deadline)
 	if len(l.cmds) == 0 {
 		l.relay.Pause()
@@ -38,6 +48,9 @@
 	if l.before != nil {
 		l.before(&ans)
 	}
+	if len(l.cmds) == 0 {
+		time.Sleep(l.hop / 2)
+	}
 	return ans, nil
 }
 
--- a/core/proxy/single.go
+++ b/core/proxy/single.go
@@ -46,6 +46,9 @@
 		case retryOnChange:
 			pause = 5 * retryDelay
 		}
+		if pause > 0 {
+			pause = max(pause, spread(reply.retryAfter))
+		}
 		if !s.waitForRetry(ctx, w, pause) {
 			return w.lastReply
 		}
@@ -54,7 +57,7 @@
 
 // try runs the statement on one upstream.
 func (s *Session) try(ctx context.Context, w *work, t target) (Reply, outcome) {
-	h, refused := s.acquire(ctx, w, t.node, false)
+	h, refused := s.acquire(ctx, w, t, false)
 	if refused != nil {
 		return w.handleNotAdmitted(t, refused)
 	}
@@ -85,6 +88,10 @@
 
 // handleNotAdmitted decides about a retry after an upstream's queue or pool refused the statement.
 func (w *work) handleNotAdmitted(t target, refused *Reply) (Reply, outcome) {
+	if refused.declined {
+		w.declined = append(w.declined, t.node)
+		return *refused, retryNow
+	}
 	w.tried = append(w.tried, t.node)
 	switch {
 	case !w.write && !t.strict:
@@ -111,7 +118,9 @@
 func (s *Session) send(w *work, t target, h *heldConn, cmds []core.Command, requestedAt core.Instant) (Reply, outcome) {
 	c := h.handle.Value
 	before := len(cmds)
-	cmds = append(cmds, w.command(t.await))
+	cmd := w.command(t.await)
+	cmd.Patience = t.patience
+	cmds = append(cmds, cmd)
 	if t.strict {
 		cmds = append(cmds, core.Command{Op: core.OpRollback})
 	}
@@ -124,7 +133,7 @@
 		if err == nil && ans.Fault != core.FaultNone && t.strict {
 			// The statement was refused together with its transaction.
 			if _, err := receive(c, len(cmds)-before, w.deadline); err == nil {
-				return s.handleSetUpFailure(h, core.Answer{Fault: ans.Fault, Status: core.TxIdle}, nil)
+				return s.handleSetUpFailure(h, core.Answer{Fault: ans.Fault, Status: core.TxIdle, Load: ans.Load}, nil)
 			}
 		}
 		if err != nil || ans.Fault != core.FaultNone {
@@ -135,7 +144,7 @@
 			t.node.noteLeads(requestedAt, ans.Position)
 		}
 	}
-	ans, err := c.Receive(s.answerDeadline(w, t.node))
+	ans, err := c.Receive(s.answerDeadline(w, t))
 	if err != nil {
 		return s.handleNoAnswer(w, h, t, err)
 	}
@@ -154,19 +163,24 @@
 	if ans.Fault == core.FaultReadOnly {
 		n.noteDenied()
 	}
-	return Reply{Fault: core.FaultBusy, Text: "the primary refused: " + ans.Fault.String()}, retryOnChange
+	return Reply{Fault: core.FaultBusy, Text: "the primary refused: " + ans.Fault.String(), retryAfter: ans.Load.RetryAfter}, retryOnChange
 }
 
 // answerDeadline returns the time until which to wait for an answer. After it, a read is retried on
 // another upstream.
-func (s *Session) answerDeadline(w *work, n *node) time.Time {
+func (s *Session) answerDeadline(w *work, t target) time.Time {
 	if w.write {
 		return w.deadline
 	}
+	n, now := t.node, time.Now()
 	n.mu.Lock()
 	d := max(minHedgeDelay, hedgeLatencyFactor*n.latency+2*s.p.distance(n.info.Load()))
+	if n.path.isIndirect() {
+		// The owner's queue takes its part of the time.
+		d += max(t.patience, 2*n.told.Left(now))
+	}
 	n.mu.Unlock()
-	at := time.Now().Add(d)
+	at := now.Add(d)
 	if at.After(w.deadline.Add(-w.runReserve())) {
 		return w.deadline
 	}
@@ -236,7 +250,17 @@
 	if h != nil {
 		h.freeAfter(ans.Fault)
 	}
-	n.noteAnswer(now, max(0, now.Sub(sent)-s.p.distance(n.info.Load())), ans.Position)
+	took := now.Sub(sent)
+	w.group.noteBytes(len(w.st.Text) + len(reply.Body))
+	reply.retryAfter, reply.declined = ans.Load.RetryAfter, ans.Load.IsDeclined
+	if t.strict {
+		n.noteLoad(now, ans.Load, 0)
+	} else {
+		n.noteLoad(now, ans.Load, took)
+	}
+	if !reply.declined {
+		n.noteAnswer(now, max(0, took-s.p.distance(n.info.Load())), ans.Position)
+	}
 	if t.strict && ans.Fault == core.FaultNone && w.group.isSampleDue(requestedAt) {
 		// The answer to BEGIN had no position. Inside the transaction only a leader answers.
 		n.noteLeads(requestedAt, ans.Position)
@@ -266,6 +290,10 @@
 		n.noteDenied()
 		return Reply{Fault: core.FaultBusy, Text: "the primary has changed"}, retryOnChange
 	case core.FaultBusy, core.FaultUnprepared:
+		if reply.declined {
+			w.declined = append(w.declined, n)
+			return reply, retryNow
+		}
 		w.tried = append(w.tried, n)
 		if w.write {
 			return reply, retryLater
--- /dev/null
+++ b/core/proxy/told.go
@@ -0,0 +1,107 @@
+package proxy
+
+import (
+	"time"
+
+	"snipewall/core"
+	"snipewall/core/queue"
+	"snipewall/core/spill"
+)
+
+const (
+	// toldTTL is how long the service time that an owner told counts.
+	toldTTL = 3 * time.Second
+	// bytesWeight is the weight of a new sample in the average size of a group's statements and answers.
+	bytesWeight = 0.05
+)
+
+// told is what the owner of an upstream told of it.
+type told struct {
+	spill.Told
+	run time.Duration
+	// hop is the moving average of the round trip to the owner; 0 if it isn't known.
+	hop time.Duration
+}
+
+// noteLoad records what an owner told with an answer that arrived d after its only command was sent. d is 0 if there were
+// several.
+func (n *node) noteLoad(now time.Time, l core.Load, d time.Duration) {
+	if !n.path.isIndirect() || l.Took <= 0 {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.told.Told, n.told.run = spill.Told{Wait: l.Wait, At: now}, l.Run
+	hop := d - l.Took
+	switch {
+	case hop <= 0:
+	case n.told.hop == 0:
+		n.told.hop = hop
+	default:
+		n.told.hop += time.Duration(latencyWeight * float64(hop-n.told.hop))
+	}
+}
+
+// expectation returns the expected wait and service time of a read of the kind. The service time is 0 if it isn't known
+// or part of the wait. The caller holds mu.
+func (n *node) expectation(now time.Time, kind core.Kind, rank core.Rank) (wait, run time.Duration) {
+	switch {
+	case n.path.isIndirect():
+		if now.Sub(n.told.At) < toldTTL {
+			run = n.told.run
+		}
+		return n.told.Left(now), run
+	case n.path.conns > maxConns:
+		return n.queue.ExpectedWait(&queue.Item{Kind: kind, Rank: rank}), n.latency
+	}
+	latency := n.latency
+	for d := now.Sub(n.answeredAt); d > latencyHalfLife && latency > time.Millisecond; d -= latencyHalfLife {
+		latency /= 2
+	}
+	return latency * time.Duration(1+n.pending.Load()) / time.Duration(n.limit), 0
+}
+
+// assumeRun gives candidates whose service time isn't known the lowest one that is, so that no statement leaves its
+// failure domain only to learn it.
+func assumeRun(cands []candidate) {
+	known := time.Duration(0)
+	for _, c := range cands {
+		if c.run > 0 && (known == 0 || c.run < known) {
+			known = c.run
+		}
+	}
+	for i := range cands {
+		if cands[i].run == 0 {
+			cands[i].run = known
+		}
+	}
+}
+
+// load returns what this VM tells of the upstream to one that sent the command.
+func (r *Relay) load(cmd core.Command, refused *Reply) core.Load {
+	if cmd.Kind == "" {
+		return core.Load{}
+	}
+	l := core.Load{Wait: r.n.queue.ExpectedWait(&queue.Item{Kind: cmd.Kind, Rank: cmd.Rank})}
+	r.n.mu.Lock()
+	l.Run = r.n.latency
+	r.n.mu.Unlock()
+	if refused != nil {
+		l.RetryAfter, l.IsDeclined = refused.retryAfter, refused.declined
+	}
+	return l
+}
+
+// noteBytes records the size of a statement with its answer.
+func (g *group) noteBytes(n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.bytes += bytesWeight * (float64(n) - g.bytes)
+}
+
+// toll returns the price of a statement for the group that leaves the failure domain.
+func (g *group) toll(t spill.Tariff) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return t.Toll(int(g.bytes))
+}
--- a/core/proxy/tx.go
+++ b/core/proxy/tx.go
@@ -102,10 +102,15 @@
 		if refused.overloaded && t.strict {
 			return &w.lastReply
 		}
-		w.tried = append(w.tried, t.node)
 		pause := time.Duration(0)
-		if !s.tx.readOnly || t.strict {
-			pause = 5 * retryDelay
+		switch {
+		case refused.declined:
+			w.declined = append(w.declined, t.node)
+		case !s.tx.readOnly || t.strict:
+			pause = max(5*retryDelay, spread(refused.retryAfter))
+			w.tried = append(w.tried, t.node)
+		default:
+			w.tried = append(w.tried, t.node)
 		}
 		if !s.waitForRetry(ctx, w, pause) {
 			return &w.lastReply
@@ -127,7 +132,7 @@
 // beginOn takes a connection and opens the transaction on it. A strict transaction is opened with a
 // plain BEGIN, which only a leading primary accepts; any other one awaits its position.
 func (s *Session) beginOn(ctx context.Context, w *work, t target) *Reply {
-	h, refused := s.acquire(ctx, w, t.node, true)
+	h, refused := s.acquire(ctx, w, t, true)
 	if refused != nil {
 		return refused
 	}
@@ -140,7 +145,7 @@
 	if t.strict {
 		cmds = append(cmds, w.withQueueing(core.Command{Op: core.OpBegin}))
 	} else {
-		cmds = append(cmds, w.withQueueing(core.Command{Op: core.OpBeginRead, Await: t.await}))
+		cmds = append(cmds, w.withQueueing(core.Command{Op: core.OpBeginRead, Await: t.await, Patience: t.patience}))
 	}
 	ans, err := h.roundTrip(cmds, w.deadline)
 	if err != nil {
@@ -150,13 +155,14 @@
 	}
 	if ans.Fault != core.FaultNone {
 		h.rollbackAndFree(ans.Status, ans.Fault)
+		t.node.noteLoad(time.Now(), ans.Load, 0)
 		switch ans.Fault {
 		case core.FaultReadOnly:
 			t.node.noteDenied()
 		case core.FaultLagging:
 			t.node.noteLag(t.await)
 		}
-		return &Reply{Fault: core.FaultBusy, Text: "the upstream refused the transaction: " + ans.Fault.String()}
+		return &Reply{Fault: core.FaultBusy, Text: "the upstream refused the transaction: " + ans.Fault.String(), retryAfter: ans.Load.RetryAfter, declined: ans.Load.IsDeclined}
 	}
 	if t.strict {
 		w.group.noteSample(requestedAt, ans.Sample)
--- a/core/proxy/work.go
+++ b/core/proxy/work.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"slices"
 	"time"
@@ -56,9 +57,10 @@
 	// startBy is the time until which the statement may wait for a slot and a connection. After about
 	// half of its time, the caller is served better by trying another VM than by waiting here.
 	startBy time.Time
-	// tried are the upstreams on which the statement failed.
-	tried []*node
-	tries int
+	// tried are the upstreams on which the statement failed, and declined those that refused it only because another
+	// one would serve it sooner.
+	tried, declined []*node
+	tries           int
 	// readIndexRequested is set if the primary was asked for its position.
 	readIndexRequested bool
 	// lastReply is the result of the last failed try.
@@ -148,6 +150,8 @@
 	strict bool
 	// await is the position that the upstream must have; zero if none is required.
 	await core.Position
+	// patience is how long the statement may wait for a slot before another upstream is better; 0 means no such limit.
+	patience time.Duration
 }
 
 // chooseTarget chooses the upstream. It returns false if none can serve the statement now.
@@ -172,8 +176,8 @@
 	if w.route.Reads == topo.ReadYourWrites && await.Less(s.lastCommit) {
 		await = s.lastCommit
 	}
-	if n := w.cheapestUntried(now, await); n != nil {
-		return target{node: n, await: await}, true
+	if n, patience := s.cheapestUntried(w, now, await); n != nil {
+		return target{node: n, await: await, patience: patience}, true
 	}
 	// No upstream that answers has the position. The primary always has it.
 	w.tried = nil
@@ -187,8 +191,9 @@
 	return res.Log, err == nil && res.Leads && !res.Log.IsZero()
 }
 
-// cheapestUntried returns the node with the lowest estimated cost that was not tried yet, or nil.
-func (w *work) cheapestUntried(now time.Time, await core.Position) *node {
+// cheapestUntried returns the node with the lowest estimated cost that was not tried yet, or nil, and how long the
+// statement may wait there. One that has declined it may be the best one nevertheless, and is then waited for.
+func (s *Session) cheapestUntried(w *work, now time.Time, await core.Position) (*node, time.Duration) {
 	nodes := *w.group.nodes.Load()
 	var cands []candidate
 	var from []*node
@@ -196,12 +201,20 @@
 		if slices.Contains(w.tried, n) || n.info.Load().Leaving {
 			continue
 		}
-		cands, from = append(cands, n.asCandidate(now, await)), append(from, n)
+		cands, from = append(cands, n.asCandidate(now, w, await)), append(from, n)
 	}
-	if i := cheapest(cands); i >= 0 {
-		return from[i]
+	assumeRun(cands)
+	i, patience := cheapest(cands)
+	if i < 0 {
+		return nil, 0
 	}
-	return nil
+	if slices.Contains(w.declined, from[i]) {
+		patience = 0
+	}
+	if from[i].info.Load().FailureDomain != s.p.cfg.Self.FailureDomain {
+		s.p.metrics.crossings.Inc(1)
+	}
+	return from[i], patience
 }
 
 // waitForRetry waits before a retry and reports whether there is time for one.
@@ -229,6 +242,9 @@
 	return true
 }
 
+// spread lengthens a pause at random, so that statements which were refused at the same time don't return together.
+func spread(d time.Duration) time.Duration { return d + rand.N(d/4+1) }
+
 // runReserve is the part of the statement timeout that is kept for running the statement.
 func (w *work) runReserve() time.Duration { return w.route.StatementTimeout / 8 }
 
@@ -271,8 +287,9 @@
 // getter takes a connection, waiting at most until the deadline.
 type getter func(ctx context.Context, label string, deadline time.Time) (*pool.Handle[*conn], error)
 
-func (s *Session) acquire(ctx context.Context, w *work, n *node, opensTx bool) (*heldConn, *Reply) {
-	it := &queue.Item{Kind: core.Kind(s.database), Rank: w.route.Rank, OpensTx: opensTx, Deadline: w.startBy}
+func (s *Session) acquire(ctx context.Context, w *work, t target, opensTx bool) (*heldConn, *Reply) {
+	it := &queue.Item{Kind: core.Kind(s.database), Rank: w.route.Rank, OpensTx: opensTx, Patience: t.patience, Deadline: w.startBy}
+	n := t.node
 	return n.acquire(ctx, it, s.p.label(w.organisation), n.get)
 }
 
@@ -304,7 +321,15 @@
 		n.pending.Add(-1)
 		n.p.metrics.refusals.Inc(1)
 		var refusal *queue.Refusal
-		return &Reply{Fault: core.FaultBusy, Text: refusalText(err), overloaded: errors.As(err, &refusal) && refusal.RetryAfter > 0}
+		r := &Reply{Fault: core.FaultBusy, Text: refusalText(err)}
+		if errors.As(err, &refusal) {
+			r.retryAfter, r.declined = refusal.RetryAfter, refusal.IsDeclined
+			r.overloaded = refusal.RetryAfter > 0 && !refusal.IsDeclined
+		}
+		if r.declined {
+			n.p.metrics.declined.Inc(1)
+		}
+		return r
 	}
 	h.slot = slot
 	return nil
--- a/core/queue/base.go
+++ b/core/queue/base.go
@@ -42,6 +42,11 @@
 	return nil
 }
 
+// ExpectedWait estimates the wait of an item as the time for all waiting items in all slots.
+func (b *base) ExpectedWait(_ time.Time, it *Item) time.Duration {
+	return time.Duration(b.Waiting()) * b.find(it).serviceTime.value() / time.Duration(b.slots)
+}
+
 // Remove removes a waiting item and reports whether it waited.
 func (b *base) Remove(it *Item) bool {
 	return it.state != nil && it.state.fifoFor(it).remove(it)
--- a/core/queue/item.go
+++ b/core/queue/item.go
@@ -15,6 +15,9 @@
 	InTx bool
 	// OpensTx is set if the request opens a transaction.
 	OpensTx bool
+	// Patience is the expected wait above which the item is refused at once, since it is served sooner elsewhere; 0
+	// means no such limit.
+	Patience time.Duration
 	// Deadline is when the answer is due; zero means no deadline.
 	Deadline time.Time
 
@@ -43,6 +46,8 @@
 	Reason string
 	// RetryAfter suggests how long to wait before a retry; 0 means no suggestion.
 	RetryAfter time.Duration
+	// IsDeclined is set if the request was refused only because of its patience.
+	IsDeclined bool
 }
 
 func (e *Refusal) Error() string { return "refused: " + e.Reason }
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -94,6 +94,13 @@
 	q.dispatch(time.Now())
 }
 
+// ExpectedWait estimates the wait of an item that would be added now. The item can't be used for anything else.
+func (q *Queue) ExpectedWait(it *Item) time.Duration {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.sched.ExpectedWait(time.Now(), it)
+}
+
 // Estimate returns the expected service time of the kind.
 func (q *Queue) Estimate(kind core.Kind) time.Duration {
 	q.mu.Lock()
--- a/core/queue/queue_test.go
+++ b/core/queue/queue_test.go
@@ -230,3 +230,37 @@
 		})
 	}
 }
+
+// Guards against a request that queues although another upstream serves it sooner, and against a kind that counts as
+// overloaded because of such requests. The baseline is the same request without patience, which waits.
+func TestPatience(t *testing.T) {
+	runScenario(t, Config{Slots: 1, Policies: testRows()}, func(t *testing.T, q *Queue) {
+		slot, err := q.Acquire(t.Context(), &Item{Kind: "report"})
+		assert.NilError(t, err)
+		time.Sleep(100 * time.Millisecond)
+		slot.Release(true)
+		slot, err = q.Acquire(t.Context(), &Item{Kind: "report"})
+		assert.NilError(t, err)
+		waited := make(chan error, 3)
+		for range 3 {
+			go func() {
+				s, err := q.Acquire(t.Context(), &Item{Kind: "report"})
+				if err == nil {
+					time.Sleep(100 * time.Millisecond)
+					s.Release(true)
+				}
+				waited <- err
+			}()
+		}
+		synctest.Wait()
+		began := time.Now()
+		_, err = q.Acquire(t.Context(), &Item{Kind: "report", Patience: 50 * time.Millisecond})
+		var refusal *Refusal
+		assert.Assert(t, errors.As(err, &refusal) && refusal.IsDeclined && refusal.RetryAfter > 0, "%v", err)
+		assert.Equal(t, time.Since(began), time.Duration(0))
+		slot.Release(true)
+		for range 3 {
+			assert.NilError(t, <-waited)
+		}
+	})
+}
--- a/core/queue/scheduler.go
+++ b/core/queue/scheduler.go
@@ -45,6 +45,8 @@
 	// BeginTx and EndTx count open transactions. Next itself counts those of items with OpensTx.
 	BeginTx()
 	EndTx()
+	// ExpectedWait estimates the wait of an item that would be added now.
+	ExpectedWait(now time.Time, it *Item) time.Duration
 	// Estimate returns the expected service time of the kind.
 	Estimate(kind core.Kind) time.Duration
 	// Dump returns a snapshot for status output.
--- a/core/queue/shares.go
+++ b/core/queue/shares.go
@@ -64,7 +64,12 @@
 	if now.Sub(it.state.refusedAt) < overloadTime {
 		limit /= overloadWaitDivisor
 	}
-	if wait := s.expectedWait(now, it); wait > limit {
+	wait := s.expectedWait(now, it)
+	if it.Patience > 0 && wait > it.Patience {
+		s.Remove(it)
+		return &Refusal{Reason: "another upstream serves it sooner", RetryAfter: wait - it.Patience, IsDeclined: true}
+	}
+	if wait > limit {
 		s.Remove(it)
 		it.state.refusedAt = now
 		return &Refusal{Reason: "the expected wait is too long", RetryAfter: wait - limit}
--- a/core/queue/wait.go
+++ b/core/queue/wait.go
@@ -24,6 +24,12 @@
 	return s.waitForSlotTime(now, k, ahead, own)
 }
 
+// ExpectedWait implements Scheduler.
+func (s *Shares) ExpectedWait(now time.Time, it *Item) time.Duration {
+	it.state = s.find(it)
+	return s.expectedWait(now, it)
+}
+
 // slotTimeBeforeTx returns the slot time that the kind uses before a new transaction begins. waiting is
 // that of the items that wait now. While requests are refused, single statements wait all the time.
 func (s *Shares) slotTimeBeforeTx(now time.Time, k *kindState, it *Item, waiting time.Duration) time.Duration {
