Keep slots of a primary for work that can't go elsewhere, and wait by the objective

Reads that a replica may serve took the slots of a primary in their failure domain, since the queue saw no wait until all were taken, and writes then waited behind them. Where an owner knows all work of an upstream, a statement with patience leaves half of a primary's slots free.

A statement had 0.45 of the statement timeout to get a slot, whatever its objective was. It now has the objective less an eighth, at most three quarters of the timeout, so that it isn't refused while it would be served in time, nor held when it can't.

--- a/core/proxy/metrics.go
+++ b/core/proxy/metrics.go
@@ -8,7 +8,7 @@
 
 type metrics struct {
 	statements, faults, retries, refusals, dials, overloads, aborts, ownerDials, declined, crossings tally.Counter
-	latency                                                                     tally.Histogram
+	latency                                                                                          tally.Histogram
 }
 
 // latencyBuckets covers 1 ms to 16 s.
--- a/core/proxy/spill_test.go
+++ b/core/proxy/spill_test.go
@@ -121,3 +121,44 @@
 		assert.Assert(t, now.late+now.refused <= before.late+before.refused, "%+v: now %+v, before %+v", load, now, before)
 	}
 }
+
+// Guards against writes that wait behind reads which a replica would serve. Load
+// pattern: a surge of reads in the failure domain of the primary, with one replica that lags.
+func TestReadsKeepSlotsOfPrimaryFree(t *testing.T) {
+	worst := func(before bool) (worst time.Duration, refused int) {
+		synctest.Test(t, func(t *testing.T) {
+			owner := newHarness(t)
+			owner.servers[nearID].update(func(s *server) { s.log = core.Position{} })
+			for _, s := range owner.servers {
+				s.update(func(s *server) { s.serviceTime = 28 * time.Millisecond })
+			}
+			owner.must(owner.proxy.Open("strict", noKey), VerbRead, "READ 0")
+			var wg sync.WaitGroup
+			for range 12 {
+				r := newHarnessIn(t, "here", manyVMs()...)
+				r.relaysWithHops(owner, "here", before)
+				wg.Go(func() { r.surge("bounded", 50*time.Millisecond, 3*time.Second) })
+			}
+			strict := newHarnessIn(t, "here", manyVMs()...)
+			strict.relaysWithHops(owner, "here", before)
+			for range 50 {
+				began := time.Now()
+				if strict.do(strict.proxy.Open("bounded", noKey), VerbWrite, "WRITE 1").Fault != core.FaultNone {
+					refused++
+				}
+				worst = max(worst, time.Since(began))
+				log := core.Position{Term: 2}
+				owner.servers[farID].update(func(s *server) { s.log = log })
+				time.Sleep(50 * time.Millisecond)
+			}
+			wg.Wait()
+		})
+		return worst, refused
+	}
+	now, refused := worst(false)
+	before, refusedBefore := worst(true)
+	t.Logf("now %v, %d refused; before %v, %d refused", now, refused, before, refusedBefore)
+	assert.Assert(t, now < 100*time.Millisecond, "%v", now)
+	assert.Equal(t, refused, 0)
+	assert.Assert(t, before > now, "the baseline: %v", before)
+}
--- a/core/proxy/told.go
+++ b/core/proxy/told.go
@@ -77,6 +77,20 @@
 	}
 }
 
+// keptSlots returns how many slots of the upstream work that may go elsewhere leaves free: half of those of a primary,
+// since only it can run writes, strict reads and transactions. Only its owner knows how many are taken.
+func (n *node) keptSlots() int {
+	if n.path.isIndirect() || n.path.conns <= maxConns {
+		return 0
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.isPrimaryClaimant() {
+		return 0
+	}
+	return n.limit / 2
+}
+
 // load returns what this VM tells of the upstream to one that sent the command.
 func (r *Relay) load(cmd core.Command, refused *Reply) core.Load {
 	if cmd.Kind == "" {
@@ -86,6 +100,10 @@
 	r.n.mu.Lock()
 	l.Run = r.n.latency
 	r.n.mu.Unlock()
+	if refused != nil && refused.declined {
+		// A slot that is kept for other work is free no sooner than one that is taken.
+		l.Wait = max(l.Wait, l.Run)
+	}
 	if refused != nil {
 		l.RetryAfter, l.IsDeclined = refused.retryAfter, refused.declined
 	}
--- a/core/proxy/work.go
+++ b/core/proxy/work.go
@@ -28,6 +28,10 @@
 	readIndexTimeout = 150 * time.Millisecond
 	// startTimeShare is the share of the statement timeout in which a statement has to get a slot.
 	startTimeShare = 0.45
+	// runReserveDivisor divides the time for a statement to get the part that is kept for running it.
+	runReserveDivisor = 8
+	// timeoutReserveDivisor does the same for the statement timeout, after which the outcome of a write is unknown.
+	timeoutReserveDivisor = 4
 	// maxTries limits the immediate retries of one statement.
 	maxTries = 6
 	// rollbackTimeout limits the wait for the answer to ROLLBACK, which takes no slot.
@@ -81,7 +85,7 @@
 		return nil, &Reply{Fault: core.FaultAborted, Text: "the key belongs to another organisation since"}
 	}
 	w := &work{st: st, route: route, organisation: organisation, group: s.p.group(route.Group), began: began, deadline: began.Add(route.StatementTimeout)}
-	w.startBy = began.Add(time.Duration(startTimeShare * float64(route.StatementTimeout)))
+	w.startBy = began.Add(startTime(route, s.tx != nil))
 	w.write = st.Verb == VerbWrite
 	if st.Verb == VerbExecute {
 		ps, ok := s.prepared[st.Name]
@@ -97,6 +101,19 @@
 	return w, nil
 }
 
+// startTime returns the time in which a statement has to get a slot. A single statement may use what its objective leaves
+// after the time for running it: a caller that is refused earlier comes back and waits again, and one that is served
+// later has waited in vain. The statements of a transaction share the objective.
+func startTime(route topo.Route, inTx bool) time.Duration {
+	if route.Objective <= 0 {
+		return time.Duration(startTimeShare * float64(route.StatementTimeout))
+	}
+	if inTx {
+		return time.Duration(startTimeShare * float64(min(route.Objective, route.StatementTimeout)))
+	}
+	return min(route.Objective-route.Objective/runReserveDivisor, route.StatementTimeout-route.StatementTimeout/timeoutReserveDivisor)
+}
+
 // textNotIdentified explains why a caller wasn't identified.
 var textNotIdentified = map[core.Fault]string{
 	core.FaultUnauthorized: "the key is unknown or was withdrawn",
@@ -246,7 +263,7 @@
 func spread(d time.Duration) time.Duration { return d + rand.N(d/4+1) }
 
 // runReserve is the part of the statement timeout that is kept for running the statement.
-func (w *work) runReserve() time.Duration { return w.route.StatementTimeout / 8 }
+func (w *work) runReserve() time.Duration { return w.route.StatementTimeout / runReserveDivisor }
 
 // awaitPrimary waits for a change such as a new primary, and reports whether to try again. It doesn't wait
 // if the group has been without a primary for longer than maxOutageWait.
@@ -288,7 +305,7 @@
 type getter func(ctx context.Context, label string, deadline time.Time) (*pool.Handle[*conn], error)
 
 func (s *Session) acquire(ctx context.Context, w *work, t target, opensTx bool) (*heldConn, *Reply) {
-	it := &queue.Item{Kind: core.Kind(s.database), Rank: w.route.Rank, OpensTx: opensTx, Patience: t.patience, Deadline: w.startBy}
+	it := &queue.Item{Kind: core.Kind(s.database), Rank: w.route.Rank, OpensTx: opensTx, Patience: t.patience, KeepFree: t.node.keptSlots(), Deadline: w.startBy}
 	n := t.node
 	return n.acquire(ctx, it, s.p.label(w.organisation), n.get)
 }
--- a/core/queue/item.go
+++ b/core/queue/item.go
@@ -18,6 +18,9 @@
 	// Patience is the expected wait above which the item is refused at once, since it is served sooner elsewhere; 0
 	// means no such limit.
 	Patience time.Duration
+	// KeepFree is the number of slots that an item with patience leaves to the work that can't go elsewhere: it is refused
+	// at once if no more than these are free.
+	KeepFree int
 	// Deadline is when the answer is due; zero means no deadline.
 	Deadline time.Time
 
--- a/core/queue/shares.go
+++ b/core/queue/shares.go
@@ -65,9 +65,9 @@
 		limit /= overloadWaitDivisor
 	}
 	wait := s.expectedWait(now, it)
-	if it.Patience > 0 && wait > it.Patience {
+	if it.Patience > 0 && (wait > it.Patience || s.isKept(it)) {
 		s.Remove(it)
-		return &Refusal{Reason: "another upstream serves it sooner", RetryAfter: wait - it.Patience, IsDeclined: true}
+		return &Refusal{Reason: "another upstream serves it sooner", RetryAfter: max(0, wait-it.Patience), IsDeclined: true}
 	}
 	if wait > limit {
 		s.Remove(it)
@@ -84,6 +84,11 @@
 	return nil
 }
 
+// isKept reports whether the item, which counts as waiting, would take one of the slots that it has to leave free.
+func (s *Shares) isKept(it *Item) bool {
+	return it.KeepFree > 0 && s.running+s.Waiting() > s.slots-it.KeepFree
+}
+
 // Next starts an item of the most urgent rank that has credit and work waiting. If none has credit, it
 // starts one of the most urgent rank with work waiting. Statements of open transactions go first, within
 // the limits of pickTx.
--- a/core/topo/topo.go
+++ b/core/topo/topo.go
@@ -53,7 +53,9 @@
 	MaxAge time.Duration
 	// StatementTimeout limits one statement.
 	StatementTimeout time.Duration
-	Rank             core.Rank
+	// Objective is the time in which an operation of one or more statements should end; 0 if it isn't known.
+	Objective time.Duration
+	Rank      core.Rank
 	// Public is set if callers need no key.
 	Public bool
 }
