Let the owner of a lagging replica answer for it

Each VM found out by itself that a replica lacks a position, with a statement that the upstream refused. The owner now remembers the refusal as other VMs do, and answers for the replica while it would avoid it itself (60 to 500 ms). The replica's slots and connections are spared, and the answer tells its position.

--- a/core/proxy/metrics.go
+++ b/core/proxy/metrics.go
@@ -7,8 +7,8 @@
 )
 
 type metrics struct {
-	statements, faults, retries, refusals, dials, overloads, aborts, ownerDials, declined, crossings tally.Counter
-	latency                                                                                          tally.Histogram
+	statements, faults, retries, refusals, dials, overloads, aborts, ownerDials, declined, crossings, lagRefusals tally.Counter
+	latency                                                                                                       tally.Histogram
 }
 
 // latencyBuckets covers 1 ms to 16 s.
@@ -19,16 +19,17 @@
 		scope = tally.NoopScope
 	}
 	return metrics{
-		statements: scope.Counter("Statements"),
-		faults:     scope.Counter("Faults"),
-		retries:    scope.Counter("Retries"),
-		refusals:   scope.Counter("Refusals"),
-		dials:      scope.Counter("Dials"),
-		overloads:  scope.Counter("ConnectionLimit"),
-		ownerDials: scope.Counter("OwnerDials"),
-		declined:   scope.Counter("Declined"),
-		crossings:  scope.Counter("Crossings"),
-		aborts:     scope.Counter("AbortedTransactions"),
-		latency:    scope.Histogram("StatementTime", latencyBuckets),
+		statements:  scope.Counter("Statements"),
+		faults:      scope.Counter("Faults"),
+		retries:     scope.Counter("Retries"),
+		refusals:    scope.Counter("Refusals"),
+		dials:       scope.Counter("Dials"),
+		overloads:   scope.Counter("ConnectionLimit"),
+		ownerDials:  scope.Counter("OwnerDials"),
+		declined:    scope.Counter("Declined"),
+		lagRefusals: scope.Counter("LagRefusals"),
+		crossings:   scope.Counter("Crossings"),
+		aborts:      scope.Counter("AbortedTransactions"),
+		latency:     scope.Histogram("StatementTime", latencyBuckets),
 	}
 }
--- a/core/proxy/relay.go
+++ b/core/proxy/relay.go
@@ -107,6 +107,23 @@
 	return core.Answer{Status: r.status()}
 }
 
+// lacks answers a command for a position that the upstream has lacked a moment ago. Load pattern: replicas lag, and each of
+// many VMs finds out for itself, with a statement that the upstream refuses.
+func (r *Relay) lacks(cmd core.Command) (core.Answer, bool) {
+	if r.held != nil || cmd.Await.IsZero() {
+		return core.Answer{}, false
+	}
+	r.n.mu.Lock()
+	lagging, _ := r.n.lagState(time.Now(), cmd.Await)
+	position := r.n.position
+	r.n.mu.Unlock()
+	if !lagging {
+		return core.Answer{}, false
+	}
+	r.n.p.metrics.lagRefusals.Inc(1)
+	return core.Answer{Fault: core.FaultLagging, Text: string(r.n.id()), Position: position, Status: core.TxIdle, Load: r.load(cmd, nil)}, true
+}
+
 // followNode replaces a node that was stopped because the path to the upstream has changed on this VM. Its queue refuses
 // everything.
 func (r *Relay) followNode() {
@@ -138,6 +155,10 @@
 func (r *Relay) begin(ctx context.Context, cmd core.Command, deadline time.Time) core.Answer {
 	r.rollback()
 	r.beginRefused = true
+	if ans, ok := r.lacks(cmd); ok {
+		ans.Status = core.TxFailed
+		return ans
+	}
 	h, refused := r.connect(ctx, cmd, deadline)
 	if refused != nil {
 		return core.Answer{Fault: refused.Fault, Text: refused.Text, Status: core.TxFailed, Load: r.load(cmd, refused)}
@@ -153,6 +174,9 @@
 	r.n.notePosition(ans.Position)
 	if ans.Fault != core.FaultNone {
 		h.rollbackAndFree(ans.Status, ans.Fault)
+		if ans.Fault == core.FaultLagging {
+			r.n.noteLag(cmd.Await)
+		}
 		ans.Status = core.TxFailed
 		return ans
 	}
@@ -215,6 +239,9 @@
 		}
 		ps = &s
 	}
+	if ans, ok := r.lacks(cmd); ok {
+		return ans
+	}
 	h, refused := r.admit(ctx, cmd, deadline)
 	if refused != nil {
 		return core.Answer{Fault: refused.Fault, Text: refused.Text, Status: r.status(), Load: r.load(cmd, refused)}
@@ -228,6 +255,9 @@
 	}
 	now := time.Now()
 	r.n.noteAnswer(now, now.Sub(sent), ans.Position)
+	if ans.Fault == core.FaultLagging {
+		r.n.noteLag(cmd.Await)
+	}
 	ans = r.copyBody(ans)
 	ans.Load = r.load(cmd, nil)
 	switch {
