Count the share of failed statements in the choice of an upstream

An upstream that fails or refuses part of its statements while others succeed never counted as failing, which takes two unanswered statements in a row. Its owner now measures the share and tells it; it counts as the time that a failed try costs. An upstream without an alternative is used as before.

--- a/core/line.go
+++ b/core/line.go
@@ -158,6 +158,8 @@
 	// Wait is the expected time until a further statement of the same kind gets a slot, and Run the average time that
 	// statements take from then on. Took is the time from the command's arrival to the answer.
 	Wait, Run, Took time.Duration
+	// FaultPercent is the share of recent statements that the upstream failed, refused as busy or didn't answer.
+	FaultPercent uint8
 	// RetryAfter is set if the queue refused the command: the time after which it would accept it. IsDeclined is set if
 	// it did so only because of Command.Patience.
 	RetryAfter time.Duration
--- a/core/proxy/choose.go
+++ b/core/proxy/choose.go
@@ -35,11 +35,13 @@
 	skip bool
 	// failing is set if its last statements got no answer.
 	failing bool
+	// faults is the price of the tries that fail.
+	faults time.Duration
 }
 
 // offer returns the candidate with penalties for the load that the read puts on others and for tries in vain.
 func (c candidate) offer() spill.Offer {
-	o := spill.Offer{Hop: c.distance, Wait: c.wait, Run: c.run, Toll: c.toll, Skip: c.skip}
+	o := spill.Offer{Hop: c.distance, Wait: c.wait, Run: c.run, Toll: c.toll, Burden: c.faults, Skip: c.skip}
 	if c.primary {
 		o.Burden += primaryPenalty
 	}
--- a/core/proxy/node.go
+++ b/core/proxy/node.go
@@ -246,6 +246,7 @@
 	}
 	c.primary = n.isPrimaryClaimant()
 	c.wait, c.run = n.expectation(now, core.Kind(w.route.Database), w.route.Rank)
+	c.faults = n.faultCost(now)
 	c.lagging, c.skip = n.lagState(now, await)
 	c.failing = n.failures >= failThreshold && now.Sub(n.failedAt) < failBackoff
 	return c
--- a/core/proxy/relay.go
+++ b/core/proxy/relay.go
@@ -251,9 +251,11 @@
 	ans, err := h.exchange(cmds, deadline)
 	if err != nil {
 		r.n.noteFailure(h.handle.Value)
+		r.n.noteOutcome(time.Now(), true)
 		return r.handleLostConn(h, cmd, err)
 	}
 	now := time.Now()
+	r.n.noteOutcome(now, isFailure(ans.Fault))
 	r.n.noteAnswer(now, now.Sub(sent), ans.Position)
 	if ans.Fault == core.FaultLagging {
 		r.n.noteLag(cmd.Await)
--- a/core/proxy/single.go
+++ b/core/proxy/single.go
@@ -209,6 +209,7 @@
 		return s.handleLostConn(w, h, "the upstream broke off")
 	}
 	h.node.noteFailure(h.handle.Value)
+	h.node.noteOutcome(time.Now(), true)
 	if w.write || !time.Now().Before(w.deadline) {
 		h.discard()
 		return Reply{Fault: core.FaultTimeout, Text: "no answer within the statement's time"}, done
@@ -251,6 +252,7 @@
 		h.freeAfter(ans.Fault)
 	}
 	took := now.Sub(sent)
+	n.noteOutcome(now, isFailure(ans.Fault))
 	w.group.noteBytes(len(w.st.Text) + len(reply.Body))
 	reply.retryAfter, reply.declined = ans.Load.RetryAfter, ans.Load.IsDeclined
 	if t.strict {
--- a/core/proxy/spill_test.go
+++ b/core/proxy/spill_test.go
@@ -162,3 +162,28 @@
 	assert.Equal(t, refused, 0)
 	assert.Assert(t, before > now, "the baseline: %v", before)
 }
+
+// Guards against reads that go on trying a replica which refuses every second statement while its health is good. The
+// baseline is an owner that doesn't tell it.
+func TestUpstreamThatFailsPartOfItsRequests(t *testing.T) {
+	tries := func(before bool) (n int) {
+		inBubble(t, func(t *testing.T, owner *harness) {
+			owner.must(owner.proxy.Open("strict", noKey), VerbRead, "READ 0")
+			near := owner.servers[nearID]
+			for i := range 200 {
+				r := newHarnessIn(t, "here", manyVMs()...)
+				r.relaysWithHops(owner, "here", before)
+				for range 4 {
+					near.update(func(s *server) { s.busy = i % 2 })
+					refusals := near.busy
+					r.must(r.proxy.Open("bounded", noKey), VerbRead, "READ 1")
+					n += refusals - near.busy
+				}
+			}
+		})
+		return n
+	}
+	now, before := tries(false), tries(true)
+	t.Logf("now %d, before %d tries in vain", now, before)
+	assert.Assert(t, now*3 < before*2, "now %d, before %d", now, before)
+}
--- a/core/proxy/told.go
+++ b/core/proxy/told.go
@@ -13,6 +13,10 @@
 	toldTTL = 3 * time.Second
 	// bytesWeight is the weight of a new sample in the average size of a group's statements and answers.
 	bytesWeight = 0.05
+	// faultWeight is the weight of a new sample in the share of failed statements.
+	faultWeight = 0.1
+	// faultPenalty is what a failed try costs: an answer that doesn't come is waited for about as long.
+	faultPenalty = 300 * time.Millisecond
 )
 
 // told is what the owner of an upstream told of it.
@@ -21,6 +25,8 @@
 	run time.Duration
 	// hop is the moving average of the round trip to the owner; 0 if it isn't known.
 	hop time.Duration
+	// faultShare is the share of statements that the upstream failed.
+	faultShare float64
 }
 
 // noteLoad records what an owner told with an answer that arrived d after its only command was sent. d is 0 if there were
@@ -31,7 +37,7 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.told.Told, n.told.run = spill.Told{Wait: l.Wait, At: now}, l.Run
+	n.told.Told, n.told.run, n.told.faultShare = spill.Told{Wait: l.Wait, At: now}, l.Run, float64(l.FaultPercent)/100
 	hop := d - l.Took
 	switch {
 	case hop <= 0:
@@ -42,6 +48,40 @@
 	}
 }
 
+// noteOutcome records whether the upstream itself ran a statement. Load pattern: an upstream fails part of its requests
+// while its health is good, so that it never fails often enough in a row.
+func (n *node) noteOutcome(now time.Time, failed bool) {
+	if n.path.isIndirect() {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	sample := 0.0
+	if failed {
+		sample = 1
+	}
+	n.told.faultShare += faultWeight * (sample - n.told.faultShare)
+	n.told.At = now
+}
+
+// isFailure reports whether an answer with the fault counts against the upstream.
+func isFailure(f core.Fault) bool {
+	switch f {
+	case core.FaultFailed, core.FaultTimeout, core.FaultInDoubt, core.FaultBusy:
+		return true
+	}
+	return false
+}
+
+// faultCost returns what the share of failed statements costs a read. An upstream that nobody has used for a while gets
+// a chance again. The caller holds mu.
+func (n *node) faultCost(now time.Time) time.Duration {
+	if now.Sub(n.told.At) >= toldTTL {
+		return 0
+	}
+	return time.Duration(n.told.faultShare * float64(faultPenalty))
+}
+
 // expectation returns the expected wait and service time of a read of the kind. The service time is 0 if it isn't known
 // or part of the wait. The caller holds mu.
 func (n *node) expectation(now time.Time, kind core.Kind, rank core.Rank) (wait, run time.Duration) {
@@ -99,6 +139,7 @@
 	l := core.Load{Wait: r.n.queue.ExpectedWait(&queue.Item{Kind: cmd.Kind, Rank: cmd.Rank})}
 	r.n.mu.Lock()
 	l.Run = r.n.latency
+	l.FaultPercent = uint8(100 * r.n.told.faultShare)
 	r.n.mu.Unlock()
 	if refused != nil && refused.declined {
 		// A slot that is kept for other work is free no sooner than one that is taken.
