Refuse early again, and keep one slot of a primary instead of half

Waiting up to the objective turned 204 refusals of flood-bulletins into 293 late answers: a caller that is refused after a long wait is late in any case. The share of the statement timeout counts again, and the objective only shortens it.

--- a/core/proxy/told.go
+++ b/core/proxy/told.go
@@ -13,6 +13,8 @@
 	toldTTL = 3 * time.Second
 	// bytesWeight is the weight of a new sample in the average size of a group's statements and answers.
 	bytesWeight = 0.05
+	// keptSlots is the number of slots of a primary that work which may go elsewhere leaves free.
+	keptSlots = 1
 	// faultWeight is the weight of a new sample in the share of failed statements.
 	faultWeight = 0.1
 	// faultPenalty is what a failed try costs: an answer that doesn't come is waited for about as long.
@@ -117,8 +119,8 @@
 	}
 }
 
-// keptSlots returns how many slots of the upstream work that may go elsewhere leaves free: half of those of a primary,
-// since only it can run writes, strict reads and transactions. Only its owner knows how many are taken.
+// keptSlots returns how many slots of the upstream work that may go elsewhere leaves free: one of those of a primary, for
+// the next write, strict read or transaction, which only it can run. Only its owner knows how many are taken.
 func (n *node) keptSlots() int {
 	if n.path.isIndirect() || n.path.conns <= maxConns {
 		return 0
@@ -128,7 +130,7 @@
 	if !n.isPrimaryClaimant() {
 		return 0
 	}
-	return n.limit / 2
+	return min(keptSlots+extraSlots, n.limit/2)
 }
 
 // load returns what this VM tells of the upstream to one that sent the command.
--- a/core/proxy/work.go
+++ b/core/proxy/work.go
@@ -30,8 +30,6 @@
 	startTimeShare = 0.45
 	// runReserveDivisor divides the time for a statement to get the part that is kept for running it.
 	runReserveDivisor = 8
-	// timeoutReserveDivisor does the same for the statement timeout, after which the outcome of a write is unknown.
-	timeoutReserveDivisor = 4
 	// maxTries limits the immediate retries of one statement.
 	maxTries = 6
 	// rollbackTimeout limits the wait for the answer to ROLLBACK, which takes no slot.
@@ -101,17 +99,18 @@
 	return w, nil
 }
 
-// startTime returns the time in which a statement has to get a slot. A single statement may use what its objective leaves
-// after the time for running it: a caller that is refused earlier comes back and waits again, and one that is served
-// later has waited in vain. The statements of a transaction share the objective.
+// startTime returns the time in which a statement has to get a slot: a share of the statement timeout, so that a caller that
+// is refused has time for another try, but no more than its objective leaves after the time for running it. The statements
+// of a transaction share the objective.
 func startTime(route topo.Route, inTx bool) time.Duration {
-	if route.Objective <= 0 {
-		return time.Duration(startTimeShare * float64(route.StatementTimeout))
-	}
-	if inTx {
-		return time.Duration(startTimeShare * float64(min(route.Objective, route.StatementTimeout)))
-	}
-	return min(route.Objective-route.Objective/runReserveDivisor, route.StatementTimeout-route.StatementTimeout/timeoutReserveDivisor)
+	limit := time.Duration(startTimeShare * float64(route.StatementTimeout))
+	switch {
+	case route.Objective <= 0:
+		return limit
+	case inTx:
+		return min(limit, time.Duration(startTimeShare*float64(route.Objective)))
+	}
+	return min(limit, route.Objective-route.Objective/runReserveDivisor)
 }
 
 // textNotIdentified explains why a caller wasn't identified.
