Tell service times by kind

The average over all kinds is low on a primary, which runs the short strict statements, and made it look faster for long reads than replicas are. The queue's estimate of the statement's own kind doesn't.

--- a/core/line.go
+++ b/core/line.go
@@ -156,7 +156,7 @@
 // Load is the load of an upstream.
 type Load struct {
 	// Wait is the expected time until a further statement of the same kind gets a slot, and Run the average time that
-	// statements take from then on. Took is the time from the command's arrival to the answer.
+	// statements of the kind take from then on. Took is the time from the command's arrival to the answer.
 	Wait, Run, Took time.Duration
 	// FaultPercent is the share of recent statements that the upstream failed, refused as busy or didn't answer.
 	FaultPercent uint8
--- a/core/proxy/node.go
+++ b/core/proxy/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -113,6 +114,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.latency, n.answeredAt, n.told = old.latency, old.answeredAt, old.told
+	n.told.run = maps.Clone(old.told.run)
 	n.laggedAt, n.laggedPosition, n.lagCount = old.laggedAt, old.laggedPosition, old.lagCount
 	n.denied, n.proved, n.evidenceAt = old.denied, old.proved, old.evidenceAt
 	n.failures, n.failedAt = old.failures, old.failedAt
--- a/core/proxy/single.go
+++ b/core/proxy/single.go
@@ -256,9 +256,9 @@
 	w.group.noteBytes(len(w.st.Text) + len(reply.Body))
 	reply.retryAfter, reply.declined = ans.Load.RetryAfter, ans.Load.IsDeclined
 	if t.strict {
-		n.noteLoad(now, ans.Load, 0)
+		n.noteLoad(now, core.Kind(w.route.Database), ans.Load, 0)
 	} else {
-		n.noteLoad(now, ans.Load, took)
+		n.noteLoad(now, core.Kind(w.route.Database), ans.Load, took)
 	}
 	if !reply.declined {
 		n.noteAnswer(now, max(0, took-s.p.distance(n.info.Load())), ans.Position)
--- a/core/proxy/told.go
+++ b/core/proxy/told.go
@@ -15,6 +15,8 @@
 	bytesWeight = 0.05
 	// keptSlots is the number of slots of a primary that work which may go elsewhere leaves free.
 	keptSlots = 1
+	// maxKinds limits the kinds of a group whose service times are kept, since kinds come and go with routes.
+	maxKinds = 100
 	// faultWeight is the weight of a new sample in the share of failed statements.
 	faultWeight = 0.1
 	// faultPenalty is what a failed try costs: an answer that doesn't come is waited for about as long.
@@ -24,22 +26,32 @@
 // told is what the owner of an upstream told of it.
 type told struct {
 	spill.Told
-	run time.Duration
+	// run is the service time by kind.
+	run map[core.Kind]toldRun
 	// hop is the moving average of the round trip to the owner; 0 if it isn't known.
 	hop time.Duration
 	// faultShare is the share of statements that the upstream failed.
 	faultShare float64
 }
 
-// noteLoad records what an owner told with an answer that arrived d after its only command was sent. d is 0 if there were
-// several.
-func (n *node) noteLoad(now time.Time, l core.Load, d time.Duration) {
+type toldRun struct {
+	d  time.Duration
+	at time.Time
+}
+
+// noteLoad records what an owner told with an answer to a statement of the kind, which arrived d after its only command was
+// sent. d is 0 if there were several.
+func (n *node) noteLoad(now time.Time, kind core.Kind, l core.Load, d time.Duration) {
 	if !n.path.isIndirect() || l.Took <= 0 {
 		return
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.told.Told, n.told.run, n.told.faultShare = spill.Told{Wait: l.Wait, At: now}, l.Run, float64(l.FaultPercent)/100
+	n.told.Told, n.told.faultShare = spill.Told{Wait: l.Wait, At: now}, float64(l.FaultPercent)/100
+	if n.told.run == nil || len(n.told.run) > maxKinds {
+		n.told.run = make(map[core.Kind]toldRun)
+	}
+	n.told.run[kind] = toldRun{l.Run, now}
 	hop := d - l.Took
 	switch {
 	case hop <= 0:
@@ -89,12 +101,12 @@
 func (n *node) expectation(now time.Time, kind core.Kind, rank core.Rank) (wait, run time.Duration) {
 	switch {
 	case n.path.isIndirect():
-		if now.Sub(n.told.At) < toldTTL {
-			run = n.told.run
+		if r := n.told.run[kind]; now.Sub(r.at) < toldTTL {
+			run = r.d
 		}
 		return n.told.Left(now), run
 	case n.path.conns > maxConns:
-		return n.queue.ExpectedWait(&queue.Item{Kind: kind, Rank: rank}), n.latency
+		return n.queue.ExpectedWait(&queue.Item{Kind: kind, Rank: rank}), n.queue.Estimate(kind)
 	}
 	latency := n.latency
 	for d := now.Sub(n.answeredAt); d > latencyHalfLife && latency > time.Millisecond; d -= latencyHalfLife {
@@ -138,9 +150,8 @@
 	if cmd.Kind == "" {
 		return core.Load{}
 	}
-	l := core.Load{Wait: r.n.queue.ExpectedWait(&queue.Item{Kind: cmd.Kind, Rank: cmd.Rank})}
+	l := core.Load{Wait: r.n.queue.ExpectedWait(&queue.Item{Kind: cmd.Kind, Rank: cmd.Rank}), Run: r.n.queue.Estimate(cmd.Kind)}
 	r.n.mu.Lock()
-	l.Run = r.n.latency
 	l.FaultPercent = uint8(100 * r.n.told.faultShare)
 	r.n.mu.Unlock()
 	if refused != nil && refused.declined {
--- a/core/proxy/tx.go
+++ b/core/proxy/tx.go
@@ -155,7 +155,7 @@
 	}
 	if ans.Fault != core.FaultNone {
 		h.rollbackAndFree(ans.Status, ans.Fault)
-		t.node.noteLoad(time.Now(), ans.Load, 0)
+		t.node.noteLoad(time.Now(), core.Kind(w.route.Database), ans.Load, 0)
 		switch ans.Fault {
 		case core.FaultReadOnly:
 			t.node.noteDenied()
