--- a/core/proxy/single.go
+++ b/core/proxy/single.go
@@ -46,9 +46,7 @@
 		case retryOnChange:
 			pause = 5 * retryDelay
 		}
-		if pause > 0 {
-			pause = max(pause, spread(reply.retryAfter))
-		}
+		pause = w.returnAfter(pause, reply.retryAfter)
 		if !s.waitForRetry(ctx, w, pause) {
 			return w.lastReply
 		}
--- a/core/proxy/tx.go
+++ b/core/proxy/tx.go
@@ -107,7 +107,7 @@
 		case refused.declined:
 			w.declined = append(w.declined, t.node)
 		case !s.tx.readOnly || t.strict:
-			pause = max(5*retryDelay, spread(refused.retryAfter))
+			pause = w.returnAfter(5*retryDelay, refused.retryAfter)
 			w.tried = append(w.tried, t.node)
 		default:
 			w.tried = append(w.tried, t.node)
--- a/core/proxy/work.go
+++ b/core/proxy/work.go
@@ -258,6 +258,19 @@
 	return true
 }
 
+// returnAfter returns when a statement comes back to an upstream that refused it for load: after the time that the queue
+// told, if it can start then. The queue's estimate is too high while it refuses, so that a statement that it gives no
+// chance comes back after the usual pause until its time is over.
+func (w *work) returnAfter(pause, told time.Duration) time.Duration {
+	if pause == 0 || told <= pause {
+		return pause
+	}
+	if told = spread(told); time.Now().Add(told).Before(w.startBy) {
+		return told
+	}
+	return spread(pause)
+}
+
 // spread lengthens a pause at random, so that statements which were refused at the same time don't return together.
 func spread(d time.Duration) time.Duration { return d + rand.N(d/4+1) }
 
