--- a/core/line.go
+++ b/core/line.go
@@ -160,9 +160,7 @@
 	Wait, Run, Took time.Duration
 	// FaultPercent is the share of recent statements that the upstream failed, refused as busy or didn't answer.
 	FaultPercent uint8
-	// RetryAfter is set if the queue refused the command: the time after which it would accept it. IsDeclined is set if
-	// it did so only because of Command.Patience.
-	RetryAfter time.Duration
+	// IsDeclined is set if the queue refused the command only because of Command.Patience.
 	IsDeclined bool
 }
 
--- a/core/proxy/session.go
+++ b/core/proxy/session.go
@@ -60,10 +60,8 @@
 	// overloaded is set if the upstream's queue refused the statement because of load, so that a retry
 	// there is useless.
 	overloaded bool
-	// declined is set if it refused the statement only because another upstream serves it sooner, and retryAfter is the
-	// time after which it would accept it.
-	declined   bool
-	retryAfter time.Duration
+	// declined is set if it refused the statement only because another upstream serves it sooner.
+	declined bool
 }
 
 // maxIdleBody is the size of the largest memory for answers that a session or relay keeps between statements.
--- a/core/proxy/single.go
+++ b/core/proxy/single.go
@@ -46,7 +46,6 @@
 		case retryOnChange:
 			pause = 5 * retryDelay
 		}
-		pause = w.returnAfter(pause, reply.retryAfter)
 		if !s.waitForRetry(ctx, w, pause) {
 			return w.lastReply
 		}
@@ -131,7 +130,7 @@
 		if err == nil && ans.Fault != core.FaultNone && t.strict {
 			// The statement was refused together with its transaction.
 			if _, err := receive(c, len(cmds)-before, w.deadline); err == nil {
-				return s.handleSetUpFailure(h, core.Answer{Fault: ans.Fault, Status: core.TxIdle, Load: ans.Load}, nil)
+				return s.handleSetUpFailure(h, core.Answer{Fault: ans.Fault, Status: core.TxIdle}, nil)
 			}
 		}
 		if err != nil || ans.Fault != core.FaultNone {
@@ -161,7 +160,7 @@
 	if ans.Fault == core.FaultReadOnly {
 		n.noteDenied()
 	}
-	return Reply{Fault: core.FaultBusy, Text: "the primary refused: " + ans.Fault.String(), retryAfter: ans.Load.RetryAfter}, retryOnChange
+	return Reply{Fault: core.FaultBusy, Text: "the primary refused: " + ans.Fault.String()}, retryOnChange
 }
 
 // answerDeadline returns the time until which to wait for an answer. After it, a read is retried on
@@ -252,7 +251,7 @@
 	took := now.Sub(sent)
 	n.noteOutcome(now, isFailure(ans.Fault))
 	w.group.noteBytes(len(w.st.Text) + len(reply.Body))
-	reply.retryAfter, reply.declined = ans.Load.RetryAfter, ans.Load.IsDeclined
+	reply.declined = ans.Load.IsDeclined
 	if t.strict {
 		n.noteLoad(now, core.Kind(w.route.Database), ans.Load, 0)
 	} else {
--- a/core/proxy/told.go
+++ b/core/proxy/told.go
@@ -159,7 +159,7 @@
 		l.Wait = max(l.Wait, l.Run)
 	}
 	if refused != nil {
-		l.RetryAfter, l.IsDeclined = refused.retryAfter, refused.declined
+		l.IsDeclined = refused.declined
 	}
 	return l
 }
--- a/core/proxy/tx.go
+++ b/core/proxy/tx.go
@@ -107,7 +107,7 @@
 		case refused.declined:
 			w.declined = append(w.declined, t.node)
 		case !s.tx.readOnly || t.strict:
-			pause = w.returnAfter(5*retryDelay, refused.retryAfter)
+			pause = 5 * retryDelay
 			w.tried = append(w.tried, t.node)
 		default:
 			w.tried = append(w.tried, t.node)
@@ -162,7 +162,7 @@
 		case core.FaultLagging:
 			t.node.noteLag(t.await)
 		}
-		return &Reply{Fault: core.FaultBusy, Text: "the upstream refused the transaction: " + ans.Fault.String(), retryAfter: ans.Load.RetryAfter, declined: ans.Load.IsDeclined}
+		return &Reply{Fault: core.FaultBusy, Text: "the upstream refused the transaction: " + ans.Fault.String(), declined: ans.Load.IsDeclined}
 	}
 	if t.strict {
 		w.group.noteSample(requestedAt, ans.Sample)
--- a/core/proxy/work.go
+++ b/core/proxy/work.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"net"
 	"slices"
 	"time"
@@ -258,22 +257,6 @@
 	return true
 }
 
-// returnAfter returns when a statement comes back to an upstream that refused it for load: after the time that the queue
-// told, if it can start then. The queue's estimate is too high while it refuses, so that a statement that it gives no
-// chance comes back after the usual pause until its time is over.
-func (w *work) returnAfter(pause, told time.Duration) time.Duration {
-	if pause == 0 || told <= pause {
-		return pause
-	}
-	if told = spread(told); time.Now().Add(told).Before(w.startBy) {
-		return told
-	}
-	return spread(pause)
-}
-
-// spread lengthens a pause at random, so that statements which were refused at the same time don't return together.
-func spread(d time.Duration) time.Duration { return d + rand.N(d/4+1) }
-
 // runReserve is the part of the statement timeout that is kept for running the statement.
 func (w *work) runReserve() time.Duration { return w.route.StatementTimeout / runReserveDivisor }
 
@@ -352,7 +335,7 @@
 		var refusal *queue.Refusal
 		r := &Reply{Fault: core.FaultBusy, Text: refusalText(err)}
 		if errors.As(err, &refusal) {
-			r.retryAfter, r.declined = refusal.RetryAfter, refusal.IsDeclined
+			r.declined = refusal.IsDeclined
 			r.overloaded = refusal.RetryAfter > 0 && !refusal.IsDeclined
 		}
 		if r.declined {
