--- a/conf/entry.go
+++ b/conf/entry.go
@@ -34,6 +34,8 @@
 	KeyRevocation time.Duration
 	// Quota bounds the operations of organisations whose limits the configuration names.
 	Quota EntryQuota
+	// CrossingPrice is how long a caller may wait to save a KiB between failure domains; 0 if it costs nothing.
+	CrossingPrice time.Duration
 	// Grace is the time between SIGTERM and SIGKILL, in which the process must stop.
 	Grace time.Duration
 	// Memory is the memory limit of the process in bytes.
@@ -124,6 +126,9 @@
 	{"Quota", "Slack", "20", acceptsShare, "Operations in a window beyond that.", func(e *Entry, v string) bool {
 		return setShare(&e.Quota.Slack, v)
 	}},
+	{"Placement", "CrossingMillisecondsPerKilobyte", "20", acceptsOptionalMilliseconds, "Price of bytes between failure domains, as the time that a caller may wait to save a kilobyte; 0 if they cost nothing.", func(e *Entry, v string) bool {
+		return v == "0" || setPositive(&e.CrossingPrice, v, time.Millisecond)
+	}},
 	{"Stop", "GraceSeconds", "6", acceptsSeconds, "Time between SIGTERM and SIGKILL.", func(e *Entry, v string) bool {
 		return setPositive(&e.Grace, v, time.Second)
 	}},
--- a/core/audit/config.go
+++ b/core/audit/config.go
@@ -25,8 +25,6 @@
 type Route struct {
 	topo.Route
 	Line int
-	// Objective is the time in which callers want an answer; 0 if there is none.
-	Objective time.Duration
 	// IsKnown is set if the consistency is a known one.
 	IsKnown bool
 }
--- a/core/line.go
+++ b/core/line.go
@@ -118,6 +118,12 @@
 	Kind              Kind
 	Rank              Rank
 	StartBy, Deadline time.Time
+	// Patience is how long the command may wait for a slot before the other VM refuses it at once, since another
+	// upstream would serve it sooner; 0 means until StartBy.
+	Patience time.Duration
+	// MaxAge asks for Answer.Sample, which must not be older; 0 asks for none. It is only used for OpBegin that goes to
+	// another VM.
+	MaxAge time.Duration
 	// Organisation is the one on whose behalf the command runs, empty if there is none. A connection to an
 	// upstream belongs to one organisation, so that an owner needs it.
 	Organisation OrganisationID
@@ -138,11 +144,32 @@
 	// Position is the end of the upstream's log after the command; zero if it was not reported. On a replica it is
 	// what the replica has applied.
 	Position Position
+	// Load is what the VM that owns the upstream tells of it; zero from the upstream itself.
+	Load Load
+	// Sample is set if the command asked for one and the other VM has one.
+	Sample Sample
 	// Received is the end of the log that the upstream has received, whether applied or not. It is only set in the
 	// answer to a successful OpStatus.
 	Received Position
 }
 
+// Load is the load of an upstream.
+type Load struct {
+	// Wait is the expected time until a further statement of the same kind gets a slot, and Run the average time that
+	// statements of the kind take from then on. Took is the time from the command's arrival to the answer.
+	Wait, Run, Took time.Duration
+	// FaultPercent is the share of recent statements that the upstream failed, refused as busy or didn't answer.
+	FaultPercent uint8
+	// IsDeclined is set if the queue refused the command only because of Command.Patience.
+	IsDeclined bool
+}
+
+// Sample states that a primary had Position, and was proved to lead, at some time within Age before the answer.
+type Sample struct {
+	Position Position
+	Age      time.Duration
+}
+
 // LineConn is a connection to an upstream that answers single-line statements in order. It is used
 // by one goroutine at a time.
 type LineConn interface {
--- a/core/proxy/metrics.go
+++ b/core/proxy/metrics.go
@@ -7,8 +7,8 @@
 )
 
 type metrics struct {
-	statements, faults, retries, refusals, dials, overloads, aborts, ownerDials, overQuota tally.Counter
-	latency                                                                                tally.Histogram
+	statements, faults, retries, refusals, dials, overloads, aborts, ownerDials, declined, crossings, lagRefusals, overQuota tally.Counter
+	latency                                                                                                                  tally.Histogram
 }
 
 // latencyBuckets covers 1 ms to 16 s.
@@ -19,15 +19,18 @@
 		scope = tally.NoopScope
 	}
 	return metrics{
-		statements: scope.Counter("Statements"),
-		faults:     scope.Counter("Faults"),
-		retries:    scope.Counter("Retries"),
-		refusals:   scope.Counter("Refusals"),
-		dials:      scope.Counter("Dials"),
-		overloads:  scope.Counter("ConnectionLimit"),
-		ownerDials: scope.Counter("OwnerDials"),
-		overQuota:  scope.Counter("OverQuota"),
-		aborts:     scope.Counter("AbortedTransactions"),
-		latency:    scope.Histogram("StatementTime", latencyBuckets),
+		statements:  scope.Counter("Statements"),
+		faults:      scope.Counter("Faults"),
+		retries:     scope.Counter("Retries"),
+		refusals:    scope.Counter("Refusals"),
+		dials:       scope.Counter("Dials"),
+		overloads:   scope.Counter("ConnectionLimit"),
+		ownerDials:  scope.Counter("OwnerDials"),
+		declined:    scope.Counter("Declined"),
+		lagRefusals: scope.Counter("LagRefusals"),
+		crossings:   scope.Counter("Crossings"),
+		overQuota:   scope.Counter("OverQuota"),
+		aborts:      scope.Counter("AbortedTransactions"),
+		latency:     scope.Histogram("StatementTime", latencyBuckets),
 	}
 }
--- a/core/proxy/relay.go
+++ b/core/proxy/relay.go
@@ -71,6 +71,15 @@
 
 // Execute executes one command. Its answer is due at the deadline.
 func (r *Relay) Execute(ctx context.Context, cmd core.Command, deadline time.Time) core.Answer {
+	began := time.Now()
+	ans := r.execute(ctx, cmd, deadline)
+	if cmd.Kind != "" {
+		ans.Load.Took = max(time.Since(began), 1)
+	}
+	return ans
+}
+
+func (r *Relay) execute(ctx context.Context, cmd core.Command, deadline time.Time) core.Answer {
 	r.followNode()
 	switch cmd.Op {
 	case core.OpReset:
@@ -98,6 +107,23 @@
 	return core.Answer{Status: r.status()}
 }
 
+// lacks answers a command for a position that the upstream has lacked a moment ago. Load pattern: replicas lag, and each of
+// many VMs finds out for itself, with a statement that the upstream refuses.
+func (r *Relay) lacks(cmd core.Command) (core.Answer, bool) {
+	if r.held != nil || cmd.Await.IsZero() {
+		return core.Answer{}, false
+	}
+	r.n.mu.Lock()
+	lagging, _ := r.n.lagState(time.Now(), cmd.Await)
+	position := r.n.position
+	r.n.mu.Unlock()
+	if !lagging {
+		return core.Answer{}, false
+	}
+	r.n.p.metrics.lagRefusals.Inc(1)
+	return core.Answer{Fault: core.FaultLagging, Text: string(r.n.id()), Position: position, Status: core.TxIdle, Load: r.load(cmd, nil)}, true
+}
+
 // followNode replaces a node that was stopped because the path to the upstream has changed on this VM. Its queue refuses
 // everything.
 func (r *Relay) followNode() {
@@ -129,11 +155,16 @@
 func (r *Relay) begin(ctx context.Context, cmd core.Command, deadline time.Time) core.Answer {
 	r.rollback()
 	r.beginRefused = true
+	if ans, ok := r.lacks(cmd); ok {
+		ans.Status = core.TxFailed
+		return ans
+	}
 	h, refused := r.connect(ctx, cmd, deadline)
 	if refused != nil {
-		return core.Answer{Fault: refused.Fault, Text: refused.Text, Status: core.TxFailed}
+		return core.Answer{Fault: refused.Fault, Text: refused.Text, Status: core.TxFailed, Load: r.load(cmd, refused)}
 	}
 	cmds := append(h.handle.Value.setUpCommands(&r.session, nil), cmd)
+	requestedAt := r.n.p.cfg.Now()
 	ans, err := h.exchange(cmds, deadline)
 	if err != nil {
 		r.n.noteFailure(h.handle.Value)
@@ -143,10 +174,17 @@
 	r.n.notePosition(ans.Position)
 	if ans.Fault != core.FaultNone {
 		h.rollbackAndFree(ans.Status, ans.Fault)
+		if ans.Fault == core.FaultLagging {
+			r.n.noteLag(cmd.Await)
+		}
 		ans.Status = core.TxFailed
 		return ans
 	}
 	r.held, r.beginRefused = h, false
+	if cmd.Op == core.OpBegin {
+		ans.Sample = r.n.group.sampleFor(r.n.p.cfg.Now(), cmd.MaxAge)
+		r.n.noteLeads(requestedAt, ans.Position)
+	}
 	return r.copyBody(ans)
 }
 
@@ -172,7 +210,7 @@
 // probe, which takes no slot of the upstream.
 func (r *Relay) connect(ctx context.Context, cmd core.Command, deadline time.Time) (*heldConn, *Reply) {
 	if cmd.Kind != "" {
-		return r.n.acquire(ctx, &queue.Item{Kind: cmd.Kind, Rank: cmd.Rank, OpensTx: true, Deadline: startBy(cmd, deadline)}, r.n.p.label(cmd.Organisation), r.n.getDirect)
+		return r.n.acquire(ctx, &queue.Item{Kind: cmd.Kind, Rank: cmd.Rank, OpensTx: true, Patience: cmd.Patience, KeepFree: r.n.keptSlots(), Deadline: startBy(cmd, deadline)}, r.n.p.label(cmd.Organisation), r.n.getDirect)
 	}
 	handle, err := r.n.getDirect(ctx, pool.AnyLabel, deadline)
 	if err != nil {
@@ -201,20 +239,29 @@
 		}
 		ps = &s
 	}
+	if ans, ok := r.lacks(cmd); ok {
+		return ans
+	}
 	h, refused := r.admit(ctx, cmd, deadline)
 	if refused != nil {
-		return core.Answer{Fault: refused.Fault, Text: refused.Text, Status: r.status()}
+		return core.Answer{Fault: refused.Fault, Text: refused.Text, Status: r.status(), Load: r.load(cmd, refused)}
 	}
 	cmds := append(h.handle.Value.setUpCommands(&r.session, ps), cmd)
 	sent := time.Now()
 	ans, err := h.exchange(cmds, deadline)
 	if err != nil {
 		r.n.noteFailure(h.handle.Value)
+		r.n.noteOutcome(time.Now(), true)
 		return r.handleLostConn(h, cmd, err)
 	}
 	now := time.Now()
+	r.n.noteOutcome(now, isFailure(ans.Fault))
 	r.n.noteAnswer(now, now.Sub(sent), ans.Position)
+	if ans.Fault == core.FaultLagging {
+		r.n.noteLag(cmd.Await)
+	}
 	ans = r.copyBody(ans)
+	ans.Load = r.load(cmd, nil)
 	switch {
 	case r.held == nil:
 		h.free(ans.Fault == core.FaultNone)
@@ -230,7 +277,7 @@
 // admit takes a slot, and a connection unless the transaction holds one.
 func (r *Relay) admit(ctx context.Context, cmd core.Command, deadline time.Time) (*heldConn, *Reply) {
 	if r.held == nil {
-		return r.n.acquire(ctx, &queue.Item{Kind: cmd.Kind, Rank: cmd.Rank, Deadline: startBy(cmd, deadline)}, r.n.p.label(cmd.Organisation), r.n.getDirect)
+		return r.n.acquire(ctx, &queue.Item{Kind: cmd.Kind, Rank: cmd.Rank, Patience: cmd.Patience, KeepFree: r.n.keptSlots(), Deadline: startBy(cmd, deadline)}, r.n.p.label(cmd.Organisation), r.n.getDirect)
 	}
 	if r.held.slot != nil {
 		return r.held, nil
--- a/core/proxy/single.go
+++ b/core/proxy/single.go
@@ -57,7 +57,7 @@
 
 // try runs the statement on one upstream.
 func (s *Session) try(ctx context.Context, w *work, t target) (Reply, outcome) {
-	h, refused := s.acquire(ctx, w, t.node, false)
+	h, refused := s.acquire(ctx, w, t, false)
 	if refused != nil {
 		return w.handleNotAdmitted(t, refused)
 	}
@@ -88,6 +88,10 @@
 
 // handleNotAdmitted decides about a retry after an upstream's queue or pool refused the statement.
 func (w *work) handleNotAdmitted(t target, refused *Reply) (Reply, outcome) {
+	if refused.declined {
+		w.declined = append(w.declined, t.node)
+		return *refused, retryNow
+	}
 	w.tried = append(w.tried, t.node)
 	switch {
 	case !w.write && !t.strict:
@@ -114,7 +118,9 @@
 func (s *Session) send(w *work, t target, h *heldConn, cmds []core.Command, requestedAt core.Instant) (Reply, outcome) {
 	c := h.handle.Value
 	before := len(cmds)
-	cmds = append(cmds, w.command(t.await))
+	cmd := w.command(t.await)
+	cmd.Patience = t.patience
+	cmds = append(cmds, cmd)
 	if t.strict {
 		cmds = append(cmds, core.Command{Op: core.OpRollback})
 	}
@@ -134,10 +140,11 @@
 			return s.handleLostConn(w, h, "the connection's set-up failed")
 		}
 		if t.strict {
+			w.group.noteSample(requestedAt, ans.Sample)
 			t.node.noteLeads(requestedAt, ans.Position)
 		}
 	}
-	ans, err := c.Receive(s.answerDeadline(w, t.node))
+	ans, err := c.Receive(s.answerDeadline(w, t))
 	if err != nil {
 		return s.handleNoAnswer(w, h, t, err)
 	}
@@ -161,14 +168,19 @@
 
 // answerDeadline returns the time until which to wait for an answer. After it, a read is retried on
 // another upstream.
-func (s *Session) answerDeadline(w *work, n *node) time.Time {
+func (s *Session) answerDeadline(w *work, t target) time.Time {
 	if w.write {
 		return w.deadline
 	}
+	n, now := t.node, time.Now()
 	n.mu.Lock()
 	d := max(minHedgeDelay, hedgeLatencyFactor*n.latency+2*s.p.distance(n.info.Load()))
+	if n.path.isIndirect() {
+		// The owner's queue takes its part of the time.
+		d += max(t.patience, 2*n.told.Left(now))
+	}
 	n.mu.Unlock()
-	at := time.Now().Add(d)
+	at := now.Add(d)
 	if at.After(w.deadline.Add(-w.runReserve())) {
 		return w.deadline
 	}
@@ -197,6 +209,7 @@
 		return s.handleLostConn(w, h, "the upstream broke off")
 	}
 	h.node.noteFailure(h.handle.Value)
+	h.node.noteOutcome(time.Now(), true)
 	if w.write || !time.Now().Before(w.deadline) {
 		h.discard()
 		return Reply{Fault: core.FaultTimeout, Text: "no answer within the statement's time"}, done
@@ -238,7 +251,18 @@
 	if h != nil {
 		h.freeAfter(ans.Fault)
 	}
-	n.noteAnswer(now, max(0, now.Sub(sent)-s.p.distance(n.info.Load())), ans.Position)
+	took := now.Sub(sent)
+	n.noteOutcome(now, isFailure(ans.Fault))
+	w.group.noteBytes(len(w.st.Text) + len(reply.Body))
+	reply.declined = ans.Load.IsDeclined
+	if t.strict {
+		n.noteLoad(now, core.Kind(w.route.Database), ans.Load, 0)
+	} else {
+		n.noteLoad(now, core.Kind(w.route.Database), ans.Load, took)
+	}
+	if !reply.declined {
+		n.noteAnswer(now, max(0, took-s.p.distance(n.info.Load())), ans.Position)
+	}
 	if t.strict && ans.Fault == core.FaultNone && w.group.isSampleDue(requestedAt) {
 		// The answer to BEGIN had no position. Inside the transaction only a leader answers.
 		n.noteLeads(requestedAt, ans.Position)
@@ -268,6 +292,10 @@
 		n.noteDenied()
 		return Reply{Fault: core.FaultBusy, Text: "the primary has changed"}, retryOnChange
 	case core.FaultBusy, core.FaultUnprepared:
+		if reply.declined {
+			w.declined = append(w.declined, n)
+			return reply, retryNow
+		}
 		w.tried = append(w.tried, n)
 		if w.write {
 			return reply, retryLater
--- a/core/proxy/work.go
+++ b/core/proxy/work.go
@@ -27,6 +27,8 @@
 	readIndexTimeout = 150 * time.Millisecond
 	// startTimeShare is the share of the statement timeout in which a statement has to get a slot.
 	startTimeShare = 0.45
+	// runReserveDivisor divides the time for a statement to get the part that is kept for running it.
+	runReserveDivisor = 8
 	// maxTries limits the immediate retries of one statement.
 	maxTries = 6
 	// rollbackTimeout limits the wait for the answer to ROLLBACK, which takes no slot.
@@ -56,9 +58,10 @@
 	// startBy is the time until which the statement may wait for a slot and a connection. After about
 	// half of its time, the caller is served better by trying another VM than by waiting here.
 	startBy time.Time
-	// tried are the upstreams on which the statement failed.
-	tried []*node
-	tries int
+	// tried are the upstreams on which the statement failed, and declined those that refused it only because another
+	// one would serve it sooner.
+	tried, declined []*node
+	tries           int
 	// readIndexRequested is set if the primary was asked for its position.
 	readIndexRequested bool
 	// lastReply is the result of the last failed try.
@@ -79,7 +82,7 @@
 		return nil, &Reply{Fault: core.FaultAborted, Text: "the key belongs to another organisation since"}
 	}
 	w := &work{st: st, route: route, organisation: organisation, group: s.p.group(route.Group), began: began, deadline: began.Add(route.StatementTimeout)}
-	w.startBy = began.Add(time.Duration(startTimeShare * float64(route.StatementTimeout)))
+	w.startBy = began.Add(startTime(route, s.tx != nil))
 	w.write = st.Verb == VerbWrite
 	if st.Verb == VerbExecute {
 		ps, ok := s.prepared[st.Name]
@@ -95,6 +98,20 @@
 	return w, nil
 }
 
+// startTime returns the time in which a statement has to get a slot: a share of the statement timeout, so that a caller that
+// is refused has time for another try, but no more than its objective leaves after the time for running it. The statements
+// of a transaction share the objective.
+func startTime(route topo.Route, inTx bool) time.Duration {
+	limit := time.Duration(startTimeShare * float64(route.StatementTimeout))
+	switch {
+	case route.Objective <= 0:
+		return limit
+	case inTx:
+		return min(limit, time.Duration(startTimeShare*float64(route.Objective)))
+	}
+	return min(limit, route.Objective-route.Objective/runReserveDivisor)
+}
+
 // textNotIdentified explains why a caller wasn't identified.
 var textNotIdentified = map[core.Fault]string{
 	core.FaultUnauthorized: "the key is unknown or was withdrawn",
@@ -152,6 +169,9 @@
 	c.Kind, c.Rank = core.Kind(w.route.Database), w.route.Rank
 	c.StartBy, c.Deadline = w.startBy, w.deadline
 	c.Organisation = w.organisation
+	if c.Op == core.OpBegin {
+		c.MaxAge = w.route.MaxAge
+	}
 	return c
 }
 
@@ -163,6 +183,8 @@
 	strict bool
 	// await is the position that the upstream must have; zero if none is required.
 	await core.Position
+	// patience is how long the statement may wait for a slot before another upstream is better; 0 means no such limit.
+	patience time.Duration
 }
 
 // chooseTarget chooses the upstream. It returns false if none can serve the statement now.
@@ -175,7 +197,11 @@
 	await, ok := w.group.fresh.MinPosition(w.receivedAt.Add(-w.route.MaxAge))
 	if !ok && !w.readIndexRequested && primary != nil {
 		w.readIndexRequested = true
-		await, ok = s.readIndex(ctx, primary)
+		await, ok = s.readIndex(ctx, primary, w.route.MaxAge)
+		// Another VM may have told a sample that is older, so that more replicas have it.
+		if sampled, found := w.group.fresh.MinPosition(w.receivedAt.Add(-w.route.MaxAge)); found {
+			await, ok = sampled, true
+		}
 	}
 	if !ok || (s.lastCommitUnknown && w.route.Reads == topo.ReadYourWrites) {
 		return target{node: primary, strict: true}, primary != nil
@@ -183,8 +209,8 @@
 	if w.route.Reads == topo.ReadYourWrites && await.Less(s.lastCommit) {
 		await = s.lastCommit
 	}
-	if n := w.cheapestUntried(now, await); n != nil {
-		return target{node: n, await: await}, true
+	if n, patience := s.cheapestUntried(w, now, await); n != nil {
+		return target{node: n, await: await, patience: patience}, true
 	}
 	// No upstream that answers has the position. The primary always has it.
 	w.tried = nil
@@ -193,13 +219,14 @@
 
 // readIndex asks the primary for its position, which takes no slot, so that the read can run on a
 // replica. It returns false if the primary doesn't tell its position.
-func (s *Session) readIndex(ctx context.Context, primary *node) (core.Position, bool) {
-	res, err := primary.probePooled(ctx, time.Now().Add(readIndexTimeout))
+func (s *Session) readIndex(ctx context.Context, primary *node, maxAge time.Duration) (core.Position, bool) {
+	res, err := primary.probePooled(ctx, probeRequest{deadline: time.Now().Add(readIndexTimeout), maxAge: maxAge})
 	return res.Log, err == nil && res.Leads && !res.Log.IsZero()
 }
 
-// cheapestUntried returns the node with the lowest estimated cost that was not tried yet, or nil.
-func (w *work) cheapestUntried(now time.Time, await core.Position) *node {
+// cheapestUntried returns the node with the lowest estimated cost that was not tried yet, or nil, and how long the
+// statement may wait there. One that has declined it may be the best one nevertheless, and is then waited for.
+func (s *Session) cheapestUntried(w *work, now time.Time, await core.Position) (*node, time.Duration) {
 	nodes := *w.group.nodes.Load()
 	var cands []candidate
 	var from []*node
@@ -207,12 +234,20 @@
 		if slices.Contains(w.tried, n) || n.info.Load().Leaving {
 			continue
 		}
-		cands, from = append(cands, n.asCandidate(now, await)), append(from, n)
+		cands, from = append(cands, n.asCandidate(now, w, await)), append(from, n)
 	}
-	if i := cheapest(cands); i >= 0 {
-		return from[i]
+	assumeRun(cands)
+	i, patience := cheapest(cands)
+	if i < 0 {
+		return nil, 0
 	}
-	return nil
+	if slices.Contains(w.declined, from[i]) {
+		patience = 0
+	}
+	if from[i].info.Load().FailureDomain != s.p.cfg.Self.FailureDomain {
+		s.p.metrics.crossings.Inc(1)
+	}
+	return from[i], patience
 }
 
 // waitForRetry waits before a retry and reports whether there is time for one.
@@ -241,7 +276,7 @@
 }
 
 // runReserve is the part of the statement timeout that is kept for running the statement.
-func (w *work) runReserve() time.Duration { return w.route.StatementTimeout / 8 }
+func (w *work) runReserve() time.Duration { return w.route.StatementTimeout / runReserveDivisor }
 
 // awaitPrimary waits for a change such as a new primary, and reports whether to try again. It doesn't wait
 // if the group has been without a primary for longer than maxOutageWait.
@@ -282,8 +317,9 @@
 // getter takes a connection, waiting at most until the deadline.
 type getter func(ctx context.Context, label string, deadline time.Time) (*pool.Handle[*conn], error)
 
-func (s *Session) acquire(ctx context.Context, w *work, n *node, opensTx bool) (*heldConn, *Reply) {
-	it := &queue.Item{Kind: core.Kind(s.database), Rank: w.route.Rank, OpensTx: opensTx, Deadline: w.startBy}
+func (s *Session) acquire(ctx context.Context, w *work, t target, opensTx bool) (*heldConn, *Reply) {
+	it := &queue.Item{Kind: core.Kind(s.database), Rank: w.route.Rank, OpensTx: opensTx, Patience: t.patience, KeepFree: t.node.keptSlots(), Deadline: w.startBy}
+	n := t.node
 	return n.acquire(ctx, it, s.p.label(w.organisation), n.get)
 }
 
@@ -315,7 +351,15 @@
 		n.pending.Add(-1)
 		n.p.metrics.refusals.Inc(1)
 		var refusal *queue.Refusal
-		return &Reply{Fault: core.FaultBusy, Text: refusalText(err), overloaded: errors.As(err, &refusal) && refusal.RetryAfter > 0}
+		r := &Reply{Fault: core.FaultBusy, Text: refusalText(err)}
+		if errors.As(err, &refusal) {
+			r.declined = refusal.IsDeclined
+			r.overloaded = refusal.RetryAfter > 0 && !refusal.IsDeclined
+		}
+		if r.declined {
+			n.p.metrics.declined.Inc(1)
+		}
+		return r
 	}
 	h.slot = slot
 	return nil
