Limit the memory and descriptors that callers may take

Cause: a line buffer of 2 MiB for each message that has begun, four copies of a statement and three of an answer, values without a limit, listeners without a limit, and messages that may stop half-way for ever. Change: core/budget is one budget of memory for all connections of a VM; the largest holder that waits for its peer is closed, others are refused. io/sock limits each listener to a share of the descriptors and closes the connection that is silent for the longest time. Messages must go on, and answers be read, by parts. Statements' operands share the text's memory, large answers are not copied, connections keep no long values. Frames of other VMs are limited and accounted. HTTP ports have time limits. A lack of memory here doesn't count as an upstream's failure.

--- a/conf/entry.go
+++ b/conf/entry.go
@@ -36,7 +36,11 @@
 	Grace time.Duration
 	// Memory is the memory limit of the process in bytes.
 	Memory int64
-	Log    Log
+	// Descriptors is the limit of open descriptors; 0 stands for that of the operating system.
+	Descriptors int
+	// Stall is how long a caller may take to send or read the next part of a message that has begun.
+	Stall time.Duration
+	Log   Log
 }
 
 // EntryListen holds the listen addresses, host:port.
@@ -64,9 +68,14 @@
 	acceptsMilliseconds = "a number of milliseconds above 0"
 	acceptsMegabytes    = "a number of megabytes above 0"
 
+	acceptsDescriptors = "a number of descriptors, at least 64, or 0 for the limit of the operating system"
+
 	acceptsOptionalMilliseconds = "a number of milliseconds, 0 for none"
 )
 
+// minDescriptors is enough for the listeners, the store and a few callers.
+const minDescriptors = 64
+
 // setPositive sets d to the number in v, in the unit, and reports whether it is above 0.
 func setPositive(d *time.Duration, v string, unit time.Duration) bool {
 	n, err := strconv.ParseFloat(v, 64)
@@ -106,6 +115,14 @@
 		e.Memory = int64(n * (1 << 20))
 		return err == nil && n > 0
 	}},
+	{"Limits", "Descriptors", "0", acceptsDescriptors, "Limit of open descriptors; 0 stands for that of the operating system.", func(e *Entry, v string) bool {
+		n, err := strconv.Atoi(v)
+		e.Descriptors = n
+		return err == nil && (n == 0 || n >= minDescriptors)
+	}},
+	{"Limits", "StallMilliseconds", "30000", acceptsMilliseconds, "Time in which a caller must send or read the next part of a message that has begun.", func(e *Entry, v string) bool {
+		return setPositive(&e.Stall, v, time.Millisecond)
+	}},
 	{"Log", "Level", "info", acceptsLevel, "Lowest level that is logged.", func(e *Entry, v string) bool {
 		e.Log.Level = v
 		return slices.Contains([]string{"debug", "info", "warn", "error"}, v)
--- a/conf/entry_test.go
+++ b/conf/entry_test.go
@@ -46,6 +46,8 @@
 	assert.Equal(t, e.ConfigTarget, 5*time.Second)
 	assert.Equal(t, e.DrainTarget, 7*time.Second)
 	assert.Equal(t, e.Memory, int64(256<<20))
+	assert.Equal(t, e.Descriptors, 0)
+	assert.Equal(t, e.Stall, 30*time.Second)
 	assert.DeepEqual(t, e.Regions, map[core.FailureDomain]core.Region{"there": "away", "here": "home"})
 }
 
@@ -54,10 +56,12 @@
 	text := strings.Replace(validEntry, "10.0.0.2:1", "nowhere", 1)
 	text = strings.Replace(text, "GraceSeconds = 4.5", "GraceSeconds = -1", 1)
 	text = strings.Replace(text, "= 5000", "= 0", 1)
+	text = strings.Replace(text, "[Later]", "[Limits]\nDescriptors = 10\n[Later]", 1)
 	_, err := ParseEntry("test", []byte(text))
 	assert.ErrorContains(t, err, "section [Store], key Address")
 	assert.ErrorContains(t, err, "section [Targets], key ConfigurationMilliseconds")
 	assert.ErrorContains(t, err, "section [Stop], key GraceSeconds")
+	assert.ErrorContains(t, err, "section [Limits], key Descriptors")
 }
 
 // Guards against a platform template that lacks a required key.
--- a/core/line.go
+++ b/core/line.go
@@ -97,6 +97,9 @@
 	OpStatus
 )
 
+// MaxKeptBody is the largest memory of an answer's body that a LineConn keeps and uses again.
+const MaxKeptBody = 8 << 10
+
 // Command is one statement for a LineConn.
 type Command struct {
 	Op Op
@@ -130,7 +133,7 @@
 	// Text is the error message.
 	Text string
 	// Body is the encoded answer of a successful command without the final status message. It is valid
-	// until the next call of Receive.
+	// until the next call of Receive, and for ever if its capacity is above MaxKeptBody.
 	Body []byte
 	// Signed is set if the upstream signed the answer, as it does for everything that it runs.
 	Signed bool
--- a/core/proxy/node.go
+++ b/core/proxy/node.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"snipewall/core"
+	"snipewall/core/budget"
 	"snipewall/core/pool"
 	"snipewall/core/queue"
 	"snipewall/core/topo"
@@ -162,6 +164,13 @@
 	}
 }
 
+// noteLost records that the connection failed with the error, unless that was for lack of memory on this VM.
+func (n *node) noteLost(c *conn, err error) {
+	if !errors.Is(err, budget.ErrSpent) {
+		n.noteFailure(c)
+	}
+}
+
 // noteLag records that the upstream lacked the position.
 func (n *node) noteLag(await core.Position) {
 	n.mu.Lock()
--- a/core/proxy/relay.go
+++ b/core/proxy/relay.go
@@ -74,7 +74,7 @@
 	r.followNode()
 	switch cmd.Op {
 	case core.OpReset:
-		r.session.values, r.session.valueKey, r.prepared = nil, "", nil
+		r.session.values, r.session.valueKey, r.session.stateBytes, r.prepared = nil, "", 0, nil
 	case core.OpSet:
 		r.session.set(cmd.Name, cmd.Text)
 	case core.OpPrepare:
@@ -209,7 +209,7 @@
 	sent := time.Now()
 	ans, err := h.exchange(cmds, deadline)
 	if err != nil {
-		r.n.noteFailure(h.handle.Value)
+		r.n.noteLost(h.handle.Value, err)
 		return r.handleLostConn(h, cmd, err)
 	}
 	now := time.Now()
--- a/core/proxy/session.go
+++ b/core/proxy/session.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -57,6 +59,8 @@
 	Body     []byte
 	Status   core.TxStatus
 	Position core.Position
+	// NoMemory is set if the upstream's answer was dropped for lack of memory.
+	NoMemory bool
 	// overloaded is set if the upstream's queue refused the statement because of load, so that a retry
 	// there is useless.
 	overloaded bool
@@ -65,9 +69,12 @@
 // maxIdleBody is the size of the largest memory for answers that a session or relay keeps between statements.
 const maxIdleBody = 8 << 10
 
-// copyBody copies an answer into buf, since its connection reuses the memory once it is free. It returns the copy, and what
-// may be kept of buf.
+// copyBody copies an answer into buf, since its connection reuses the memory once it is free. Large answers aren't copied:
+// no connection keeps their memory (see core.Answer). It returns the answer, and what may be kept of buf.
 func copyBody(buf, body []byte) (out, kept []byte) {
+	if cap(body) > core.MaxKeptBody {
+		return body, buf
+	}
 	buf = append(buf[:0], body...)
 	if cap(buf) > maxIdleBody {
 		return buf, nil
@@ -75,7 +82,8 @@
 	return buf, buf
 }
 
-type value struct{ name, value string }
+// value is a session value. Its key encodes both texts for comparison.
+type value struct{ name, value, key string }
 
 // Session is one caller's connection. It is used by one goroutine at a time.
 type Session struct {
@@ -83,9 +91,11 @@
 	database string
 	key      topo.KeyDigest
 	values   []value
-	// valueKey encodes all values, for comparison with those of a connection.
+	// valueKey encodes all values, for comparison with those of a connection, which keeps it. It has hashes of long texts.
 	valueKey string
 	prepared map[string]preparedStmt
+	// stateBytes is the size of the values and prepared statements.
+	stateBytes int
 	// lastCommit is the position of the session's last commit; lastCommitUnknown is set if the
 	// upstream didn't report it.
 	lastCommit        core.Position
@@ -139,6 +149,9 @@
 	return core.TxOpen
 }
 
+// StateBytes returns the size of the session's values and prepared statements.
+func (s *Session) StateBytes() int { return s.stateBytes }
+
 // Busy reports whether an open transaction holds an upstream connection.
 func (s *Session) Busy() bool { return s.tx != nil && s.tx.held != nil }
 
@@ -195,13 +208,10 @@
 		s.set(st.Name, st.Arg)
 		return Reply{}
 	case VerbPrepare:
-		if s.prepared == nil {
-			s.prepared = make(map[string]preparedStmt)
-		}
-		s.prepared[st.Name] = newPreparedStmt(st.Write, st.Arg)
+		s.prepare(st)
 		return Reply{}
 	case VerbDeallocate:
-		delete(s.prepared, st.Name)
+		s.deallocate(st.Name)
 		return Reply{}
 	case VerbCommit:
 		if s.tx == nil {
@@ -253,24 +263,59 @@
 	return r
 }
 
+// entryBytes is the memory that a value or a prepared statement takes besides its texts.
+const entryBytes = 128
+
+func (s *Session) prepare(st *Statement) {
+	if s.prepared == nil {
+		s.prepared = make(map[string]preparedStmt)
+	}
+	s.deallocate(st.Name)
+	// The name is copied, since it may share the memory of a long text.
+	s.prepared[strings.Clone(st.Name)] = newPreparedStmt(st.Write, st.Arg)
+	s.stateBytes += entryBytes + len(st.Name) + len(st.Arg)
+}
+
+func (s *Session) deallocate(name string) {
+	if old, ok := s.prepared[name]; ok {
+		s.stateBytes -= entryBytes + len(name) + len(old.text)
+		delete(s.prepared, name)
+	}
+}
+
 func (s *Session) set(name, v string) {
+	key := keyPart(name) + keyPart(v)
 	i := slices.IndexFunc(s.values, func(v value) bool { return v.name == name })
 	if i >= 0 {
-		s.values[i].value = v
+		s.stateBytes += len(v) - len(s.values[i].value)
+		s.values[i].value, s.values[i].key = v, key
 	} else {
-		s.values = append(s.values, value{name, v})
+		s.stateBytes += entryBytes + len(name) + len(v)
+		// The name is copied, since it may share the memory of a long text.
+		s.values = append(s.values, value{strings.Clone(name), v, key})
 		slices.SortFunc(s.values, func(a, b value) int { return strings.Compare(a.name, b.name) })
 	}
 	var b strings.Builder
 	for _, v := range s.values {
-		b.WriteString(v.name)
-		b.WriteByte(0)
-		b.WriteString(v.value)
-		b.WriteByte(0)
+		b.WriteString(v.key)
 	}
 	s.valueKey = b.String()
 }
 
+// maxPlainKey is the length up to which a value key holds a text itself instead of its hash.
+const maxPlainKey = 128
+
+// keyPart encodes a text for a value key, with its length, which also tells hashes from plain texts. Equal hashes of
+// different texts are out of the question.
+func keyPart(text string) string {
+	n := strconv.Itoa(len(text)) + ":"
+	if len(text) <= maxPlainKey {
+		return n + text
+	}
+	sum := sha256.Sum256([]byte(text))
+	return n + string(sum[:])
+}
+
 // noteCommit records the position of the session's own commit.
 func (s *Session) noteCommit(p core.Position) {
 	if p.IsZero() {
--- a/core/proxy/single.go
+++ b/core/proxy/single.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"snipewall/core"
+	"snipewall/core/budget"
 )
 
 // outcome is the result of one try of a statement.
@@ -187,9 +189,21 @@
 	return reply, retryNow
 }
 
+// handleNoMemory ends a try whose answer this VM has no memory for. A read isn't retried, since its answer would be as large.
+func (s *Session) handleNoMemory(w *work, h *heldConn) (Reply, outcome) {
+	h.discard()
+	if w.write {
+		return Reply{Fault: core.FaultInDoubt, Text: textNoMemory}, done
+	}
+	return Reply{Fault: core.FaultBusy, Text: textNoMemory, NoMemory: true}, done
+}
+
 // handleNoAnswer handles a missing answer. A goroutine reads the late answer of a slow read, so that
 // the connection stays usable and the upstream isn't interrupted.
 func (s *Session) handleNoAnswer(w *work, h *heldConn, t target, err error) (Reply, outcome) {
+	if errors.Is(err, budget.ErrSpent) {
+		return s.handleNoMemory(w, h)
+	}
 	if !isTimeout(err) {
 		return s.handleLostConn(w, h, "the upstream broke off")
 	}
--- a/core/proxy/tx.go
+++ b/core/proxy/tx.go
@@ -182,7 +182,7 @@
 	sent := time.Now()
 	ans, err := h.exchange(cmds, w.deadline)
 	if err != nil {
-		h.node.noteFailure(h.handle.Value)
+		h.node.noteLost(h.handle.Value, err)
 		h.discard()
 		s.tx.held = nil
 		if w.st.Verb == VerbCommit {
--- a/core/proxy/work.go
+++ b/core/proxy/work.go
@@ -37,6 +37,7 @@
 const (
 	textReplaced     = "the primary is being replaced"
 	textOtherMayLead = "another upstream may lead since"
+	textNoMemory     = "the entry VM has no memory for the answer"
 )
 
 // work is the execution of one statement.
--- a/io/admin/admin.go
+++ b/io/admin/admin.go
@@ -13,8 +13,14 @@
 	"snipewall/core"
 )
 
-// headerTimeout limits the time to read a request's header.
-const headerTimeout = 5 * time.Second
+// Limits of requests. A profile takes half a minute by default.
+const (
+	headerTimeout  = 5 * time.Second
+	readTimeout    = 10 * time.Second
+	writeTimeout   = 2 * time.Minute
+	idleTimeout    = 2 * time.Minute
+	maxHeaderBytes = 16 << 10
+)
 
 // Config configures a Server.
 type Config struct {
@@ -44,7 +50,10 @@
 
 // Run serves requests until ctx ends, and then returns nil.
 func (s *Server) Run(ctx context.Context) error {
-	srv := &http.Server{Handler: s.handler(), ReadHeaderTimeout: headerTimeout}
+	srv := &http.Server{
+		Handler: s.handler(), ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout, WriteTimeout: writeTimeout,
+		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
 	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
 	defer stop()
 	if err := srv.Serve(s.cfg.Listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
--- a/io/ctrl/codec.go
+++ b/io/ctrl/codec.go
@@ -3,22 +3,19 @@
 import (
 	"bufio"
 	"encoding/gob"
-	"errors"
-	"io"
 	"net"
 	"net/rpc"
 	"sync"
 	"time"
-)
 
-// errTooLarge reports a request above the size limit.
-var errTooLarge = errors.New("request is too large")
+	"snipewall/io/sock"
+)
 
 // codec is a server codec of net/rpc for encoding/gob. Unlike the standard one, it sets deadlines and
 // limits the size of a request.
 type codec struct {
 	conn     net.Conn
-	limit    *limitReader
+	limit    *sock.FrameReader
 	dec      *gob.Decoder
 	enc      *gob.Encoder
 	buf      *bufio.Writer
@@ -31,7 +28,7 @@
 var _ rpc.ServerCodec = (*codec)(nil)
 
 func newCodec(conn net.Conn, idle, timeout time.Duration, maxBytes int64) *codec {
-	limit := &limitReader{r: conn}
+	limit := &sock.FrameReader{R: bufio.NewReader(conn)}
 	buf := bufio.NewWriter(conn)
 	return &codec{
 		conn: conn, limit: limit, dec: gob.NewDecoder(limit), enc: gob.NewEncoder(buf), buf: buf,
@@ -44,7 +41,7 @@
 	if err := c.conn.SetReadDeadline(time.Now().Add(c.idle)); err != nil {
 		return err
 	}
-	c.limit.remaining = c.maxBytes
+	c.limit.Begin(c.maxBytes)
 	return c.dec.Decode(r)
 }
 
@@ -81,22 +78,3 @@
 	c.close.Do(func() { err = c.conn.Close() })
 	return err
 }
-
-// limitReader returns errTooLarge once remaining bytes have been read.
-type limitReader struct {
-	r         io.Reader
-	remaining int64
-}
-
-// Read implements io.Reader.
-func (l *limitReader) Read(p []byte) (int, error) {
-	if l.remaining <= 0 {
-		return 0, errTooLarge
-	}
-	if int64(len(p)) > l.remaining {
-		p = p[:l.remaining]
-	}
-	n, err := l.r.Read(p)
-	l.remaining -= int64(n)
-	return n, err
-}
--- a/io/ctrl/server.go
+++ b/io/ctrl/server.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"snipewall/core"
+	"snipewall/core/budget"
 	"snipewall/core/peers"
 )
 
@@ -34,6 +35,8 @@
 	MaxRequestBytes int64
 	// HandlerTimeout limits the time to handle a request; 0 means 5 s.
 	HandlerTimeout time.Duration
+	// Memory accounts for requests that are being received; nil means that there is no limit for all together.
+	Memory *budget.Budget
 }
 
 // Server serves control calls.
@@ -113,7 +116,12 @@
 		return
 	}
 	defer s.remove(conn)
-	s.rpc.ServeCodec(newCodec(conn, s.cfg.IdleTimeout, s.cfg.HandlerTimeout, s.cfg.MaxRequestBytes))
+	c := newCodec(conn, s.cfg.IdleTimeout, s.cfg.HandlerTimeout, s.cfg.MaxRequestBytes)
+	if s.cfg.Memory != nil {
+		c.limit.Account = s.cfg.Memory.Open(func() { _ = conn.Close() })
+		defer c.limit.Account.Close()
+	}
+	s.rpc.ServeCodec(c)
 }
 
 func (s *Server) add(conn net.Conn) bool {
--- a/io/hop/server.go
+++ b/io/hop/server.go
@@ -12,6 +12,7 @@
 	"github.com/go-kit/log"
 
 	"snipewall/core"
+	"snipewall/core/budget"
 	"snipewall/io/sock"
 )
 
@@ -26,6 +27,10 @@
 	goodbyeTimeout = 100 * time.Millisecond
 	// idleTimeout is the time without a batch after which a connection is closed.
 	idleTimeout = 2 * time.Minute
+	// maxHelloBytes limits the first frame. maxBatchBytes limits a batch: a statement, and the values and prepared statements
+	// of a session, which its VM limits to half of it.
+	maxHelloBytes = 64 << 10
+	maxBatchBytes = 16 << 20
 )
 
 // Relay runs the commands of one connection on an upstream that this entry VM owns. It needs no
@@ -47,6 +52,8 @@
 	// doesn't know the upstream.
 	Open func(id core.UpstreamID) (Relay, core.Position, bool)
 	Log  log.Logger
+	// Memory accounts for batches that are being received; nil means that there is no limit for all together.
+	Memory *budget.Budget
 }
 
 // Server is the service "hop".
@@ -71,7 +78,11 @@
 
 func (s *Server) open(c net.Conn) *peer {
 	p := &peer{server: s, conn: c, in: bufio.NewReaderSize(c, bufferSize), out: bufio.NewWriterSize(c, bufferSize)}
-	p.dec, p.enc = gob.NewDecoder(p.in), gob.NewEncoder(p.out)
+	p.frames = &sock.FrameReader{R: p.in}
+	if s.cfg.Memory != nil {
+		p.frames.Account = s.cfg.Memory.Open(func() { _ = c.Close() })
+	}
+	p.dec, p.enc = gob.NewDecoder(p.frames), gob.NewEncoder(p.out)
 	return p
 }
 
@@ -87,6 +98,7 @@
 	server *Server
 	conn   net.Conn
 	in     *bufio.Reader
+	frames *sock.FrameReader
 	dec    *gob.Decoder
 
 	// mu is held while a frame is written to out or enc.
@@ -101,6 +113,10 @@
 	if err := p.conn.SetReadDeadline(time.Now().Add(helloTimeout)); err != nil {
 		return
 	}
+	if p.frames.Account != nil {
+		defer p.frames.Account.Close()
+	}
+	p.frames.Begin(maxHelloBytes)
 	var h hello
 	if err := p.dec.Decode(&h); err != nil {
 		return
@@ -126,6 +142,7 @@
 	if err := p.conn.SetReadDeadline(time.Now().Add(idleTimeout)); err != nil {
 		return false
 	}
+	p.frames.Begin(maxBatchBytes)
 	var b batch
 	if err := p.dec.Decode(&b); err != nil {
 		return false
--- /dev/null
+++ b/io/sock/limit.go
@@ -0,0 +1,118 @@
+package sock
+
+import (
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// LimitConfig configures a listener with a limit. Closed may be nil.
+type LimitConfig struct {
+	Listener net.Listener
+	// Max is the number of connections that may be open at the same time.
+	Max int
+	// Closed is called after a connection was closed because of the limit.
+	Closed func()
+}
+
+// Limit returns a listener that closes an older connection to accept one above the limit: the first that sent nothing,
+// otherwise the one that has sent nothing for the longest time. A crowd that opens connections and leaves them can't keep
+// others from connecting. When the process has no descriptor left, a connection is closed too.
+func Limit(cfg LimitConfig) net.Listener {
+	return &limitListener{Listener: cfg.Listener, cfg: cfg, conns: make(map[*limitConn]struct{})}
+}
+
+type limitListener struct {
+	net.Listener
+	cfg LimitConfig
+
+	mu    sync.Mutex
+	conns map[*limitConn]struct{}
+}
+
+// Accept implements net.Listener.
+func (l *limitListener) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	if err != nil {
+		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+			l.closeOne()
+		}
+		return nil, err
+	}
+	c := &limitConn{Conn: nc, l: l, openedAt: time.Now()}
+	l.mu.Lock()
+	full := len(l.conns) >= l.cfg.Max
+	l.mu.Unlock()
+	if full {
+		l.closeOne()
+	}
+	l.mu.Lock()
+	l.conns[c] = struct{}{}
+	l.mu.Unlock()
+	return c, nil
+}
+
+// closeOne closes the connection that has been silent for the longest time.
+func (l *limitListener) closeOne() {
+	l.mu.Lock()
+	var oldest *limitConn
+	for c := range l.conns {
+		if oldest == nil || c.isBefore(oldest) {
+			oldest = c
+		}
+	}
+	l.mu.Unlock()
+	if oldest == nil {
+		return
+	}
+	_ = oldest.Close()
+	if l.cfg.Closed != nil {
+		l.cfg.Closed()
+	}
+}
+
+// limitConn is a connection that counts toward the limit of its listener.
+type limitConn struct {
+	net.Conn
+	l        *limitListener
+	openedAt time.Time
+	// readAfter is the time from the opening of the connection to the last read that returned bytes, in nanoseconds, or 0.
+	readAfter atomic.Int64
+}
+
+// isBefore reports whether the connection is closed before the other one.
+func (c *limitConn) isBefore(other *limitConn) bool {
+	a, b := c.readAfter.Load(), other.readAfter.Load()
+	if (a == 0) != (b == 0) {
+		return a == 0
+	}
+	return c.openedAt.Add(time.Duration(a)).Before(other.openedAt.Add(time.Duration(b)))
+}
+
+// Read implements net.Conn.
+func (c *limitConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.readAfter.Store(int64(time.Since(c.openedAt)) + 1)
+	}
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *limitConn) Close() error {
+	c.l.mu.Lock()
+	delete(c.l.conns, c)
+	c.l.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// CloseWrite ends the stream to the peer, so that it reads the end after all that was written.
+func (c *limitConn) CloseWrite() error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.CloseWrite()
+	}
+	return nil
+}
