Limit the memory of messages in the PostgreSQL role

Cause: a message of up to 16 MiB may stop half-way and was held without a time limit, and all of them together without a limit: 60 took 821 MB. Change: messages above 8 KiB are accounted in a core/budget of 48 MB (Callers.BufferMegabytes) until they have run; a message that has begun must go on within 30 s, 16 KiB or its end. Both are answered with SW001, since nothing has run. FuzzSplit compares split and joined input on the fake clock.

--- a/conf/keys.go
+++ b/conf/keys.go
@@ -53,6 +53,7 @@
 	text("Callers", "DefaultKind", "default", "Kind of requests that don't specify one.", func(s *Settings) *string { return (*string)(&s.Callers.DefaultKind) }),
 	number("Callers", "MaxMessage", "16777216", 1024, 1<<30, "Maximum message size in bytes.", func(s *Settings) *int { return &s.Callers.MaxMessage }),
 	number("Callers", "MaxConnections", "20000", 1, 1<<20, "Maximum number of concurrent callers' connections.", func(s *Settings) *int { return &s.Callers.MaxConnections }),
+	number("Callers", "BufferMegabytes", "48", 1, 1<<20, "Memory for messages that are being received or run, of all callers together; beyond it they are refused or closed.", func(s *Settings) *int { return &s.Callers.BufferMegabytes }),
 	duration("Stop", "Grace", "2s", 0, time.Minute, "Time between turning readiness off and refusing new work.", func(s *Settings) *time.Duration { return &s.Stop.Grace }),
 	duration("Stop", "Timeout", "30s", time.Second, time.Hour, "Time limit for finishing requests in flight.", func(s *Settings) *time.Duration { return &s.Stop.Timeout }),
 	file("CallerTLS", "Certificate", "File with the PEM certificate presented to callers.", func(s *Settings) *string { return &s.CallerTLS.Certificate }),
--- a/conf/settings.go
+++ b/conf/settings.go
@@ -78,6 +78,8 @@
 	MaxMessage int
 	// MaxConnections is the maximum number of concurrent connections.
 	MaxConnections int
+	// BufferMegabytes is the memory that messages above 8 KiB may take together until they have run.
+	BufferMegabytes int
 }
 
 // Stop configures the graceful shutdown.
--- a/io/front/fuzz_test.go
+++ b/io/front/fuzz_test.go
@@ -1,9 +1,14 @@
 package front
 
 import (
+	"encoding/binary"
+	"errors"
+	"fmt"
 	"io"
 	"net"
+	"os"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -109,3 +114,70 @@
 		}
 	})
 }
+
+// answersOf sends the parts and the end of the session, and returns the answers without the keys for CancelRequest, which
+// are random.
+func answersOf(t *testing.T, l *pipeListener, parts [][]byte) string {
+	t.Helper()
+	conn, err := l.dial()
+	assert.NilError(t, err)
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		for _, part := range append(parts, mustEncode(&pgproto3.Terminate{})) {
+			if _, err := conn.Write(part); err != nil {
+				return
+			}
+		}
+	}()
+	assert.NilError(t, conn.SetReadDeadline(time.Now().Add(time.Hour)))
+	answers, err := io.ReadAll(conn)
+	// The end may have been taken for the rest of a message, so that the session waits for the next one.
+	waits := errors.Is(err, os.ErrDeadlineExceeded)
+	assert.Assert(t, err == nil || waits, "%v", err)
+	_ = conn.Close()
+	<-written
+	var out []byte
+	for len(answers) >= 5 {
+		n := min(len(answers), 1+int(binary.BigEndian.Uint32(answers[1:])))
+		if answers[0] != 'K' {
+			out = append(out, answers[:n]...)
+		}
+		answers = answers[n:]
+	}
+	return fmt.Sprint(string(out), " waits: ", waits)
+}
+
+// Guards against answers that depend on how the network splits or joins messages.
+func FuzzSplit(f *testing.F) {
+	f.Add([]byte("P\x00\x00\x00\x12a\x001\x00\x00\x00Dse"), []byte{2})
+	two := mustEncode(query("select 1"), query("begin"), query("select 2"), query("rollback"))
+	for _, data := range [][]byte{
+		two, append(two, 'Q', 0, 0), append(append([]byte{'Q', 0, 0, 0x10, 0}, make([]byte, 0x1000)...), two...),
+		mustEncode(parse("a", "select $1"), describe('S', "a"), bind("p", "a", "x"), execute("p"), flushMsg, syncMsg, query("select 3")),
+		{'Q', 0x7f, 0xff, 0xff, 0xff, 'x'},
+	} {
+		f.Add(data, []byte{0, 3, 9})
+	}
+	f.Fuzz(func(t *testing.T, data, sizes []byte) {
+		// On the fake clock, a message stalls only if nothing else can happen.
+		synctest.Test(t, func(t *testing.T) { checkSplit(t, data, sizes) })
+	})
+}
+
+// checkSplit compares the answers to the bytes in parts of the sizes with those to all of them at once.
+func checkSplit(t *testing.T, data, sizes []byte) {
+	t.Helper()
+	_, l := pipeServer(t, func(c *Config) { c.MaxMessage = 4096 })
+	all := append(startupPacket(), data...)
+	var parts [][]byte
+	for i, rest := 0, all; len(rest) > 0; i++ {
+		n := len(rest)
+		if len(sizes) > 0 {
+			n = min(n, 1+int(sizes[i%len(sizes)]))
+		}
+		parts, rest = append(parts, rest[:n]), rest[n:]
+	}
+	whole := answersOf(t, l, [][]byte{all})
+	assert.Equal(t, answersOf(t, l, parts), whole)
+}
--- a/io/front/reader.go
+++ b/io/front/reader.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"context"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -8,8 +9,11 @@
 	"net"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
+
+	"snipewall/core/budget"
 )
 
 const (
@@ -48,6 +52,40 @@
 	raw  syscall.RawConn
 	buf  *[readBufferSize]byte
 	r, w int
+	// memory accounts for messages. kept is the size of earlier ones that still count.
+	memory *budget.Account
+	kept   int
+	// stall is the time in which progressBytes more of a message must arrive, unless it ends before; 0 means no limit. left
+	// is what must arrive before the deadline of the connection is set again, and limited is set while there is one.
+	stall   time.Duration
+	left    int
+	limited bool
+}
+
+// progressBytes is the part of a message that must arrive within the stall timeout.
+const progressBytes = 16 << 10
+
+// fillMessage reads more of a message that has begun, within the stall timeout.
+func (rd *reader) fillMessage() error {
+	if rd.stall > 0 && rd.left <= 0 {
+		if err := rd.conn.SetReadDeadline(time.Now().Add(rd.stall)); err != nil {
+			return err
+		}
+		rd.limited, rd.left = true, progressBytes
+	}
+	var err error
+	rd.memory.Await(func() { err = rd.fill() })
+	rd.left -= rd.buffered()
+	return err
+}
+
+// endMessage ends the time limit of a message.
+func (rd *reader) endMessage() error {
+	if !rd.limited {
+		return nil
+	}
+	rd.limited, rd.left = false, 0
+	return rd.conn.SetReadDeadline(time.Time{})
 }
 
 // buffered returns the number of bytes that were received but not consumed yet.
@@ -126,7 +164,7 @@
 // peek returns the next n bytes without consuming them. n is at most the size of the buffer.
 func (rd *reader) peek(n int) ([]byte, error) {
 	for rd.buffered() < n {
-		if err := rd.fill(); err != nil {
+		if err := rd.fillMessage(); err != nil {
 			if rd.buffered() > 0 && errors.Is(err, io.EOF) {
 				err = io.ErrUnexpectedEOF
 			}
@@ -139,14 +177,25 @@
 // body reads n bytes into newly allocated memory, so that messages can refer to it for as long as an
 // executor needs them.
 func (rd *reader) body(n int) ([]byte, error) {
+	if n > budget.FreeBytes && !rd.memory.Hold(context.Background(), int64(rd.kept+min(n, bodyChunkSize))) {
+		return nil, budget.ErrSpent
+	}
 	body := make([]byte, 0, min(n, bodyChunkSize))
 	for len(body) < n {
+		if len(body) == cap(body) {
+			size := min(n, 2*cap(body))
+			// Both are held while the body moves.
+			if !rd.memory.Hold(context.Background(), int64(rd.kept+cap(body)+size)) {
+				return nil, budget.ErrSpent
+			}
+			body = append(make([]byte, 0, size), body...)
+		}
 		if rd.buffered() == 0 {
-			if err := rd.fill(); err != nil {
+			if err := rd.fillMessage(); err != nil {
 				return nil, err
 			}
 		}
-		k := min(rd.buffered(), n-len(body))
+		k := min(rd.buffered(), cap(body)-len(body))
 		body = append(body, rd.buf[rd.r:rd.r+k]...)
 		rd.r += k
 	}
@@ -157,7 +206,7 @@
 func (rd *reader) skip(n int) error {
 	for n > 0 {
 		if rd.buffered() == 0 {
-			if err := rd.fill(); err != nil {
+			if err := rd.fillMessage(); err != nil {
 				return err
 			}
 		}
@@ -201,7 +250,7 @@
 	}
 	rd.r += 5
 	if n > limit {
-		if err := rd.skip(n); err != nil {
+		if err := errors.Join(rd.skip(n), rd.endMessage()); err != nil {
 			return nil, 0, err
 		}
 		return msg, n, &messageTooLargeError{typ: typ, size: n, max: limit}
@@ -210,6 +259,9 @@
 	if err != nil {
 		return nil, 0, err
 	}
+	if err := rd.endMessage(); err != nil {
+		return nil, 0, err
+	}
 	if err := msg.Decode(body); err != nil {
 		return nil, 0, &protocolError{reason: err.Error()}
 	}
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -15,6 +16,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"snipewall/core"
+	"snipewall/core/budget"
 )
 
 // Defaults of Config.
@@ -22,6 +24,7 @@
 	defaultMaxMessage      = 16 << 20
 	defaultDeadline        = 30 * time.Second
 	defaultStartupTimeout  = 10 * time.Second
+	defaultStallTimeout    = 30 * time.Second
 	defaultMaxStatements   = 2048
 	defaultIdleInTxTimeout = time.Minute
 	defaultParkDelay       = 5 * time.Second
@@ -46,6 +49,8 @@
 	DefaultKind core.Kind
 	// MaxMessage limits one message, and the messages up to a Sync together, in bytes.
 	MaxMessage int
+	// Memory accounts for messages until they have run; nil means that there is no limit for all callers together.
+	Memory *budget.Budget
 	// MaxConnections limits the connections of callers; 0 means no limit.
 	MaxConnections int
 	// MaxStatements limits the named prepared statements of one connection.
@@ -54,6 +59,8 @@
 	Deadline time.Duration
 	// StartupTimeout limits the time from accepting a connection to its start-up message.
 	StartupTimeout time.Duration
+	// StallTimeout is the time in which the next 16 KiB of a message that has begun must arrive, unless it ends before.
+	StallTimeout time.Duration
 	// IdleInTxTimeout limits the time that a caller may be idle inside a transaction, which holds an
 	// upstream connection.
 	IdleInTxTimeout time.Duration
@@ -71,6 +78,9 @@
 	if c.Metrics == nil {
 		c.Metrics = tally.NoopScope
 	}
+	if c.Memory == nil {
+		c.Memory = budget.New(budget.Config{Limit: math.MaxInt64})
+	}
 	if c.MaxMessage <= 0 {
 		c.MaxMessage = defaultMaxMessage
 	}
@@ -83,6 +93,9 @@
 	if c.StartupTimeout <= 0 {
 		c.StartupTimeout = defaultStartupTimeout
 	}
+	if c.StallTimeout <= 0 {
+		c.StallTimeout = defaultStallTimeout
+	}
 	if c.IdleInTxTimeout <= 0 {
 		c.IdleInTxTimeout = defaultIdleInTxTimeout
 	}
--- a/io/front/session.go
+++ b/io/front/session.go
@@ -14,6 +14,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"snipewall/core"
+	"snipewall/core/budget"
 )
 
 // States of a session that Drain distinguishes.
@@ -95,14 +96,14 @@
 			s.sys = sys
 		}
 	}
-	s.rd = reader{conn: conn, raw: s.sys}
+	s.rd = reader{conn: conn, raw: s.sys, memory: srv.cfg.Memory.Open(func() { _ = conn.Close() })}
 	return s
 }
 
 // setConn replaces the connection by an encrypted one.
 func (s *session) setConn(conn net.Conn) {
 	s.conn = conn
-	s.rd = reader{conn: conn}
+	s.rd = reader{conn: conn, memory: s.rd.memory}
 }
 
 // close closes the connection and releases what the session holds. An open transaction is rolled back.
@@ -113,6 +114,7 @@
 	}
 	s.stmts = nil
 	s.rd.discard()
+	s.rd.memory.Close()
 	_ = s.conn.Close()
 }
 
@@ -147,6 +149,7 @@
 // loop serves messages until the connection ends. It returns true if the connection is parked, and loop
 // must then be called on a new goroutine.
 func (s *session) loop() bool {
+	s.rd.stall = s.srv.cfg.StallTimeout
 	for s.broken == nil {
 		if !s.await() {
 			return s.parked
@@ -161,10 +164,24 @@
 		if !s.handle(msg, n) {
 			return false
 		}
+		s.keepBatch()
 	}
 	return false
 }
 
+// keepBatch gives back the memory of messages, except for those of a batch that hasn't run yet.
+func (s *session) keepBatch() {
+	s.rd.kept = 0
+	if s.batch != nil {
+		s.rd.kept = s.batch.size
+	}
+	if !s.rd.memory.TryHold(int64(s.rd.kept)) {
+		s.batch.fail(&callerError{State: core.StateOverload, Message: "the messages up to Sync were not run: " + budget.ErrSpent.Error(), Hint: "Repeat them later."})
+		s.rd.kept = 0
+		s.rd.memory.Close()
+	}
+}
+
 // await waits for the first byte of a message. It returns false if the session ends.
 func (s *session) await() bool {
 	if s.rd.buffered() > 0 {
@@ -174,7 +191,9 @@
 		return s.awaitInTx()
 	}
 	if s.batch != nil || s.skipping {
-		return s.rd.fill() == nil
+		var err error
+		s.rd.memory.Await(func() { err = s.rd.fill() })
+		return err == nil
 	}
 	return s.awaitIdle()
 }
@@ -270,6 +289,12 @@
 		s.fatal(refusal)
 		return false
 	}
+	if errors.Is(err, budget.ErrSpent) || errors.Is(err, os.ErrDeadlineExceeded) {
+		s.fatal(&callerError{State: core.StateOverload, Message: "the message was not run: " + err.Error(), Hint: "Repeat it later."})
+		s.rd.memory.Close()
+		s.linger()
+		return false
+	}
 	var proto *protocolError
 	if errors.As(err, &proto) {
 		s.fatal(&callerError{State: core.StateProtocolViolation, Message: proto.reason})
--- a/server/server.go
+++ b/server/server.go
@@ -15,6 +15,7 @@
 	"snipewall/conf"
 	"snipewall/core"
 	"snipewall/core/assign"
+	"snipewall/core/budget"
 	"snipewall/core/peers"
 	"snipewall/core/place"
 	"snipewall/core/route"
@@ -121,6 +122,9 @@
 	return p.registry.Register(p.router)
 }
 
+// memoryWait is how long a message waits for memory that others give back.
+const memoryWait = 300 * time.Millisecond
+
 func (p *Process) openFront() error {
 	s := p.cfg.Settings
 	ln, err := listen("Callers", s.Listen.Callers)
@@ -131,7 +135,14 @@
 	if err != nil {
 		return err
 	}
+	scope, logger := p.scope.SubScope("Limits"), log.With(p.cfg.Log, "Service", "limits")
+	memory := budget.New(budget.Config{
+		Limit: int64(s.Callers.BufferMegabytes) << 20, Wait: memoryWait,
+		Refused: budget.NewNotice(budget.NoticeConfig{Msg: "no memory for a message", Counter: scope.Counter("MemoryRefusals"), Log: logger}),
+		Closed:  budget.NewNotice(budget.NoticeConfig{Msg: "connection closed, since it held the most memory", Counter: scope.Counter("MemoryClosed"), Log: logger}),
+	})
 	p.front = front.New(front.Config{
+		Memory:   memory,
 		Listener: ln, Router: p.router, Policies: p.table, Groups: p.router, TLS: tlsConfig,
 		Log: log.With(p.cfg.Log, "Service", "front"), Metrics: p.scope.SubScope("Front"),
 		DefaultKind: s.Callers.DefaultKind, MaxMessage: s.Callers.MaxMessage,
