--- a/core/topo/topo_test.go
+++ b/core/topo/topo_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -161,11 +162,11 @@
 func TestListsAgainElsewhere(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &fakeStore{version: 3}
-		relists := 0
+		var relists atomic.Int64
 		f := NewFeed(FeedConfig{
 			Title: "test", Store: s, Prefix: "p", Log: log.NewNopLogger(), Ready: make(chan struct{}),
 			Relist: func(ctx context.Context, prefix string) ([]core.Entry, core.Version, error) {
-				relists++
+				relists.Add(1)
 				return s.List(ctx, prefix)
 			},
 			Reset: func([]core.Entry, core.Version) {}, Event: func(core.Event) {},
@@ -175,11 +176,11 @@
 		go func() { end <- f.Run(ctx) }()
 		time.Sleep(readyTimeout - time.Millisecond)
 		s.set(func(s *fakeStore) { assert.Equal(t, s.watches, 0) })
-		assert.Equal(t, relists, 0)
+		assert.Equal(t, relists.Load(), int64(0))
 		time.Sleep(time.Second)
 		s.set(func(s *fakeStore) { s.version = 9 })
 		time.Sleep(defaultTarget/2 + 10*time.Millisecond)
-		assert.Equal(t, relists, 1)
+		assert.Equal(t, relists.Load(), int64(1))
 		s.set(func(s *fakeStore) { assert.Assert(t, s.watches >= 3, "%d watches", s.watches) })
 		cancel()
 		assert.NilError(t, <-end)
