Let a keeper divide limits while few VMs are silent

Cause: a keeper divided nothing beyond what VMs reported until all VMs had answered or 11 s had passed, and a VM that was removed never answers. Change: a VM holds at most a fifth of a limit and gets more as tokens of the reserve. While up to three VMs are silent, a new keeper counts a fifth for each and divides the rest.

--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -29,6 +29,13 @@
 // doesn't know yet what the VMs hold.
 var assignable = Right{Rate: whole * 75 / 100, Burst: whole * 90 / 100}
 
+// maxShare is the most that one VM holds. It tells a new keeper how much silent VMs may hold. A VM whose callers need more
+// gets it as tokens of the reserve.
+var maxShare = Right{Rate: whole * 20 / 100, Burst: whole * 20 / 100}
+
+// maxSilent is the number of silent VMs up to which a new keeper counts them with maxShare.
+const maxSilent = 3
+
 // hardReserve is what is never assigned.
 var hardReserve = Right{whole - assignable.Rate, whole - assignable.Burst}
 
@@ -100,6 +107,9 @@
 	// isBased is set once no other VM believes to be the keeper. Before, VMs keep what they report. settled is set once
 	// the ledger has all rights that VMs may hold. Before, nothing is assigned beyond what VMs have reported.
 	isBased, settled bool
+	// silent is the number of VMs that haven't reported, valid if isCounted is set: all others have.
+	silent    int
+	isCounted bool
 	// changes are the organisations whose over has changed.
 	changes []core.OrganisationID
 }
@@ -162,6 +172,19 @@
 // earlier report may be of a VM that has restarted since and got its rights from another keeper.
 func (g *Ledger) Rebase() { g.isBased = true }
 
+// SetSilent notes that all VMs but n have reported since the ledger is based.
+func (g *Ledger) SetSilent(n int) {
+	if g.isBased && n <= maxSilent {
+		g.silent, g.isCounted = n, true
+	}
+}
+
+// available is what silent VMs don't hold.
+func (g *Ledger) available() Right {
+	n := Share(g.silent)
+	return Right{whole - n*maxShare.Rate, whole - n*maxShare.Burst}
+}
+
 // IsSettled reports whether Settle was called.
 func (g *Ledger) IsSettled() bool { return g.settled }
 
@@ -273,7 +296,12 @@
 // reserve is the right that the keeper may use itself.
 func (g *Ledger) reserve(a *account) Right {
 	r := Right{whole - min(a.used.Rate, whole), whole - min(a.used.Burst, whole)}
-	if !g.settled {
+	switch {
+	case g.settled:
+	case g.isCounted:
+		free := g.available()
+		r = Right{free.Rate - min(a.used.Rate, free.Rate), free.Burst - min(a.used.Burst, free.Burst)}
+	default:
 		r = r.least(hardReserve)
 	}
 	return r
@@ -323,10 +351,16 @@
 		r.Rate = max(r.Rate, shareOf(assignable.Rate.of(1), g.maxHolders(limit), assignable.Rate))
 	}
 	all := assignable
-	if !g.settled {
+	switch {
+	case g.settled:
+	case g.isCounted:
+		free := g.available()
+		all = Right{free.Rate.part(assignable.Rate), free.Burst.part(assignable.Burst)}
+	default:
 		all = all.least(a.known)
 	}
 	r = r.least(Right{max(all.Rate, others.Rate) - others.Rate, max(all.Burst, others.Burst) - others.Burst})
+	r = r.least(maxShare)
 	if r.Burst.of(pool) < 1 {
 		return Right{}
 	}
@@ -351,7 +385,7 @@
 func (g *Ledger) judge(id core.OrganisationID, a *account, limit Limit) Milli {
 	chance := 2 * math.Sqrt(limit.Rate/(2*recentTime.Seconds()))
 	switch {
-	case !g.settled || a.recent <= limit.Rate:
+	case !g.settled && !g.isCounted || a.recent <= limit.Rate:
 		g.setOver(id, a, false)
 	case a.recent > limit.Rate+chance && a.tokens < 1:
 		g.setOver(id, a, true)
--- a/core/quota/message.go
+++ b/core/quota/message.go
@@ -9,6 +9,9 @@
 // Share is a part of an organisation's limit, in millionths.
 type Share uint32
 
+// part returns the given part of the share.
+func (s Share) part(of Share) Share { return Share(uint64(s) * uint64(of) / uint64(whole)) }
+
 // whole is the share of a VM that may use all of a limit.
 const whole Share = 1_000_000
 
--- a/core/quota/settle.go
+++ b/core/quota/settle.go
@@ -74,6 +74,9 @@
 			return err
 		}
 		pending = k.askAll(ctx, t, pending)
+		if !k.update(t, func(g *Ledger) { g.SetSilent(len(pending)) }) {
+			return errTermOver
+		}
 		if len(pending) > 0 {
 			sleep(ctx, reportDelay)
 		}
