Don't say not run of a read whose answer found no memory

Cause: such a read has run, but was answered BUSY, whose Fault.IsNotRun is true. Change: FAILED, after which callers repeat reads.

--- a/core/proxy/single.go
+++ b/core/proxy/single.go
@@ -204,13 +204,14 @@
 	return reply, retryNow
 }
 
-// handleNoMemory ends a try whose answer this VM has no memory for. A read isn't retried, since its answer would be as large.
+// handleNoMemory ends a try whose answer this VM has no memory for. A read isn't retried here, since its answer would be as
+// large. It has run, so that the fault doesn't say otherwise.
 func (s *Session) handleNoMemory(w *work, h *heldConn) (Reply, outcome) {
 	h.discard()
 	if w.write {
 		return Reply{Fault: core.FaultInDoubt, Text: textNoMemory}, done
 	}
-	return Reply{Fault: core.FaultBusy, Text: textNoMemory, NoMemory: true}, done
+	return Reply{Fault: core.FaultFailed, Text: textNoMemory, NoMemory: true}, done
 }
 
 // handleNoAnswer handles a missing answer. A goroutine reads the late answer of a slow read, so that
