End the first watch at once where permits rest on it

Cause: a listing confirms a mirror's view since the calls were cut, so that the first watch waited its whole time, and it began only once other VMs were found. Change: there only watches confirm, and the first one begins with the VM's own entry, as before.

--- a/core/mirror/confirm_test.go
+++ b/core/mirror/confirm_test.go
@@ -170,3 +170,20 @@
 	v.reset(listing, 11)
 	assert.Assert(t, v.entries == nil, "changes between 11 and 12 are unknown")
 }
+
+// Guards against VMs without permits for a whole watch after their start: where only watches confirm, the first one ends at
+// once, also after a listing.
+func TestFirstWatchAfterListing(t *testing.T) {
+	for _, needsWatch := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			m := newTestMirror(&fakeStore{version: 5, changed: make(chan struct{})})
+			m.cfg.NeedsWatch = needsWatch
+			_, at, err := m.List(t.Context(), prefix)
+			assert.NilError(t, err)
+			began := time.Now()
+			_, _, err = m.WatchPrefix(t.Context(), prefix, at, 2*time.Second)
+			assert.NilError(t, err)
+			assert.Equal(t, time.Since(began) == minStoreWait, needsWatch, "after %v", time.Since(began))
+		})
+	}
+}
--- a/core/mirror/list.go
+++ b/core/mirror/list.go
@@ -49,7 +49,9 @@
 	v := m.view(prefix)
 	v.reset(entries, at)
 	v.listedAt = listedAt
-	v.confirmListing(at, listedAt)
+	if !m.cfg.NeedsWatch {
+		v.confirmListing(at, listedAt)
+	}
 	return entries, at, nil
 }
 
--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -83,9 +83,12 @@
 	Members Members
 	Self    core.VM
 	// Call calls a method of another entry VM at its control address.
-	Call    func(ctx context.Context, address, method string, req, answer any) error
-	Log     log.Logger
-	Metrics tally.Scope
+	Call func(ctx context.Context, address, method string, req, answer any) error
+	// NeedsWatch is set if only watches confirm a view, since a confirmation counts from when others find this VM. The
+	// first watch then ends at once.
+	NeedsWatch bool
+	Log        log.Logger
+	Metrics    tally.Scope
 	// Eras keeps the newest era of the store; nil stands for one that only the mirrors' versions raise.
 	Eras *eras.Tracker
 	// Now reads a clock that advances while the VM is suspended; nil stands for core.Now.
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -88,6 +88,8 @@
 	// enlistedAt is when the entry was first written in enlistedEra.
 	enlistedAt  core.Instant
 	enlistedEra core.Era
+	// enlisted is closed when the entry is first written.
+	enlisted chan struct{}
 	// found is closed when the list was read foundTime after enlistedAt.
 	found   chan struct{}
 	isFound bool
@@ -110,7 +112,7 @@
 		cfg.Eras = eras.New(eras.Config{})
 	}
 	return &Roster{
-		cfg: cfg, wake: make(chan struct{}, 1), changed: make(chan struct{}), found: make(chan struct{}),
+		cfg: cfg, wake: make(chan struct{}, 1), changed: make(chan struct{}), enlisted: make(chan struct{}), found: make(chan struct{}),
 		vms: map[core.VMID]member{cfg.Self.ID: {vm: cfg.Self}},
 	}
 }
@@ -166,6 +168,9 @@
 	return r.changed
 }
 
+// Enlisted returns a channel that is closed once this VM has an entry, so that listings by other VMs have it.
+func (r *Roster) Enlisted() <-chan struct{} { return r.enlisted }
+
 // Found returns a channel that is closed once this VM has an entry and its list has most VMs that started at the same
 // time.
 func (r *Roster) Found() <-chan struct{} { return r.found }
@@ -365,6 +370,9 @@
 		return err
 	}
 	r.mu.Lock()
+	if r.enlistedAt == 0 {
+		close(r.enlisted)
+	}
 	if r.enlistedAt == 0 || r.enlistedEra != at.Era() {
 		r.enlistedAt, r.enlistedEra = core.Now(), at.Era()
 	}
