--- a/core/quota/limiter_test.go
+++ b/core/quota/limiter_test.go
@@ -40,7 +40,7 @@
 	})
 }
 
-// minGranted is the share of the operations below the limit that have to be granted.
+// minGranted is the share of the operations below the limit that have to be granted at least, whatever fails.
 const minGranted = 0.95
 
 // Guards against callers that notice a failure of the keeper, of VMs, of the store or of the network.
@@ -48,33 +48,35 @@
 	for _, tt := range []struct {
 		name  string
 		fault func(f *fleet)
+		// min is the share of operations that have to be granted.
+		min float64
 	}{
-		{"keeper dies", func(f *fleet) { f.keepers()[0].restart(2 * time.Second) }},
-		{"keeper dies for long", func(f *fleet) { f.keepers()[0].restart(30 * time.Second) }},
-		{"half of the VMs and the keeper die", func(f *fleet) { f.killHalf(1300 * time.Millisecond) }},
+		{"keeper dies", func(f *fleet) { f.keepers()[0].restart(2 * time.Second) }, 0.99},
+		{"keeper dies for long", func(f *fleet) { f.keepers()[0].restart(30 * time.Second) }, minGranted},
+		{"half of the VMs and the keeper die", func(f *fleet) { f.killHalf(1300 * time.Millisecond) }, 0.99},
 		{"all VMs restart", func(f *fleet) {
 			for _, n := range f.nodes {
 				n.restart(1300 * time.Millisecond)
 			}
 			time.Sleep(1300 * time.Millisecond)
-		}},
+		}, 0.98},
 		{"store down", func(f *fleet) {
 			f.store.setDown(true)
 			time.AfterFunc(5*time.Second, func() { f.store.setDown(false) })
-		}},
+		}, minGranted},
 		{"a quarter is cut off", func(f *fleet) {
 			for i := 0; i < len(f.nodes); i += 4 {
 				f.nodes[i].cut(1, true, 5*time.Second)
 			}
-		}},
+		}, 0.98},
 	} {
-		t.Run(tt.name, func(t *testing.T) { checkFault(t, tt.name, tt.fault) })
+		t.Run(tt.name, func(t *testing.T) { checkFault(t, tt.name, tt.min, tt.fault) })
 	}
 }
 
 // Guards against callers that notice that half of the VMs and the keeper stay away.
 func TestHalfOfVMsStayAway(t *testing.T) {
-	checkFault(t, "half of the VMs and the keeper die for long", func(f *fleet) { f.killHalf(20 * time.Second) })
+	checkFault(t, "half of the VMs and the keeper die for long", minGranted, func(f *fleet) { f.killHalf(20 * time.Second) })
 }
 
 // killHalf kills the keeper and every second VM, and starts them again after some time.
@@ -85,14 +87,14 @@
 	}
 }
 
-func checkFault(t *testing.T, name string, fault func(f *fleet)) {
+func checkFault(t *testing.T, name string, least float64, fault func(f *fleet)) {
 	t.Helper()
 	runFleet(t, 24, 30, func(f *fleet, rates []float64, pick func(int) *node) {
 		fault(f)
 		f.load(12*time.Second, rates, pick)
 		time.Sleep(2100 * time.Millisecond)
 		granted, _ := f.logSummary(name)
-		assert.Check(t, granted > minGranted)
+		assert.Check(t, granted > least)
 		assert.Equal(t, len(f.keepers()), 1)
 	})
 }
