--- a/review/stand2/case_answer.go
+++ b/review/stand2/case_answer.go
@@ -13,9 +13,9 @@
 // newDeployment starts the platform, a group and the entry VMs.
 func (r *run) newDeployment() (*group, []*entryVM) {
 	p := newPlatform(r)
-	g := newGroup(r, p)
-	g.putConfig(7)
-	return g, r.startEntries(entryCount, p)
+	g := newGroup(r, p, plainGroup)
+	putConfig(p, 7, g)
+	return g, r.startEntries(entryCount, []string{"charleston", "galveston", "mobile-bay"}, p)
 }
 
 // Answers of the case: a short item and a report of legal size.
--- a/review/stand2/entry.go
+++ b/review/stand2/entry.go
@@ -9,7 +9,6 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
-	"sort"
 	"strconv"
 	"strings"
 	"syscall"
@@ -34,8 +33,11 @@
 // startTimeout limits the start of a process until it is ready.
 const startTimeout = 15 * time.Second
 
-// zones are those of gbpc-shore, with their regions.
-var zones = map[string]string{"galveston": "gulf-west", "mobile-bay": "gulf-east", "charleston": "atlantic-se"}
+// zones are those of gbpc-shore and gbpc-shore-grown, with their regions.
+var zones = map[string]string{
+	"galveston": "gulf-west", "mobile-bay": "gulf-east", "charleston": "atlantic-se",
+	"lake-charles": "gulf-west", "pensacola": "gulf-east", "savannah": "atlantic-se",
+}
 
 // entryVM is an entry VM, run as a process of the real program.
 type entryVM struct {
@@ -66,13 +68,8 @@
 	return ln.Close() == nil
 }
 
-// startEntries starts n entry VMs, one zone after the other, and waits until they are ready.
-func (r *run) startEntries(n int, p *platform) []*entryVM {
-	names := make([]string, 0, len(zones))
-	for zone := range zones {
-		names = append(names, zone)
-	}
-	sort.Strings(names)
+// startEntries starts n entry VMs in the zones, in turn, and waits until they are ready.
+func (r *run) startEntries(n int, names []string, p *platform) []*entryVM {
 	for i := range n {
 		zone := names[i%len(names)]
 		vm := &entryVM{r: r, name: fmt.Sprintf("edge-%s-%d", zone, 1+i/len(names)), ip: r.vmAddress(i + 1)}
--- a/review/stand2/group.go
+++ b/review/stand2/group.go
@@ -14,7 +14,6 @@
 
 // Figures of gbpc-shore.
 const (
-	serviceName    = "berth-ledger"
 	slots          = 3
 	maxConnections = 22
 	replicaLag     = 8 * time.Millisecond
@@ -67,8 +66,21 @@
 	ran func(e execution)
 }
 
+// groupConfig describes a group.
+type groupConfig struct {
+	service string
+	// zones are those of the upstreams, the primary's first.
+	zones []string
+	// syncReplicas is the number of replicas that must have received a commit before it is acknowledged.
+	syncReplicas int
+}
+
+// plainGroup is a group of gbpc-shore.
+var plainGroup = groupConfig{service: "berth-ledger", zones: []string{"galveston", "mobile-bay", "charleston"}}
+
 // group is a database group whose upstreams share a log.
 type group struct {
+	groupConfig
 	r        *run
 	platform *platform
 	hooks    hooks
@@ -77,6 +89,9 @@
 	term       int
 	members    []*upstream
 	log        []commit
+	rolledBack []commit
+	// acked holds the ids of the writes that callers had an answer for, where a case needs them.
+	acked      map[string]bool
 	signatures map[string]string
 	// rows are the rows of items; an item without rows has one short row.
 	rows map[string][]string
@@ -90,18 +105,21 @@
 	isPrimary bool
 	conns     int
 	slots     chan struct{}
+	// darkUntil is until when the upstream is silent.
+	darkUntil time.Time
 }
 
-// newGroup starts three upstreams, one in each zone, and registers them.
-func newGroup(r *run, p *platform) *group {
-	g := &group{r: r, platform: p, term: 1, signatures: map[string]string{}, rows: map[string][]string{}}
-	for _, zone := range []string{"galveston", "mobile-bay", "charleston"} {
+// newGroup starts the upstreams and registers them.
+func newGroup(r *run, p *platform, cfg groupConfig) *group {
+	g := &group{groupConfig: cfg, r: r, platform: p, term: 1, signatures: map[string]string{}, rows: map[string][]string{}, acked: map[string]bool{}}
+	for _, zone := range cfg.zones {
 		u := &upstream{g: g, id: fmt.Sprintf("i-%08x", rand.Uint32()), zone: zone, ln: r.listen("127.0.0.1:0"), slots: make(chan struct{}, slots)}
 		u.isPrimary = len(g.members) == 0
 		g.members = append(g.members, u)
 		go u.accept()
 	}
-	p.promote = g.promote
+	others := p.promote
+	p.promote = func(service, id string) bool { return g.promote(service, id) || others(service, id) }
 	for _, u := range g.members {
 		u.register(1)
 	}
@@ -121,13 +139,16 @@
 
 func (u *upstream) register(sequence int) {
 	u.g.mu.Lock()
-	role := "replica"
+	role, dark := "replica", u.isDark()
 	if u.isPrimary {
 		role = "primary"
 	}
 	u.g.mu.Unlock()
+	if dark {
+		return
+	}
 	u.g.platform.put("servers/"+u.id, map[string]any{
-		"service": serviceName, "address": u.ln.Addr().String(), "zone": u.zone, "configVersion": "v1", "slots": slots,
+		"service": u.g.service, "address": u.ln.Addr().String(), "zone": u.zone, "configVersion": "v1", "slots": slots,
 		"state": "ready", "warmupLeftMs": 0, "dbRole": role, "sequence": sequence, "born": u.g.r.began.UnixMilli(),
 	})
 }
@@ -135,18 +156,27 @@
 // promote makes the upstream lead the next term some time later.
 func (g *group) promote(service, id string) bool {
 	i := slices.IndexFunc(g.members, func(u *upstream) bool { return u.id == id })
-	if i < 0 || service != serviceName {
+	if i < 0 || service != g.service {
 		return false
 	}
 	chosen := g.members[i]
+	g.mu.Lock()
+	dark := chosen.isDark()
+	g.mu.Unlock()
+	if dark {
+		return false
+	}
 	time.AfterFunc(promoteTime, func() {
 		g.mu.Lock()
 		if !chosen.isPrimary {
 			g.term++
-			g.log = g.log[:len(chosen.applied())]
+			kept := len(chosen.received())
+			g.rolledBack = append(g.rolledBack, g.log[kept:]...)
+			g.log = g.log[:kept:kept]
 			for _, u := range g.members {
 				u.isPrimary = u == chosen
 			}
+			g.r.notef("%s leads %s in term %d, %d commits are rolled back", chosen.id, g.service, g.term, len(g.rolledBack))
 		}
 		g.mu.Unlock()
 		chosen.register(1)
@@ -158,24 +188,48 @@
 func (g *group) primary() *upstream {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.members[slices.IndexFunc(g.members, func(u *upstream) bool { return u.isPrimary })]
+	return g.members[g.leader()]
 }
 
-// applied returns what the upstream has applied of the log. The caller holds mu.
-func (u *upstream) applied() []commit {
-	n := len(u.g.log)
+// isDark reports whether the upstream is silent. The caller holds the group's mu.
+func (u *upstream) isDark() bool { return time.Now().Before(u.darkUntil) }
+
+// applied returns what the upstream has applied of the log, and received what it has received. The caller holds mu.
+func (u *upstream) applied() []commit { return u.logAfter(replicaLag) }
+
+func (u *upstream) received() []commit { return u.logAfter(0) }
+
+// logAfter returns what the upstream has received of the log for the time.
+func (u *upstream) logAfter(d time.Duration) []commit {
 	if u.isPrimary {
 		return u.g.log
 	}
-	for n > 0 && time.Since(u.g.log[n-1].at) < replicaLag {
+	n := len(u.g.log)
+	for n > 0 && time.Since(u.g.log[n-1].at) < u.g.members[u.g.leader()].delayTo(u)+d {
 		n--
 	}
 	return u.g.log[:n]
 }
 
+// leader returns the index of the primary. The caller holds mu.
+func (g *group) leader() int {
+	return slices.IndexFunc(g.members, func(u *upstream) bool { return u.isPrimary })
+}
+
+// delayTo is the time that a message takes from one upstream to another, as on the sheet of gbpc-shore.
+func (u *upstream) delayTo(v *upstream) time.Duration {
+	if zones[u.zone] == zones[v.zone] {
+		return 500 * time.Microsecond
+	}
+	return 12 * time.Millisecond
+}
+
 // position returns the end of what the upstream has applied. The caller holds mu.
 func (u *upstream) position() position {
-	log := u.applied()
+	return endOf(u.applied())
+}
+
+func endOf(log []commit) position {
 	if len(log) == 0 {
 		return position{1, 1}
 	}
@@ -205,6 +259,8 @@
 	values   map[string]string
 	prepared map[string]prepared
 	writes   []string
+	// unconfirmed is the length of the log that replicas must have received before the answer, or 0.
+	unconfirmed int
 }
 
 // prepared is a prepared statement. Only the size of its shape is kept.
@@ -216,11 +272,14 @@
 func (u *upstream) serve(nc net.Conn) {
 	in := bufio.NewReaderSize(nc, 1<<16)
 	fields := strings.Fields(readLine(in))
-	if len(fields) < 3 || fields[0] != "CONNECT" || fields[1] != serviceName || len(fields) > 3 && fields[3] != u.id {
+	if len(fields) < 3 || fields[0] != "CONNECT" || fields[1] != u.g.service || len(fields) > 3 && fields[3] != u.id {
 		_, _ = nc.Write([]byte("ERROR MISROUTED wrong service or id\r\n"))
 		return
 	}
 	c := &conn{u: u, vm: fields[2], status: 'I', values: map[string]string{}, prepared: map[string]prepared{}}
+	if !c.awaitPath() {
+		return
+	}
 	if !u.open() {
 		_, _ = nc.Write([]byte("ERROR OVERLOAD too many connections\r\n"))
 		return
@@ -265,7 +324,7 @@
 	g := c.u.g
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.hooks.isCut != nil && g.hooks.isCut(c.u, c.vm)
+	return c.u.isDark() || g.hooks.isCut != nil && g.hooks.isCut(c.u, c.vm)
 }
 
 // awaitPath waits while the VM is partitioned from the upstream. An upstream drops such a connection after 3 s.
@@ -314,6 +373,9 @@
 	if isLost {
 		return true
 	}
+	if !c.awaitReplicas() {
+		return false
+	}
 	return c.awaitPath() && c.write(nc, body+ready)
 }
 
@@ -382,7 +444,7 @@
 		if c.u.isPrimary {
 			role = "primary"
 		}
-		return fmt.Sprintf("ROW %s %d %s 0 0 0 %d\r\nCOMPLETE -\r\n", role, c.u.g.term, c.u.position(), c.u.conns)
+		return fmt.Sprintf("ROW %s %d %s 0 0 0 %d\r\nCOMPLETE -\r\n", role, c.u.g.term, endOf(c.u.received()), c.u.conns)
 	default:
 		return "ERROR MALFORMED unknown\r\n"
 	}
@@ -459,10 +521,37 @@
 	g := c.u.g
 	for _, id := range c.writes {
 		g.log = append(g.log, commit{id, time.Now(), position{g.term, len(g.log) + 2}})
+		c.unconfirmed = len(g.log)
 	}
 	c.writes = nil
 }
 
+// awaitReplicas waits until enough replicas have received what the last statement committed, and their answers have
+// arrived. It returns false if the upstream has lost the lead before.
+func (c *conn) awaitReplicas() bool {
+	g, n := c.u.g, c.unconfirmed
+	c.unconfirmed = 0
+	for n > 0 && g.syncReplicas > 0 {
+		g.mu.Lock()
+		count := 0
+		for _, u := range g.members {
+			if u != c.u && !u.isDark() && len(u.logAfter(u.delayTo(c.u))) >= n {
+				count++
+			}
+		}
+		leads := c.u.isPrimary
+		g.mu.Unlock()
+		switch {
+		case !leads:
+			return false
+		case count >= g.syncReplicas:
+			return true
+		}
+		time.Sleep(200 * time.Microsecond)
+	}
+	return true
+}
+
 // hasCommitted reports whether the write with the id is in the log.
 func (g *group) hasCommitted(id string) bool {
 	g.mu.Lock()
@@ -484,21 +573,24 @@
 	ownDatabase     = "fiti832ti23"
 )
 
-// putConfig writes the operators' configuration, with the routes of gbpc-shore.
-func (g *group) putConfig(version int) {
-	route := func(host, kind string, timeout, target, priority, age int) map[string]any {
+// putConfig writes the operators' configuration, with the routes of gbpc-shore to the first group. Each further group has a
+// route of the type primary, with its service's name.
+func putConfig(p *platform, version int, groups ...*group) {
+	route := func(host, service, kind string, timeout, target, priority, age int) map[string]any {
 		return map[string]any{
 			"name": "r-" + host, "host": host, "prefix": "/", "routeType": kind, "timeoutMs": timeout, "targetLatencyMs": target,
-			"priority": priority, "service": serviceName, "maxAttempts": 2, "maxStalenessMs": age,
+			"priority": priority, "service": service, "maxAttempts": 2, "maxStalenessMs": age,
 		}
 	}
-	g.platform.put("op/config", map[string]any{
-		"configVersion": version,
-		"routes": []any{
-			route(strictDatabase, "primary", 800, 400, 0, 0), route(boundedDatabase, "bounded_staleness", 2000, 800, 1, 1500),
-			route(ownDatabase, "read_own_writes", 800, 1500, 2, 2500),
-		},
-		"services": []any{map[string]any{"name": serviceName, "maxConnections": maxConnections, "syncReplicas": 0}},
-		"limits":   map[string]any{"txIdleMs": 3000},
-	})
+	first := groups[0].service
+	routes := []any{
+		route(strictDatabase, first, "primary", 800, 400, 0, 0), route(boundedDatabase, first, "bounded_staleness", 2000, 800, 1, 1500),
+		route(ownDatabase, first, "read_own_writes", 800, 1500, 2, 2500),
+	}
+	var services []any
+	for _, g := range groups {
+		routes = append(routes, route(g.service, g.service, "primary", 800, 400, 0, 0))
+		services = append(services, map[string]any{"name": g.service, "maxConnections": maxConnections, "syncReplicas": g.syncReplicas})
+	}
+	p.put("op/config", map[string]any{"configVersion": version, "routes": routes, "services": services, "limits": map[string]any{"txIdleMs": 3000}})
 }
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -24,6 +24,7 @@
 	"refused-set-up": playRefusedSetUp,
 	"relay-memory":   playRelayMemory,
 	"lost-answer":    playLostAnswer,
+	"slow-promotion": playSlowPromotion,
 }
 
 // run is one play of a case.
@@ -95,7 +96,8 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitFailed)
 	}
-	dir, err := os.MkdirTemp("", "review-2-")
+	// REVIEW_LOGS names a folder in which the settings and logs of the processes are kept.
+	dir, err := os.MkdirTemp(os.Getenv("REVIEW_LOGS"), "review-2-")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitFailed)
@@ -110,6 +112,8 @@
 	code := r.play(cases[os.Args[1]])
 	watchdog.Stop()
 	_ = record.Close()
-	_ = os.RemoveAll(dir)
+	if os.Getenv("REVIEW_LOGS") == "" {
+		_ = os.RemoveAll(dir)
+	}
 	os.Exit(code)
 }
--- a/review/stand2/store.go
+++ b/review/stand2/store.go
@@ -30,6 +30,8 @@
 	address string
 	// promote executes a promotion and reports whether the upstream runs.
 	promote func(service, id string) bool
+	// callTime returns how long the platform takes to execute and answer a promotion call; nil means no time.
+	callTime func() time.Duration
 
 	mu       sync.Mutex
 	revision uint64
@@ -276,7 +278,11 @@
 		return
 	}
 	token, _ := strconv.ParseUint(r.Header.Get("Fencing-Token"), 10, 64)
-	p.r.notef("platform: promotion of %s, holder %s, token %d", in.ID, r.Header.Get("Duty-Holder"), token)
+	p.r.notef("platform: call for the promotion of %s, holder %s, token %d", in.ID, r.Header.Get("Duty-Holder"), token)
+	if p.callTime != nil {
+		time.Sleep(p.callTime())
+		p.r.notef("platform: executes the promotion of %s, token %d", in.ID, token)
+	}
 	p.mu.Lock()
 	refused := token < p.fences[in.Service]
 	p.fences[in.Service] = max(p.fences[in.Service], token)
