--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -3,8 +3,10 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -109,6 +111,13 @@
 		fmt.Println("could not run: time is up")
 		os.Exit(exitFailed)
 	})
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-signals
+		r.stopEntries()
+		os.Exit(exitFailed)
+	}()
 	code := r.play(cases[os.Args[1]])
 	watchdog.Stop()
 	_ = record.Close()
