--- a/review/stand2/case_answer.go
+++ b/review/stand2/case_answer.go
@@ -10,12 +10,15 @@
 // entryCount is the number of entry VMs of gbpc-shore.
 const entryCount = 6
 
-// newDeployment starts the platform, a group and the entry VMs.
+// newDeployment starts the platform, the three groups and the entry VMs of gbpc-shore, and returns the first group.
 func (r *run) newDeployment() (*group, []*entryVM) {
 	p := newPlatform(r)
-	g := newGroup(r, p, plainGroup)
-	putConfig(p, 7, g)
-	return g, r.startEntries(entryCount, []string{"charleston", "galveston", "mobile-bay"}, p)
+	var groups []*group
+	for _, service := range []string{"berth-ledger", "berth-ledger-2", "berth-ledger-3"} {
+		groups = append(groups, newGroup(r, p, groupConfig{service: service, zones: []string{"galveston", "mobile-bay", "charleston"}}))
+	}
+	putConfig(p, 7, groups...)
+	return groups[0], r.startEntries(entryCount, []string{"charleston", "galveston", "mobile-bay"}, p)
 }
 
 // Answers of the case: a short item and a report of legal size.
--- a/review/stand2/group.go
+++ b/review/stand2/group.go
@@ -75,9 +75,6 @@
 	syncReplicas int
 }
 
-// plainGroup is a group of gbpc-shore.
-var plainGroup = groupConfig{service: "berth-ledger", zones: []string{"galveston", "mobile-bay", "charleston"}}
-
 // group is a database group whose upstreams share a log.
 type group struct {
 	groupConfig
