Return connections to their pool only in a known state

Cause: commands that depend on each other are sent together, and their answers were folded into the first with a fault. After SET failed with READY I and BEGIN succeeded with READY T, the status I of the former decided that no ROLLBACK is needed. An error in answer to ROLLBACK was ignored, and session values and prepared statements were recorded when they were sent; stateUnknown was never set.

Change: a connection keeps the commands whose answers are outstanding; only answers change what is recorded of it. It returns to its pool in one place, and only with nothing outstanding, status idle and no refused command that changes its state; otherwise it is closed, which rolls back, with a log line and a counter.

--- a/core/core_test.go
+++ b/core/core_test.go
@@ -32,7 +32,7 @@
 // Guards against values of other builds that end the process when they are logged.
 func TestNamesOfUnknownValues(t *testing.T) {
 	for v := range 256 {
-		for _, name := range []string{Fault(v).String(), Role(v).String(), Class(v).String(), Rank(v).String()} {
+		for _, name := range []string{Fault(v).String(), Role(v).String(), Class(v).String(), Rank(v).String(), Op(v).String()} {
 			assert.Assert(t, name != "")
 		}
 	}
--- a/core/line.go
+++ b/core/line.go
@@ -97,6 +97,13 @@
 	OpStatus
 )
 
+var opNames = [...]string{
+	"forward", "execute", "begin", "begin-read", "rollback", "reset", "set", "prepare", "step-down", "status",
+}
+
+// String returns the name of the operation as used in logs.
+func (o Op) String() string { return nameOf(o, "Op", opNames[:]) }
+
 // MaxKeptBody is the largest memory of an answer's body that a LineConn keeps and uses again.
 const MaxKeptBody = 8 << 10
 
--- a/core/proxy/cluster.go
+++ b/core/proxy/cluster.go
@@ -229,7 +229,7 @@
 		res.Received, res.IsReceivedKnown = res.Log, true
 		return true
 	}
-	ans, err := roundTrip(c, []core.Command{{Op: core.OpStatus}}, time.Now().Add(statusTimeout))
+	ans, err := c.exchange([]core.Command{{Op: core.OpStatus}}, time.Now().Add(statusTimeout))
 	if err != nil {
 		n.p.logDecision("upstream doesn't tell what it has received", "Upstream", n.id(), "Err", err)
 		return false
@@ -258,7 +258,7 @@
 		return lead.ProbeResult{}, err
 	}
 	defer func() { _ = lc.Close() }()
-	c := &conn{LineConn: lc}
+	c := n.newConn(lc, "")
 	res, err := n.queryLeadership(c, req)
 	if err == nil && req.withStatus {
 		_ = n.addReceived(c, &res)
--- a/core/proxy/conn.go
+++ b/core/proxy/conn.go
@@ -3,25 +3,100 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"errors"
+	"slices"
 	"time"
 
 	"snipewall/core"
 )
 
-// conn is a pooled connection with a record of the session state that is set on it.
+// conn is a pooled connection with a record of the session state that is set on it. The record changes only by answers:
+// what is refused, or not answered, isn't recorded.
 type conn struct {
 	core.LineConn
 	// owner is the VM at the other end, or empty if it is the upstream itself.
 	owner core.VMID
 	// valueKey identifies the session values that are set on the connection, as Session.valueKey does.
 	valueKey string
-	// stateUnknown is set if the values or prepared statements on the connection may differ from those
-	// recorded here.
-	stateUnknown bool
-	prepared     map[string]bool
-	lastUsed     time.Time
+	prepared map[string]bool
+	// unanswered holds the commands whose answers are outstanding, the oldest first.
+	unanswered []step
+	// status is the transaction status of the last answer.
+	status core.TxStatus
+	// refused is the first command that changes the session state or ends a transaction and was refused, and
+	// refusedWith its fault, FaultNone if there is none. The state isn't known from then on.
+	refused     core.Op
+	refusedWith core.Fault
+	lastUsed    time.Time
 }
 
+// step is a command whose answer is expected.
+type step struct {
+	op core.Op
+	// key is the part of conn.valueKey that OpSet adds, or the name that OpPrepare and OpExecute use.
+	key string
+}
+
+// Send implements core.LineConn.
+func (c *conn) Send(cmds []core.Command) error {
+	for i := range cmds {
+		st := step{op: cmds[i].Op, key: cmds[i].Name}
+		if st.op == core.OpSet {
+			st.key = keyPart(cmds[i].Name) + keyPart(cmds[i].Text)
+		}
+		c.unanswered = append(c.unanswered, st)
+	}
+	return c.LineConn.Send(cmds)
+}
+
+// Receive implements core.LineConn.
+func (c *conn) Receive(deadline time.Time) (core.Answer, error) {
+	if len(c.unanswered) == 0 {
+		return core.Answer{}, errNothingAsked
+	}
+	ans, err := c.LineConn.Receive(deadline)
+	if err != nil {
+		return ans, err
+	}
+	st := c.unanswered[0]
+	c.unanswered = slices.Delete(c.unanswered, 0, 1)
+	c.status = ans.Status
+	if ans.Fault != core.FaultNone {
+		return c.noteRefused(st, ans), nil
+	}
+	switch st.op {
+	case core.OpReset:
+		c.valueKey, c.prepared = "", nil
+	case core.OpSet:
+		c.valueKey += st.key
+	case core.OpPrepare:
+		if c.prepared == nil {
+			c.prepared = make(map[string]bool)
+		}
+		c.prepared[st.key] = true
+	}
+	return ans, nil
+}
+
+var errNothingAsked = errors.New("no answer is expected")
+
+// noteRefused records what a refused command says about the connection, and returns the answer as its caller gets it.
+func (c *conn) noteRefused(st step, ans core.Answer) core.Answer {
+	switch st.op {
+	case core.OpReset, core.OpSet, core.OpPrepare, core.OpRollback:
+		if c.refusedWith == core.FaultNone {
+			c.refused, c.refusedWith = st.op, ans.Fault
+		}
+	}
+	return ans
+}
+
+// isKnown reports whether the connection's state is the recorded one.
+func (c *conn) isKnown() bool { return c.refusedWith == core.FaultNone && len(c.unanswered) == 0 }
+
+// isReusable reports whether the connection may serve another session.
+func (c *conn) isReusable() bool { return c.isKnown() && c.status == core.TxIdle }
+
 // preparedStmt is a prepared statement as its caller prepared it.
 type preparedStmt struct {
 	write bool
@@ -45,27 +120,74 @@
 	return preparedStmt{write: write, text: text, name: prefix + hex.EncodeToString(sum[:nameBytes])}
 }
 
-// setUpCommands returns the commands that give the connection the session's values and, unless ps is
-// nil, the prepared statement. It records them as done: the connection is discarded if one of them
-// fails.
+// setUpCommands returns the commands that give the connection the session's values and, unless ps is nil, the prepared
+// statement.
 func (c *conn) setUpCommands(s *Session, ps *preparedStmt) []core.Command {
 	var cmds []core.Command
-	if c.stateUnknown || c.valueKey != s.valueKey {
-		if c.stateUnknown || c.valueKey != "" {
+	isPrepared := ps == nil || c.prepared[ps.name]
+	if c.valueKey != s.valueKey {
+		if c.valueKey != "" {
 			cmds = append(cmds, core.Command{Op: core.OpReset})
-			c.prepared = nil
+			isPrepared = ps == nil
 		}
 		for _, v := range s.values {
 			cmds = append(cmds, core.Command{Op: core.OpSet, Name: v.name, Text: v.value})
 		}
-		c.valueKey, c.stateUnknown = s.valueKey, false
 	}
-	if ps == nil || c.prepared[ps.name] {
+	if isPrepared {
 		return cmds
 	}
-	if c.prepared == nil {
-		c.prepared = make(map[string]bool)
-	}
-	c.prepared[ps.name] = true
 	return append(cmds, core.Command{Op: core.OpPrepare, Name: ps.name, Text: ps.text, Write: ps.write})
 }
+
+// setUpError reports that the upstream refused a command that the next one depends on.
+type setUpError struct{ fault core.Fault }
+
+func (e *setUpError) Error() string { return "set-up refused: " + e.fault.String() }
+
+// noteSetUpFailure records that the set-up of the connection failed with the error.
+func (n *node) noteSetUpFailure(c *conn, err error) {
+	var refused *setUpError
+	if errors.As(err, &refused) {
+		n.noteOutcome(time.Now(), isFailure(refused.fault))
+		return
+	}
+	n.noteFailure(c)
+}
+
+// exchange sends the commands and returns the answer to the last one. A *setUpError says that an earlier one was refused.
+func (c *conn) exchange(cmds []core.Command, deadline time.Time) (core.Answer, error) {
+	if err := c.Send(cmds); err != nil {
+		return core.Answer{}, err
+	}
+	return c.receiveLast(len(cmds), deadline)
+}
+
+// receiveLast reads n answers and returns the last one. A *setUpError says that an earlier command was refused.
+func (c *conn) receiveLast(n int, deadline time.Time) (core.Answer, error) {
+	var refused error
+	for range n - 1 {
+		ans, err := c.Receive(deadline)
+		if err != nil {
+			return core.Answer{}, err
+		}
+		if ans.Fault != core.FaultNone && refused == nil {
+			refused = &setUpError{ans.Fault}
+		}
+	}
+	ans, err := c.Receive(deadline)
+	if err == nil {
+		err = refused
+	}
+	return ans, err
+}
+
+// skipAnswers reads the outstanding answers, which change only what is recorded of the connection.
+func (c *conn) skipAnswers(deadline time.Time) error {
+	for len(c.unanswered) > 0 {
+		if _, err := c.Receive(deadline); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/core/proxy/connect.go
+++ b/core/proxy/connect.go
@@ -187,7 +187,7 @@
 
 func (n *node) newConn(lc core.LineConn, owner core.VMID) *conn {
 	n.notePosition(lc.InitialPosition())
-	return &conn{LineConn: lc, owner: owner, lastUsed: time.Now()}
+	return &conn{LineConn: lc, owner: owner, status: core.TxIdle, lastUsed: time.Now()}
 }
 
 func (n *node) dialFailed(err error) {
@@ -332,8 +332,17 @@
 	return !n.p.suspects.has(c.owner) && (time.Since(c.lastUsed) < checkAfter || c.IsIdle())
 }
 
-// put returns a connection that has no statement in progress to its pool.
-func put(h *pool.Handle[*conn]) {
-	h.Value.lastUsed = time.Now()
+// put returns a connection to its pool, or closes it if the next session might find it with an open transaction or in
+// another state than the recorded one.
+func (n *node) put(h *pool.Handle[*conn]) {
+	c := h.Value
+	if !c.isReusable() {
+		n.p.metrics.unusable.Inc(1)
+		n.p.logDecision("connection closed, its state isn't known", "Upstream", n.id(), "Owner", c.owner, "Status", string(c.status),
+			"Unanswered", len(c.unanswered), "Refused", c.refused.String(), "RefusedWith", c.refusedWith.String())
+		h.Discard()
+		return
+	}
+	c.lastUsed = time.Now()
 	h.Put()
 }
--- a/core/proxy/fake_test.go
+++ b/core/proxy/fake_test.go
@@ -45,6 +45,10 @@
 	hidesBeginPosition bool
 	// body is the body of all answers, unless it is nil.
 	body []byte
+	// refuse returns the fault with which the upstream fails a command without running it; nil means that it fails none.
+	refuse func(c core.Command) core.Fault
+	// open holds the connections that weren't closed.
+	open []*fakeConn
 }
 
 // noKey is the key of a caller where callers need none.
@@ -94,7 +98,14 @@
 
 func (fc *fakeConn) IsIdle() bool           { return !fc.closed && len(fc.answers) == 0 }
 func (fc *fakeConn) CanPipelineBegin() bool { return fc.canPipelineBegin }
-func (fc *fakeConn) Close() error           { fc.closed = true; return nil }
+
+func (fc *fakeConn) Close() error {
+	fc.s.mu.Lock()
+	defer fc.s.mu.Unlock()
+	fc.closed = true
+	fc.s.open = slices.DeleteFunc(fc.s.open, func(other *fakeConn) bool { return other == fc })
+	return nil
+}
 
 func (fc *fakeConn) Send(cmds []core.Command) error {
 	for _, c := range cmds {
@@ -129,7 +140,13 @@
 func (fc *fakeConn) run(c core.Command) core.Answer {
 	fc.s.mu.Lock()
 	defer fc.s.mu.Unlock()
-	fault := fc.execute(c)
+	fault := core.FaultNone
+	if fc.s.refuse != nil {
+		fault = fc.s.refuse(c)
+	}
+	if fault == core.FaultNone {
+		fault = fc.execute(c)
+	}
 	if fault != core.FaultNone && c.Op != core.OpRollback && fc.status == core.TxOpen && fault != core.FaultBusy {
 		fc.status = core.TxFailed
 	}
@@ -155,8 +172,14 @@
 
 // execute applies the command and returns its fault.
 func (fc *fakeConn) execute(c core.Command) core.Fault {
+	if fc.status == core.TxFailed && c.Op != core.OpRollback && c.Text != "COMMIT" {
+		return core.FaultMalformed
+	}
 	switch c.Op {
 	case core.OpBegin, core.OpBeginRead:
+		if fc.status != core.TxIdle {
+			return core.FaultMalformed
+		}
 		if c.Op == core.OpBegin && !fc.s.leads && !fc.s.skipLeaderCheck {
 			return core.FaultReadOnly
 		}
@@ -360,7 +383,9 @@
 	}
 	s.conns++
 	r.dials.Add(1)
-	return &fakeConn{s: s, n: s.conns, organisation: organisation, status: core.TxIdle, values: map[string]string{}, prepared: map[string]string{}, canPipelineBegin: r.canPipelineBegin}, nil
+	fc := &fakeConn{s: s, n: s.conns, organisation: organisation, status: core.TxIdle, values: map[string]string{}, prepared: map[string]string{}, canPipelineBegin: r.canPipelineBegin}
+	s.open = append(s.open, fc)
+	return fc, nil
 }
 
 // do executes a statement, given as the caller sent it.
--- a/core/proxy/metrics.go
+++ b/core/proxy/metrics.go
@@ -7,8 +7,8 @@
 )
 
 type metrics struct {
-	statements, faults, retries, refusals, dials, overloads, aborts, ownerDials, declined, crossings, lagRefusals, overQuota tally.Counter
-	latency                                                                                                                  tally.Histogram
+	statements, faults, retries, refusals, dials, overloads, aborts, ownerDials, declined, crossings, lagRefusals, overQuota, unusable tally.Counter
+	latency                                                                                                                            tally.Histogram
 }
 
 // latencyBuckets covers 1 ms to 16 s.
@@ -30,6 +30,7 @@
 		lagRefusals: scope.Counter("LagRefusals"),
 		crossings:   scope.Counter("Crossings"),
 		overQuota:   scope.Counter("OverQuota"),
+		unusable:    scope.Counter("UnusableConnections"),
 		aborts:      scope.Counter("AbortedTransactions"),
 		latency:     scope.Histogram("StatementTime", latencyBuckets),
 	}
--- a/core/proxy/relay.go
+++ b/core/proxy/relay.go
@@ -148,7 +148,7 @@
 	}
 	h := r.held
 	r.held = nil
-	h.rollbackAndFree(core.TxOpen, core.FaultNone)
+	h.rollbackAndFree(core.FaultNone)
 }
 
 // begin opens a transaction. It keeps the connection, and the slot until Pause.
@@ -165,15 +165,15 @@
 	}
 	cmds := append(h.handle.Value.setUpCommands(&r.session, nil), cmd)
 	requestedAt := r.n.p.cfg.Now()
-	ans, err := h.exchange(cmds, deadline)
+	ans, err := h.handle.Value.exchange(cmds, deadline)
 	if err != nil {
-		r.n.noteFailure(h.handle.Value)
+		r.n.noteSetUpFailure(h.handle.Value, err)
 		h.discard()
 		return core.Answer{Fault: core.FaultBusy, Text: "the upstream doesn't answer", Status: core.TxFailed}
 	}
 	r.n.notePosition(ans.Position)
 	if ans.Fault != core.FaultNone {
-		h.rollbackAndFree(ans.Status, ans.Fault)
+		h.rollbackAndFree(ans.Fault)
 		if ans.Fault == core.FaultLagging {
 			r.n.noteLag(cmd.Await)
 		}
@@ -196,7 +196,7 @@
 		return core.Answer{Fault: core.FaultOverload, Text: "no connection to the upstream in time", Status: core.TxIdle}
 	}
 	h := &heldConn{node: r.n, handle: handle}
-	ans, err := h.roundTrip([]core.Command{cmd}, deadline)
+	ans, err := handle.Value.exchange([]core.Command{cmd}, deadline)
 	if err != nil {
 		h.discard()
 		return core.Answer{Fault: core.FaultTimeout, Text: "the upstream doesn't answer", Status: core.TxIdle}
@@ -246,9 +246,10 @@
 	if refused != nil {
 		return core.Answer{Fault: refused.Fault, Text: refused.Text, Status: r.status(), Load: r.load(cmd, refused)}
 	}
-	cmds := append(h.handle.Value.setUpCommands(&r.session, ps), cmd)
+	c := h.handle.Value
+	cmds := append(c.setUpCommands(&r.session, ps), cmd)
 	sent := time.Now()
-	ans, err := h.exchange(cmds, deadline)
+	ans, err := c.exchange(cmds, deadline)
 	if err != nil {
 		r.n.noteLost(h.handle.Value, err)
 		return r.handleLostConn(h, cmd, err)
--- a/core/proxy/single.go
+++ b/core/proxy/single.go
@@ -74,13 +74,13 @@
 		cmds = append(cmds, w.withQueueing(core.Command{Op: core.OpBegin}))
 	}
 	if t.strict && !c.CanPipelineBegin() {
-		ans, err := h.roundTrip(cmds, w.deadline)
+		ans, err := c.exchange(cmds, w.deadline)
 		if err != nil || ans.Fault != core.FaultNone {
-			return s.handleSetUpFailure(h, ans, err)
+			return s.handleSetUpFailure(w, t, h, ans, err)
 		}
 		t.node.noteLeads(requestedAt, ans.Position)
 		if !h.isCovered() {
-			h.rollbackAndFree(ans.Status, core.FaultNone)
+			h.rollbackAndFree(core.FaultNone)
 			return Reply{Fault: core.FaultBusy, Text: textReplaced}, retryOnChange
 		}
 		cmds = nil
@@ -131,11 +131,11 @@
 		return s.handleLostConn(w, h, "sending failed")
 	}
 	if before > 0 {
-		ans, err := receive(c, before, w.deadline)
+		ans, err := c.receiveLast(before, w.deadline)
 		if err == nil && ans.Fault != core.FaultNone && t.strict {
 			// The statement was refused together with its transaction.
-			if _, err := receive(c, len(cmds)-before, w.deadline); err == nil {
-				return s.handleSetUpFailure(h, core.Answer{Fault: ans.Fault, Status: core.TxIdle}, nil)
+			if err := c.skipAnswers(w.deadline); err == nil {
+				return s.handleSetUpFailure(w, t, h, ans, nil)
 			}
 		}
 		if err != nil || ans.Fault != core.FaultNone {
@@ -153,19 +153,26 @@
 	return s.handleAnswer(w, h, t, ans, requestedAt, sent)
 }
 
-// handleSetUpFailure handles a statement whose transaction wasn't opened. The statement has not run.
-func (s *Session) handleSetUpFailure(h *heldConn, ans core.Answer, err error) (Reply, outcome) {
+// handleSetUpFailure handles a statement whose connection couldn't be set up, or whose transaction wasn't opened. The
+// statement has not run.
+func (s *Session) handleSetUpFailure(w *work, t target, h *heldConn, ans core.Answer, err error) (Reply, outcome) {
 	n := h.node
+	reply, next := Reply{Fault: core.FaultBusy, Text: "the upstream refused: " + ans.Fault.String()}, retryOnChange
 	if err != nil {
-		n.noteFailure(h.handle.Value)
+		n.noteSetUpFailure(h.handle.Value, err)
 		h.discard()
-		return Reply{Fault: core.FaultBusy, Text: "the primary doesn't answer"}, retryOnChange
+		reply.Text = "no answer of the upstream: " + err.Error()
+	} else {
+		h.rollbackAndFree(ans.Fault)
 	}
-	h.rollbackAndFree(ans.Status, ans.Fault)
 	if ans.Fault == core.FaultReadOnly {
 		n.noteDenied()
 	}
-	return Reply{Fault: core.FaultBusy, Text: "the primary refused: " + ans.Fault.String()}, retryOnChange
+	if !w.write && !t.strict {
+		w.tried = append(w.tried, n)
+		next = retryNow
+	}
+	return reply, next
 }
 
 // answerDeadline returns the time until which to wait for an answer. After it, a read is retried on
@@ -229,13 +236,9 @@
 		h.discard()
 		return Reply{Fault: core.FaultTimeout, Text: "no answer within the statement's time"}, done
 	}
-	left := 1
-	if t.strict {
-		left++
-	}
 	deadline := w.deadline
 	s.p.spawn(func() {
-		if _, err := receive(h.handle.Value, left, deadline); err != nil {
+		if err := h.handle.Value.skipAnswers(deadline); err != nil {
 			h.discard()
 			return
 		}
@@ -258,7 +261,7 @@
 		reply.Body, s.body = copyBody(s.body, ans.Body)
 	}
 	if t.strict {
-		if _, err := receive(h.handle.Value, 1, now.Add(rollbackTimeout)); err != nil {
+		if err := h.handle.Value.skipAnswers(now.Add(rollbackTimeout)); err != nil {
 			h.discard()
 			h = nil
 		}
--- a/core/proxy/stepdown.go
+++ b/core/proxy/stepdown.go
@@ -65,7 +65,7 @@
 	n.mu.Lock()
 	term := n.position.Term + above
 	n.mu.Unlock()
-	ans, err := h.roundTrip([]core.Command{{Op: core.OpStepDown, Term: term}}, deadline)
+	ans, err := handle.Value.exchange([]core.Command{{Op: core.OpStepDown, Term: term}}, deadline)
 	if err != nil {
 		h.discard()
 		return err
--- a/core/proxy/tx.go
+++ b/core/proxy/tx.go
@@ -30,7 +30,7 @@
 	}
 	h := s.tx.held
 	s.tx.held = nil
-	h.rollbackAndFree(core.TxOpen, core.FaultNone)
+	h.rollbackAndFree(core.FaultNone)
 }
 
 // endTx ends the open transaction, if there is one, without a commit.
@@ -150,14 +150,14 @@
 	} else {
 		cmds = append(cmds, w.withQueueing(core.Command{Op: core.OpBeginRead, Await: t.await, Patience: t.patience}))
 	}
-	ans, err := h.roundTrip(cmds, w.deadline)
+	ans, err := h.handle.Value.exchange(cmds, w.deadline)
 	if err != nil {
-		t.node.noteFailure(h.handle.Value)
+		t.node.noteSetUpFailure(h.handle.Value, err)
 		h.discard()
-		return &Reply{Fault: core.FaultBusy, Text: "the upstream doesn't answer"}
+		return &Reply{Fault: core.FaultBusy, Text: "no transaction on the upstream: " + err.Error()}
 	}
 	if ans.Fault != core.FaultNone {
-		h.rollbackAndFree(ans.Status, ans.Fault)
+		h.rollbackAndFree(ans.Fault)
 		t.node.noteLoad(time.Now(), core.Kind(w.route.Database), ans.Load, 0)
 		switch ans.Fault {
 		case core.FaultReadOnly:
@@ -171,7 +171,7 @@
 		w.group.noteSample(requestedAt, ans.Sample)
 		t.node.noteLeads(requestedAt, ans.Position)
 		if !h.isCovered() {
-			h.rollbackAndFree(ans.Status, core.FaultNone)
+			h.rollbackAndFree(core.FaultNone)
 			return &Reply{Fault: core.FaultBusy, Text: textReplaced}
 		}
 	}
@@ -190,7 +190,7 @@
 	c := h.handle.Value
 	cmds := append(c.setUpCommands(s, w.prepared), w.command(core.Position{}))
 	sent := time.Now()
-	ans, err := h.exchange(cmds, w.deadline)
+	ans, err := c.exchange(cmds, w.deadline)
 	if err != nil {
 		h.node.noteLost(h.handle.Value, err)
 		h.discard()
@@ -238,22 +238,3 @@
 	s.endTx()
 	return reply
 }
-
-// exchange sends the commands and returns the answer to the last one. A fault of an earlier one counts
-// as a failed connection, since the last one may have run in the wrong session state.
-func (h *heldConn) exchange(cmds []core.Command, deadline time.Time) (core.Answer, error) {
-	c := h.handle.Value
-	if err := c.Send(cmds); err != nil {
-		return core.Answer{}, err
-	}
-	if before := len(cmds) - 1; before > 0 {
-		ans, err := receive(c, before, deadline)
-		if err != nil {
-			return core.Answer{}, err
-		}
-		if ans.Fault != core.FaultNone {
-			return core.Answer{}, core.ErrUpstream.New("set-up failed: %s", ans.Fault)
-		}
-	}
-	return c.Receive(deadline)
-}
--- a/core/proxy/work.go
+++ b/core/proxy/work.go
@@ -416,7 +416,7 @@
 func (h *heldConn) free(ran bool) {
 	h.releaseSlot(ran)
 	h.endTx()
-	put(h.handle)
+	h.node.put(h.handle)
 }
 
 // isRelayRefusal reports whether another VM refused the statement because it has no connection. The
@@ -435,14 +435,15 @@
 }
 
 // rollbackAndFree rolls back a transaction, or what a refused BEGIN left, and releases the slot and the
-// connection. It sends no ROLLBACK if the status is already TxIdle.
-func (h *heldConn) rollbackAndFree(status core.TxStatus, fault core.Fault) {
-	if h.isRelayRefusal(fault) {
+// connection. A connection without a transaction gets no ROLLBACK.
+func (h *heldConn) rollbackAndFree(fault core.Fault) {
+	c := h.handle.Value
+	if h.isRelayRefusal(fault) || !c.isKnown() {
 		h.discard()
 		return
 	}
-	if status != core.TxIdle {
-		if _, err := h.roundTrip([]core.Command{{Op: core.OpRollback}}, time.Now().Add(rollbackTimeout)); err != nil {
+	if c.status != core.TxIdle {
+		if _, err := c.exchange([]core.Command{{Op: core.OpRollback}}, time.Now().Add(rollbackTimeout)); err != nil {
 			h.discard()
 			return
 		}
@@ -457,33 +458,6 @@
 	h.handle.Discard()
 }
 
-// roundTrip sends the commands and reads all answers. It returns the first fault.
-func (h *heldConn) roundTrip(cmds []core.Command, deadline time.Time) (core.Answer, error) {
-	return roundTrip(h.handle.Value, cmds, deadline)
-}
-
-func roundTrip(c *conn, cmds []core.Command, deadline time.Time) (core.Answer, error) {
-	if err := c.Send(cmds); err != nil {
-		return core.Answer{}, err
-	}
-	return receive(c, len(cmds), deadline)
-}
-
-// receive reads n answers and returns the first with a fault, otherwise the last with a position.
-func receive(c *conn, n int, deadline time.Time) (core.Answer, error) {
-	var out core.Answer
-	for range n {
-		ans, err := c.Receive(deadline)
-		if err != nil {
-			return core.Answer{}, err
-		}
-		if out.Fault == core.FaultNone && (ans.Fault != core.FaultNone || !ans.Position.IsZero() || out.Position.IsZero()) {
-			out = ans
-		}
-	}
-	return out, nil
-}
-
 func isTimeout(err error) bool {
 	var netErr net.Error
 	return errors.As(err, &netErr) && netErr.Timeout()
