Send a statement only once its connection's set-up is confirmed

Cause: the session values and the prepared statement of a session were sent together with its statement, which an upstream runs even if it refuses what comes before it. The refusal was read too late. The same in transactions and on VMs that relay.

Change: the answers to the set-up are awaited first. After a refusal the statement hasn't run: reads go to another upstream, writes are tried again, callers get BUSY or ABORTED. Connections to a VM that relays need no wait, since that VM sets up the upstream's connection itself; CanPipelineBegin is CanPipeline now and says so.

--- a/core/line.go
+++ b/core/line.go
@@ -190,9 +190,9 @@
 	// Receive reads the answer to the oldest unanswered command. After an error the connection must be
 	// closed; when the deadline passes, the error is a net.Error whose Timeout method returns true.
 	Receive(deadline time.Time) (Answer, error)
-	// CanPipelineBegin reports whether statements may be sent together with BEGIN: after a refused
-	// BEGIN, the other side runs nothing until ROLLBACK.
-	CanPipelineBegin() bool
+	// CanPipeline reports whether statements may be sent together with the commands that they depend on: the other side
+	// sets up the session state itself, and after a refused BEGIN runs nothing until ROLLBACK.
+	CanPipeline() bool
 	// IsIdle reports whether the connection is open and has received no unsolicited data.
 	IsIdle() bool
 	Close() error
--- a/core/proxy/conn.go
+++ b/core/proxy/conn.go
@@ -121,7 +121,7 @@
 }
 
 // setUpCommands returns the commands that give the connection the session's values and, unless ps is nil, the prepared
-// statement.
+// statement. A statement may be sent only once they are confirmed, see heldConn.confirm.
 func (c *conn) setUpCommands(s *Session, ps *preparedStmt) []core.Command {
 	var cmds []core.Command
 	isPrepared := ps == nil || c.prepared[ps.name]
@@ -145,6 +145,19 @@
 
 func (e *setUpError) Error() string { return "set-up refused: " + e.fault.String() }
 
+// confirm runs the set-up commands and returns those that may be sent together with a statement. An upstream runs a
+// statement even if what comes before it is refused, so that the answers are awaited first. An owner does that itself.
+func (h *heldConn) confirm(cmds []core.Command, deadline time.Time) ([]core.Command, error) {
+	if len(cmds) == 0 || h.handle.Value.CanPipeline() {
+		return cmds, nil
+	}
+	ans, err := h.handle.Value.exchange(cmds, deadline)
+	if err == nil && ans.Fault != core.FaultNone {
+		err = &setUpError{ans.Fault}
+	}
+	return nil, err
+}
+
 // noteSetUpFailure records that the set-up of the connection failed with the error.
 func (n *node) noteSetUpFailure(c *conn, err error) {
 	var refused *setUpError
--- a/core/proxy/fake_test.go
+++ b/core/proxy/fake_test.go
@@ -96,8 +96,8 @@
 	return fc.s.log
 }
 
-func (fc *fakeConn) IsIdle() bool           { return !fc.closed && len(fc.answers) == 0 }
-func (fc *fakeConn) CanPipelineBegin() bool { return fc.canPipelineBegin }
+func (fc *fakeConn) IsIdle() bool      { return !fc.closed && len(fc.answers) == 0 }
+func (fc *fakeConn) CanPipeline() bool { return fc.canPipelineBegin }
 
 func (fc *fakeConn) Close() error {
 	fc.s.mu.Lock()
--- a/core/proxy/relay.go
+++ b/core/proxy/relay.go
@@ -247,9 +247,12 @@
 		return core.Answer{Fault: refused.Fault, Text: refused.Text, Status: r.status(), Load: r.load(cmd, refused)}
 	}
 	c := h.handle.Value
-	cmds := append(c.setUpCommands(&r.session, ps), cmd)
+	cmds, err := h.confirm(c.setUpCommands(&r.session, ps), deadline)
+	if err != nil {
+		return r.handleSetUpFailure(h, cmd, err)
+	}
 	sent := time.Now()
-	ans, err := c.exchange(cmds, deadline)
+	ans, err := c.exchange(append(cmds, cmd), deadline)
 	if err != nil {
 		r.n.noteLost(h.handle.Value, err)
 		return r.handleLostConn(h, cmd, err)
@@ -285,6 +288,20 @@
 	return r.held, r.held.admit(ctx, &queue.Item{Kind: cmd.Kind, Rank: cmd.Rank, InTx: true, Deadline: startBy(cmd, deadline)})
 }
 
+// handleSetUpFailure answers a statement whose connection couldn't be set up for it, so that it hasn't run. A transaction is
+// rolled back.
+func (r *Relay) handleSetUpFailure(h *heldConn, cmd core.Command, err error) core.Answer {
+	inTx := r.held != nil
+	r.held = nil
+	r.n.noteSetUpFailure(h.handle.Value, err)
+	h.discard()
+	ans := core.Answer{Fault: core.FaultBusy, Text: err.Error(), Status: core.TxIdle, Load: r.load(cmd, nil)}
+	if inTx {
+		ans.Fault, ans.Status = core.FaultAborted, core.TxFailed
+	}
+	return ans
+}
+
 // handleLostConn answers a statement whose connection failed: a transaction whose COMMIT wasn't sent is
 // rolled back, anything else may have run.
 func (r *Relay) handleLostConn(h *heldConn, cmd core.Command, err error) core.Answer {
--- a/core/proxy/sample_test.go
+++ b/core/proxy/sample_test.go
@@ -24,7 +24,7 @@
 }
 
 func (l *relayLine) InitialPosition() core.Position { return core.Position{} }
-func (l *relayLine) CanPipelineBegin() bool         { return true }
+func (l *relayLine) CanPipeline() bool              { return true }
 func (l *relayLine) IsIdle() bool                   { return true }
 func (l *relayLine) Close() error                   { l.relay.Close(); return nil }
 
--- a/core/proxy/setup_test.go
+++ b/core/proxy/setup_test.go
@@ -130,6 +130,28 @@
 	return problems
 }
 
+// checkOutcomes checks that statements ran with the caller's value, and compares what has run with what the caller was told.
+func (c *tablet) checkOutcomes(ran []run) (problems []string) {
+	count := map[string]int{}
+	for _, x := range c.ownRuns(ran) {
+		count[x.Text]++
+		if want := "map[actor:" + c.name + "]"; x.Values != want {
+			problems = append(problems, fmt.Sprintf("%q ran with %s, acknowledged is %s", x.Text, x.Values, want))
+		}
+	}
+	for _, text := range c.acked {
+		if count[text] != 1 {
+			problems = append(problems, fmt.Sprintf("%q was acknowledged and ran %d times", text, count[text]))
+		}
+	}
+	for _, text := range c.notRun {
+		if count[text] != 0 {
+			problems = append(problems, fmt.Sprintf("%q was refused as not run, and ran", text))
+		}
+	}
+	return append(problems, c.problems...)
+}
+
 // Guards against connections that return to their pool with an open transaction after the upstream refused a command of a
 // batch: writes of other sessions run inside it, are acknowledged and never committed. Half of the callers are on a VM that
 // relays.
@@ -137,6 +159,13 @@
 	testRefusals(t, (*tablet).checkTransactions, core.OpReset, core.OpSet, core.OpPrepare, core.OpBegin, core.OpBeginRead, core.OpRollback)
 }
 
+// Guards against statements that run although the upstream refused what they depend on, with the values of another session
+// or with none, and against callers that can't tell whether such a statement ran. Half of the callers are on a VM that
+// relays.
+func TestStatementsAwaitSetUp(t *testing.T) {
+	testRefusals(t, (*tablet).checkOutcomes, core.OpReset, core.OpSet, core.OpPrepare)
+}
+
 // testRefusals lets the upstreams refuse part of the commands with each of the ops, and checks what the callers saw.
 func testRefusals(t *testing.T, check func(*tablet, []run) []string, ops ...core.Op) {
 	t.Helper()
--- a/core/proxy/single.go
+++ b/core/proxy/single.go
@@ -73,13 +73,15 @@
 	if t.strict {
 		cmds = append(cmds, w.withQueueing(core.Command{Op: core.OpBegin}))
 	}
-	if t.strict && !c.CanPipelineBegin() {
-		ans, err := c.exchange(cmds, w.deadline)
+	if len(cmds) > 0 && !c.CanPipeline() {
+		ans, err := c.exchange(cmds, s.setUpDeadline(w, t))
 		if err != nil || ans.Fault != core.FaultNone {
 			return s.handleSetUpFailure(w, t, h, ans, err)
 		}
-		t.node.noteLeads(requestedAt, ans.Position)
-		if !h.isCovered() {
+		if t.strict {
+			t.node.noteLeads(requestedAt, ans.Position)
+		}
+		if (w.write || t.strict) && !h.isCovered() {
 			h.rollbackAndFree(core.FaultNone)
 			return Reply{Fault: core.FaultBusy, Text: textReplaced}, retryOnChange
 		}
@@ -88,6 +90,14 @@
 	return s.send(w, t, h, cmds, requestedAt)
 }
 
+// setUpDeadline returns the time until which to wait for a connection's set-up.
+func (s *Session) setUpDeadline(w *work, t target) time.Time {
+	if t.strict {
+		return w.deadline
+	}
+	return s.answerDeadline(w, t)
+}
+
 // handleNotAdmitted decides about a retry after an upstream's queue or pool refused the statement.
 func (w *work) handleNotAdmitted(t target, refused *Reply) (Reply, outcome) {
 	if refused.declined {
--- a/core/proxy/tx.go
+++ b/core/proxy/tx.go
@@ -188,9 +188,12 @@
 		return Reply{Fault: core.FaultAborted, Text: textReplaced}, false
 	}
 	c := h.handle.Value
-	cmds := append(c.setUpCommands(s, w.prepared), w.command(core.Position{}))
+	cmds, err := h.confirm(c.setUpCommands(s, w.prepared), w.deadline)
+	if err != nil {
+		return s.handleTxSetUpFailure(w, err), false
+	}
 	sent := time.Now()
-	ans, err := c.exchange(cmds, w.deadline)
+	ans, err := c.exchange(append(cmds, w.command(core.Position{})), w.deadline)
 	if err != nil {
 		h.node.noteLost(h.handle.Value, err)
 		h.discard()
@@ -226,6 +229,19 @@
 	return reply, false
 }
 
+// handleTxSetUpFailure ends a transaction whose connection couldn't be set up for the next statement, which hasn't run.
+// Closing the connection rolls it back.
+func (s *Session) handleTxSetUpFailure(w *work, err error) Reply {
+	h := s.tx.held
+	h.node.noteSetUpFailure(h.handle.Value, err)
+	h.discard()
+	s.tx.held = nil
+	if w.st.Verb == VerbCommit {
+		s.tx = nil
+	}
+	return Reply{Fault: core.FaultAborted, Text: "the transaction's connection failed: " + err.Error()}
+}
+
 func (s *Session) handleTxFault(w *work, ans core.Answer) Reply {
 	h := s.tx.held
 	if ans.Fault == core.FaultReadOnly && !s.tx.readOnly {
--- a/io/hop/client.go
+++ b/io/hop/client.go
@@ -124,8 +124,8 @@
 	}
 }
 
-// CanPipelineBegin implements core.LineConn.
-func (c *Conn) CanPipelineBegin() bool { return true }
+// CanPipeline implements core.LineConn.
+func (c *Conn) CanPipeline() bool { return true }
 
 // IsIdle implements core.LineConn.
 func (c *Conn) IsIdle() bool {
