Prepare a statement again that an upstream's connection lacks

Seen: found by reading. EXECUTE of a statement whose PREPARE was acknowledged gets NOSUCHSTMT if the upstream's connection has lost it.

Cause: the refusal left the name in the record of the connection, so that each try sent EXECUTE without PREPARE.

Change: the name is removed from the record, and the answer counts as BUSY, since nothing ran and the caller has prepared the statement. The next try prepares it.

--- a/core/proxy/conn.go
+++ b/core/proxy/conn.go
@@ -87,6 +87,12 @@
 		if c.refusedWith == core.FaultNone {
 			c.refused, c.refusedWith = st.op, ans.Fault
 		}
+	case core.OpExecute:
+		if ans.Fault == core.FaultUnprepared {
+			// The caller has prepared the statement, and knows nothing of this connection.
+			delete(c.prepared, st.key)
+			ans.Fault, ans.Text = core.FaultBusy, "the upstream lost the prepared statement"
+		}
 	}
 	return ans
 }
--- a/core/proxy/setup_test.go
+++ b/core/proxy/setup_test.go
@@ -225,3 +225,31 @@
 	}
 	return problems
 }
+
+// Guards against telling a caller that a statement which it has prepared is unknown, and against using a connection again
+// and again that lacks it, after an upstream lost the prepared statements of its connections. Half of the callers are on a
+// VM that relays.
+func TestUpstreamLosesPreparedStatements(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		owner := newHarness(t)
+		other := newHarness(t, manyVMs()...)
+		other.relaysTo(owner, nil)
+		for i, r := range []*harness{owner, other} {
+			c := newTablet(r, "own", fmt.Sprintf("tablet-%02d", i))
+			for range 5 {
+				c.executePrepared()
+				owner.servers[primaryID].update(func(s *server) {
+					for _, fc := range s.open {
+						clear(fc.prepared)
+					}
+				})
+				c.executePrepared()
+				assert.Equal(t, c.run(Statement{Verb: VerbBegin, Text: "BEGIN"}), core.FaultNone)
+				c.run(Statement{Verb: VerbExecute, Text: "EXECUTE s x", Name: "s", Arg: "x tx"})
+				c.run(Statement{Verb: VerbRollback, Text: "ROLLBACK"})
+			}
+			assert.Equal(t, len(c.acked), 10)
+			assert.Equal(t, len(c.problems), 0, "%v", c.problems)
+		}
+	})
+}
--- a/core/proxy/single.go
+++ b/core/proxy/single.go
@@ -319,7 +319,7 @@
 	case core.FaultReadOnly:
 		n.noteDenied()
 		return Reply{Fault: core.FaultBusy, Text: "the primary has changed"}, retryOnChange
-	case core.FaultBusy, core.FaultUnprepared:
+	case core.FaultBusy:
 		if reply.declined {
 			w.declined = append(w.declined, n)
 			return reply, retryNow
