Drop a parameter that nothing reads

The late answers of a read are read until none is outstanding, so that handleNoAnswer needs no target.

--- a/core/proxy/single.go
+++ b/core/proxy/single.go
@@ -158,7 +158,7 @@
 	}
 	ans, err := c.Receive(s.answerDeadline(w, t))
 	if err != nil {
-		return s.handleNoAnswer(w, h, t, err)
+		return s.handleNoAnswer(w, h, err)
 	}
 	return s.handleAnswer(w, h, t, ans, requestedAt, sent)
 }
@@ -233,7 +233,7 @@
 
 // handleNoAnswer handles a missing answer. A goroutine reads the late answer of a slow read, so that
 // the connection stays usable and the upstream isn't interrupted.
-func (s *Session) handleNoAnswer(w *work, h *heldConn, t target, err error) (Reply, outcome) {
+func (s *Session) handleNoAnswer(w *work, h *heldConn, err error) (Reply, outcome) {
 	if errors.Is(err, budget.ErrSpent) {
 		return s.handleNoMemory(w, h)
 	}
