Run a recorded write only inside its transaction

A write with a request id gets an error although it has run; if its id was recorded before, it runs a second time.

Cause: BEGIN, the insert of the id, the write and COMMIT were sent together, BEGIN as a simple query. After its error an upstream goes on and commits the rest one by one; the error of BEGIN was reported for all of it.

Change: BEGIN is an extended message in front of the insert, so that an error skips all up to the next Sync, with it an extended write. A simple query is sent only once BEGIN and the insert are confirmed: one round trip more for simple writes with a request id.

--- a/io/dbconn/once.go
+++ b/io/dbconn/once.go
@@ -40,26 +40,46 @@
 var (
 	recordParse   = &pgproto3.Parse{Name: recordStatement, Query: recordInsert}
 	recordExecute = &pgproto3.Execute{}
-	beginQuery    = &pgproto3.Query{String: "BEGIN"}
+	beginParse    = &pgproto3.Parse{Query: "BEGIN"}
+	beginBind     = &pgproto3.Bind{}
+	beginExecute  = &pgproto3.Execute{}
 	commitQuery   = &pgproto3.Query{String: "COMMIT"}
 	createQuery   = &pgproto3.Query{String: recordCreate}
 	syncMessage   = &pgproto3.Sync{}
 )
 
-// requestWithRecord plans BEGIN, the insert of the request id, the request and COMMIT. If the insert
-// fails, the upstream runs no part of the request: it skips an extended request up to its Sync, and
-// refuses a simple query because the transaction has failed. COMMIT then rolls back.
+// requestWithRecord plans BEGIN, the insert of the request id, the request and COMMIT. If BEGIN or the insert fails, the
+// upstream runs no part of an extended request: it skips it up to its Sync. It would run a simple query after a refused
+// BEGIN, see runSimpleOnce.
 //
-// In an open transaction, the insert is part of that transaction, which fails if the insert fails. The
-// table is then created first unless it is known to exist, since the transaction can't be repeated.
+// In an open transaction, the insert is part of that transaction, which fails if the insert fails, so that the upstream
+// refuses a simple query as well. The table is then created first unless it is known to exist, since the transaction
+// can't be repeated.
 func (p *plan) requestWithRecord(c *Conn, req *core.Request) error {
 	p.reset()
-	if !req.InTx {
-		p.send(beginQuery, step{kind: stepQuery, internal: true, record: true})
-	} else if !c.upstream.hasRecordTable.Load() {
+	p.record(c, req)
+	if isSimple(req) {
+		p.send(syncMessage, step{kind: stepSync, internal: true, record: true})
+	}
+	p.messages(c, req)
+	p.commit(req)
+	return p.err
+}
+
+// isSimple reports whether the request is a simple query, which can't be sent together with extended messages.
+func isSimple(req *core.Request) bool { return len(req.Messages) == 1 }
+
+// record adds BEGIN and the insert of the request id, without a Sync.
+func (p *plan) record(c *Conn, req *core.Request) {
+	if req.InTx && !c.upstream.hasRecordTable.Load() {
 		p.send(createQuery, step{kind: stepQuery, internal: true, record: true})
 	}
 	p.closeStatements(c)
+	if !req.InTx {
+		p.send(beginParse, step{kind: stepParse, internal: true, record: true})
+		p.send(beginBind, step{kind: stepBind, internal: true, record: true})
+		p.send(beginExecute, step{kind: stepExecute, internal: true, record: true})
+	}
 	if c.hasStatement(recordStatement) {
 		p.names = append(p.names, recordStatement)
 	} else {
@@ -68,14 +88,13 @@
 	bind := pgproto3.Bind{PreparedStatement: recordStatement, Parameters: [][]byte{[]byte(req.RequestID)}}
 	p.send(&bind, step{kind: stepBind, internal: true, record: true})
 	p.send(recordExecute, step{kind: stepExecute, internal: true, record: true})
-	if len(req.Messages) == 1 {
-		p.send(syncMessage, step{kind: stepSync, internal: true, record: true})
-	}
-	p.messages(c, req)
+}
+
+// commit adds COMMIT unless the caller ends the transaction. It rolls a failed transaction back.
+func (p *plan) commit(req *core.Request) {
 	if !req.InTx {
 		p.send(commitQuery, step{kind: stepQuery, internal: true, record: true})
 	}
-	return p.err
 }
 
 // runOnce runs a write whose request id must be recorded. If the upstream lacks the table of request
@@ -120,12 +139,53 @@
 
 // attemptOnce runs the request and records its id.
 func (c *Conn) attemptOnce(ctx context.Context, req *core.Request, w core.ResponseWriter) (core.Result, error) {
+	if isSimple(req) && !req.InTx {
+		return c.runSimpleOnce(ctx, req, w)
+	}
 	if err := c.plan.requestWithRecord(c, req); err != nil {
 		return core.Result{}, c.fail(ctx, err)
 	}
 	return c.perform(ctx, req, w)
 }
 
+// runSimpleOnce runs a simple query and records its id. The query is sent only once the upstream has confirmed BEGIN and
+// the insert: after a refused BEGIN it would run without its id, also if it had run before.
+func (c *Conn) runSimpleOnce(ctx context.Context, req *core.Request, w core.ResponseWriter) (core.Result, error) {
+	c.plan.reset()
+	c.plan.record(c, req)
+	c.plan.send(syncMessage, step{kind: stepSync, internal: true, record: true})
+	res, err := c.performPlan(ctx, req, w)
+	if err != nil {
+		if req.Attempt != nil {
+			// The transaction is rolled back with its connection.
+			req.Attempt.ConfirmNotRun()
+		}
+		return res, err
+	}
+	failure := c.answer.recordErr
+	if failure != nil && res.Status == core.TxIdle {
+		return res, nil
+	}
+	c.plan.reset()
+	if failure == nil {
+		c.plan.messages(c, req)
+	}
+	c.plan.commit(req)
+	res, err = c.performPlan(ctx, req, w)
+	if failure != nil {
+		c.answer.recordErr = failure
+	}
+	return res, err
+}
+
+// performPlan is perform for a plan that may have an error.
+func (c *Conn) performPlan(ctx context.Context, req *core.Request, w core.ResponseWriter) (core.Result, error) {
+	if c.plan.err != nil {
+		return core.Result{}, c.fail(ctx, c.plan.err)
+	}
+	return c.perform(ctx, req, w)
+}
+
 // createRecordTable creates the table of request ids. It returns the upstream's error if the upstream is
 // a replica. It ignores other errors, since two connections may create the table at the same time; the
 // next insert reports those that persist.
--- a/io/dbconn/once_test.go
+++ b/io/dbconn/once_test.go
@@ -1,8 +1,11 @@
 package dbconn
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
+	"net"
+	"strings"
 	"sync"
 	"testing"
 
@@ -86,3 +89,51 @@
 		run(ctx, t, c, extended(core.ClassRead, "get", "SELECT count(*) FROM bills"))
 	}
 }
+
+// beginFails is a connection on which the upstream refuses BEGIN.
+type beginFails struct{ net.Conn }
+
+func (c beginFails) Write(b []byte) (int, error) {
+	return c.Conn.Write(bytes.ReplaceAll(b, []byte("BEGIN\x00"), []byte("BEG--\x00")))
+}
+
+// Guards against a write that commits without its request id, or runs a second time, although the caller is told that it
+// failed, on an upstream that refuses the BEGIN before it.
+func TestRequestIDWithoutTransaction(t *testing.T) {
+	for name, write := range map[string]func() *core.Request{
+		"simple": func() *core.Request { return simple(core.ClassWrite, "INSERT INTO bills (n) VALUES (1)") },
+		"extended": func() *core.Request {
+			return extended(core.ClassWrite, "ins", "INSERT INTO bills (n) VALUES ($1)", "1")
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ctx := testContext(t)
+			_, up := start(t, dbsim.Config{}, dbsim.NewPrimary(1))
+			c := dial(ctx, t, up).(*Conn)
+			run(ctx, t, c, simple(core.ClassWrite, "CREATE TABLE bills (id bigserial PRIMARY KEY, n int8)"))
+			runAs := func(id core.RequestID) (core.Result, string) {
+				req := write()
+				req.RequestID = id
+				return run(ctx, t, c, req)
+			}
+			checkCount := func(want int) {
+				_, answer := run(ctx, t, c, simple(core.ClassRead, "SELECT count(*) FROM bills"))
+				assert.Assert(t, strings.Contains(answer, fmt.Sprintf("(%d)", want)), "%d writes succeeded: %s", want, answer)
+			}
+			_, answer := runAs("first")
+			assert.Assert(t, strings.HasSuffix(answer, "INSERT 0 1"), answer)
+			healthy := c.conn
+			c.conn = beginFails{healthy}
+			for _, id := range []core.RequestID{"first", "second"} {
+				res, answer := runAs(id)
+				assert.Equal(t, answer, "42601")
+				assert.Equal(t, res.Status, core.TxIdle)
+				checkCount(1)
+			}
+			c.conn = healthy
+			_, answer = runAs("second")
+			assert.Assert(t, strings.HasSuffix(answer, "INSERT 0 1"), "the id of a write that hasn't run is free: %s", answer)
+			checkCount(2)
+		})
+	}
+}
