Close idle connections in time

Seen: core/proxy TestOwnerAtConnectionLimit failed in 14 of 20 runs with the race detector on the unchanged code. A relayed connection was still idle after 21 s, 1 s more than its limit.

Cause: a pool's Run slept for an hour if the only connection was in use when it looked for the next expiry, and nothing woke it when the connection came back.

Change: returning a connection wakes Run if the next expiry is earlier than the time at which Run would wake.

Measured: TestExpiryWithoutOtherEvents fails without the change; TestOwnerAtConnectionLimit passed 20 of 20 runs with the race detector.

--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -35,6 +35,8 @@
 	backoff      time.Duration
 	retryAt      time.Time
 	replaced     int
+	// wakesAt is when Run wakes next if nothing wakes it before.
+	wakesAt time.Time
 	// Idle connections that last answered before suspectBefore are checked before their next use, since
 	// another connection failed after that time and they may not answer either.
 	suspectBefore time.Time
@@ -239,9 +241,20 @@
 	}
 	i, _ := slices.BinarySearchFunc(p.idle, e, func(a, b *entry[T]) int { return a.lastUsed.Compare(b.lastUsed) })
 	p.idle = slices.Insert(p.idle, i, e)
+	if p.nextExpiry(p.wakesAt).Before(p.wakesAt) {
+		p.signal()
+	}
 	return true
 }
 
+// nextExpiry returns when the next idle connection expires, or the limit if none does before. The caller holds mu.
+func (p *Pool[T]) nextExpiry(limit time.Time) time.Time {
+	if len(p.idle) <= p.cfg.MinIdle {
+		return limit
+	}
+	return earlier(limit, p.idle[0].lastUsed.Add(p.cfg.IdleTimeout))
+}
+
 // close closes a connection. It counts against the limit until it is closed, so that the other side
 // never sees more connections than the limit.
 func (p *Pool[T]) close(e *entry[T]) {
@@ -384,9 +397,8 @@
 			next = earlier(next, e.lastAnswered.Add(p.cfg.HeartbeatInterval))
 		}
 	}
-	if len(p.idle) > p.cfg.MinIdle {
-		next = earlier(next, p.idle[0].lastUsed.Add(p.cfg.IdleTimeout))
-	}
+	next = p.nextExpiry(next)
+	p.wakesAt = next
 	return max(next.Sub(now), time.Millisecond)
 }
 
--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -186,6 +186,26 @@
 	})
 }
 
+// Guards against a connection that outlives its idle time because Run sleeps until much later: it has no idle connection to
+// wait for when the last user takes it.
+func TestExpiryWithoutOtherEvents(t *testing.T) {
+	runScenario(t, Config[*conn]{Limit: 4, IdleTimeout: 500 * time.Millisecond}, func(t *testing.T, p *Pool[*conn], s *server) {
+		synctest.Wait()
+		p.cfg.Ping = nil
+		for range 3 {
+			h, err := p.Get(t.Context())
+			assert.NilError(t, err)
+			synctest.Wait()
+			time.Sleep(20 * time.Millisecond)
+			h.Put()
+			time.Sleep(499 * time.Millisecond)
+			assert.Equal(t, p.Stats().Total, 1)
+			time.Sleep(2 * time.Millisecond)
+			assert.Equal(t, p.Stats().Total, 0)
+		}
+	})
+}
+
 // Guards against a late Put or Discard of a former user that ends the use of the current one.
 func TestHandleEndsOnce(t *testing.T) {
 	runScenario(t, Config[*conn]{Limit: 1}, func(t *testing.T, p *Pool[*conn], _ *server) {
