--- /dev/null
+++ b/core/proxy/conn_test.go
@@ -0,0 +1,129 @@
+package proxy
+
+import (
+	"os"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"snipewall/core"
+)
+
+// scriptedConn answers with the next of its answers, and doesn't answer once there is none.
+type scriptedConn struct {
+	core.LineConn
+	answers []core.Answer
+}
+
+func (*scriptedConn) Send([]core.Command) error { return nil }
+
+func (sc *scriptedConn) Receive(time.Time) (core.Answer, error) {
+	if len(sc.answers) == 0 {
+		return core.Answer{}, os.ErrDeadlineExceeded
+	}
+	ans := sc.answers[0]
+	sc.answers = sc.answers[1:]
+	return ans, nil
+}
+
+// Guards against a connection that serves another session after its state was lost: for each command, by each outcome,
+// what is recorded of the connection and whether it may be used again.
+func TestConnectionAfterEachOutcome(t *testing.T) {
+	succeeds := func(s core.TxStatus) core.Answer { return core.Answer{Status: s} }
+	fails := func(s core.TxStatus) core.Answer { return core.Answer{Fault: core.FaultFailed, Status: s} }
+	lost := []core.Answer(nil)
+	value, statement := keyPart("actor")+keyPart("a"), "r_1"
+	set := core.Command{Op: core.OpSet, Name: "actor", Text: "a"}
+	prepare := core.Command{Op: core.OpPrepare, Name: statement, Text: "READ x"}
+	tests := []struct {
+		name     string
+		cmds     []core.Command
+		answers  []core.Answer
+		reusable bool
+		valueKey string
+		prepared bool
+	}{
+		{"SET", []core.Command{set}, []core.Answer{succeeds('I')}, true, value, true},
+		{"SET refused", []core.Command{set}, []core.Answer{fails('I')}, false, "", true},
+		{"SET lost", []core.Command{set}, lost, false, "", true},
+		{"SET refused, BEGIN accepted", []core.Command{set, {Op: core.OpBegin}}, []core.Answer{fails('I'), succeeds('T')}, false, "", true},
+		{"SET in a failed transaction", []core.Command{set}, []core.Answer{fails('E')}, false, "", true},
+		{"RESET", []core.Command{{Op: core.OpReset}}, []core.Answer{succeeds('I')}, true, "", false},
+		{"RESET refused", []core.Command{{Op: core.OpReset}, set}, []core.Answer{fails('I'), succeeds('I')}, false, value, true},
+		{"RESET lost", []core.Command{{Op: core.OpReset}, set}, []core.Answer{succeeds('I')}, false, "", false},
+		{"PREPARE", []core.Command{{Op: core.OpReset}, prepare}, []core.Answer{succeeds('I'), succeeds('I')}, true, "", true},
+		{"PREPARE refused", []core.Command{{Op: core.OpReset}, prepare}, []core.Answer{succeeds('I'), fails('I')}, false, "", false},
+		{"PREPARE lost", []core.Command{{Op: core.OpReset}, prepare}, []core.Answer{succeeds('I')}, false, "", false},
+		{"BEGIN", []core.Command{{Op: core.OpBegin}}, []core.Answer{succeeds('T')}, false, "", true},
+		{"BEGIN refused", []core.Command{{Op: core.OpBegin}}, []core.Answer{fails('I')}, true, "", true},
+		{"BEGIN refused, failed", []core.Command{{Op: core.OpBegin}}, []core.Answer{fails('E')}, false, "", true},
+		{"BEGIN lost", []core.Command{{Op: core.OpBegin}}, lost, false, "", true},
+		{"ROLLBACK", []core.Command{{Op: core.OpBegin}, {Op: core.OpRollback}}, []core.Answer{succeeds('T'), succeeds('I')}, true, "", true},
+		{"ROLLBACK refused", []core.Command{{Op: core.OpBegin}, {Op: core.OpRollback}}, []core.Answer{succeeds('T'), fails('T')}, false, "", true},
+		{"ROLLBACK refused, idle", []core.Command{{Op: core.OpRollback}}, []core.Answer{fails('I')}, false, "", true},
+		{"ROLLBACK lost", []core.Command{{Op: core.OpBegin}, {Op: core.OpRollback}}, []core.Answer{succeeds('T')}, false, "", true},
+		{"statement", []core.Command{{Op: core.OpForward}}, []core.Answer{succeeds('I')}, true, "", true},
+		{"statement failed", []core.Command{{Op: core.OpForward}}, []core.Answer{fails('I')}, true, "", true},
+		{"statement leaves a transaction", []core.Command{{Op: core.OpForward}}, []core.Answer{succeeds('T')}, false, "", true},
+		{"statement lost", []core.Command{{Op: core.OpForward}}, lost, false, "", true},
+		{"statement isn't prepared", []core.Command{{Op: core.OpExecute, Name: statement}}, []core.Answer{{Fault: core.FaultUnprepared, Status: 'I'}}, true, "", false},
+		{"STEPDOWN failed", []core.Command{{Op: core.OpStepDown}}, []core.Answer{fails('I')}, true, "", true},
+		{"STATUS lost", []core.Command{{Op: core.OpStatus}}, lost, false, "", true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := &conn{LineConn: &scriptedConn{answers: tt.answers}, status: core.TxIdle, prepared: map[string]bool{statement: true}}
+			assert.NilError(t, c.Send(tt.cmds))
+			for range tt.cmds {
+				if _, err := c.Receive(time.Time{}); err != nil {
+					break
+				}
+			}
+			assert.Equal(t, c.isReusable(), tt.reusable)
+			assert.Equal(t, c.valueKey, tt.valueKey)
+			assert.Equal(t, c.prepared[statement], tt.prepared)
+		})
+	}
+}
+
+// Guards against an answer that nothing was sent for and that is taken for the next statement's.
+func TestUnexpectedAnswer(t *testing.T) {
+	c := &conn{LineConn: &scriptedConn{answers: []core.Answer{{Status: core.TxIdle}}}, status: core.TxIdle}
+	_, err := c.Receive(time.Time{})
+	assert.ErrorIs(t, err, errNothingAsked)
+}
+
+// Guards against closing a connection for each transaction that is rolled back.
+func TestRollbackKeepsConnection(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *harness) {
+		for range 3 {
+			s := r.proxy.Open("own", noKey)
+			r.must(s, VerbBegin, "BEGIN")
+			r.must(s, VerbWrite, "WRITE 1")
+			r.must(s, VerbRollback, "ROLLBACK")
+			r.must(s, VerbWrite, "WRITE 2")
+		}
+		assert.Equal(t, r.dials.Load(), int32(1))
+	})
+}
+
+// Guards against a write that is sent to an old primary: the permit has ended while the connection was set up.
+func TestPermitEndsDuringSetUp(t *testing.T) {
+	withPermits(t, func(t *testing.T, r *harness, p *fakePermits) {
+		r.servers[primaryID].update(func(s *server) {
+			s.refuse = func(c core.Command) core.Fault {
+				if c.Op == core.OpSet {
+					p.mu.Lock()
+					defer p.mu.Unlock()
+					p.admits, p.covers = false, false
+				}
+				return core.FaultNone
+			}
+		})
+		s := r.proxy.Open("own", noKey)
+		s.Execute(t.Context(), &Statement{ID: "0", Verb: VerbSet, Name: "actor", Arg: "a"})
+		assert.Equal(t, r.do(s, VerbWrite, "WRITE 1").Fault, core.FaultBusy)
+		assert.Equal(t, len(r.texts(primaryID)), 0)
+	})
+}
