Check each answer against its command

Cause: the read is sent together with the ROLLBACK that ends its transaction, and the first answer was taken for the read's. The adapter noted whether an answer is signed, and nothing looked at it.

Change: a caller's statement succeeds only with a signature, another command only without, BEGIN only in status T, ROLLBACK only in status I. Anything else closes the connection and counts as a missing answer.

--- a/core/proxy/conn.go
+++ b/core/proxy/conn.go
@@ -59,6 +59,9 @@
 		return ans, err
 	}
 	st := c.unanswered[0]
+	if err := st.check(ans); err != nil {
+		return core.Answer{}, err
+	}
 	c.unanswered = slices.Delete(c.unanswered, 0, 1)
 	c.status = ans.Status
 	if ans.Fault != core.FaultNone {
@@ -78,7 +81,31 @@
 	return ans, nil
 }
 
-var errNothingAsked = errors.New("no answer is expected")
+var (
+	errNothingAsked = errors.New("no answer is expected")
+	errOtherAnswer  = errors.New("the answer belongs to another command")
+)
+
+// check returns errOtherAnswer if the answer can't be the command's: an upstream may lose an answer and send the next one.
+// Only a caller's statement is answered with a signature.
+func (st step) check(ans core.Answer) error {
+	if ans.Fault != core.FaultNone {
+		return nil
+	}
+	ok := !ans.Signed
+	switch st.op {
+	case core.OpForward, core.OpExecute:
+		ok = ans.Signed
+	case core.OpBegin, core.OpBeginRead:
+		ok = ok && ans.Status == core.TxOpen
+	case core.OpRollback:
+		ok = ok && ans.Status == core.TxIdle
+	}
+	if !ok {
+		return errOtherAnswer
+	}
+	return nil
+}
 
 // noteRefused records what a refused command says about the connection, and returns the answer as its caller gets it.
 func (c *conn) noteRefused(st step, ans core.Answer) core.Answer {
--- a/core/proxy/conn_test.go
+++ b/core/proxy/conn_test.go
@@ -31,6 +31,7 @@
 // what is recorded of the connection and whether it may be used again.
 func TestConnectionAfterEachOutcome(t *testing.T) {
 	succeeds := func(s core.TxStatus) core.Answer { return core.Answer{Status: s} }
+	runs := func(s core.TxStatus) core.Answer { return core.Answer{Status: s, Signed: true} }
 	fails := func(s core.TxStatus) core.Answer { return core.Answer{Fault: core.FaultFailed, Status: s} }
 	lost := []core.Answer(nil)
 	value, statement := keyPart("actor")+keyPart("a"), "r_1"
@@ -63,9 +64,14 @@
 		{"ROLLBACK refused", []core.Command{{Op: core.OpBegin}, {Op: core.OpRollback}}, []core.Answer{succeeds('T'), fails('T')}, false, "", true},
 		{"ROLLBACK refused, idle", []core.Command{{Op: core.OpRollback}}, []core.Answer{fails('I')}, false, "", true},
 		{"ROLLBACK lost", []core.Command{{Op: core.OpBegin}, {Op: core.OpRollback}}, []core.Answer{succeeds('T')}, false, "", true},
-		{"statement", []core.Command{{Op: core.OpForward}}, []core.Answer{succeeds('I')}, true, "", true},
+		{"statement", []core.Command{{Op: core.OpForward}}, []core.Answer{runs('I')}, true, "", true},
+		{"statement lost, ROLLBACK answered", []core.Command{{Op: core.OpForward}, {Op: core.OpRollback}}, []core.Answer{succeeds('I')}, false, "", true},
+		{"prepared statement lost, ROLLBACK answered", []core.Command{{Op: core.OpExecute}, {Op: core.OpRollback}}, []core.Answer{succeeds('I')}, false, "", true},
+		{"BEGIN lost, ROLLBACK answered", []core.Command{{Op: core.OpBegin}, {Op: core.OpRollback}}, []core.Answer{succeeds('I')}, false, "", true},
+		{"SET lost, statement answered", []core.Command{set, {Op: core.OpForward}}, []core.Answer{runs('I')}, false, "", true},
+		{"ROLLBACK answered in a transaction", []core.Command{{Op: core.OpRollback}}, []core.Answer{succeeds('T')}, false, "", true},
 		{"statement failed", []core.Command{{Op: core.OpForward}}, []core.Answer{fails('I')}, true, "", true},
-		{"statement leaves a transaction", []core.Command{{Op: core.OpForward}}, []core.Answer{succeeds('T')}, false, "", true},
+		{"statement leaves a transaction", []core.Command{{Op: core.OpForward}}, []core.Answer{runs('T')}, false, "", true},
 		{"statement lost", []core.Command{{Op: core.OpForward}}, lost, false, "", true},
 		{"statement isn't prepared", []core.Command{{Op: core.OpExecute, Name: statement}}, []core.Answer{{Fault: core.FaultUnprepared, Status: 'I'}}, true, "", false},
 		{"STEPDOWN failed", []core.Command{{Op: core.OpStepDown}}, []core.Answer{fails('I')}, true, "", true},
@@ -127,3 +133,30 @@
 		assert.Equal(t, len(r.texts(primaryID)), 0)
 	})
 }
+
+// Guards against a read that succeeds without rows, because the answer to the command behind it is taken for its own: the
+// upstream loses the answers to some reads, and sends the next ones on the same connection.
+func TestLostAnswers(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *harness) {
+		lost := 0
+		for _, srv := range r.servers {
+			srv.update(func(s *server) {
+				s.loses = func(c core.Command) bool {
+					if c.Op != core.OpForward {
+						return false
+					}
+					lost++
+					return lost%3 == 1
+				}
+			})
+		}
+		for _, database := range []string{"strict", "bounded", "own"} {
+			s := r.proxy.Open(database, noKey)
+			for range 9 {
+				reply := r.do(s, VerbRead, "READ 1")
+				assert.Assert(t, reply.Fault != core.FaultNone || len(reply.Body) > 0, "a success without rows")
+			}
+		}
+		assert.Assert(t, lost > 27)
+	})
+}
--- a/core/proxy/fake_test.go
+++ b/core/proxy/fake_test.go
@@ -47,6 +47,8 @@
 	body []byte
 	// refuse returns the fault with which the upstream fails a command without running it; nil means that it fails none.
 	refuse func(c core.Command) core.Fault
+	// loses reports whether the answer to a command is lost after it has run; nil means that none is.
+	loses func(c core.Command) bool
 	// open holds the connections that weren't closed.
 	open []*fakeConn
 }
@@ -109,7 +111,10 @@
 
 func (fc *fakeConn) Send(cmds []core.Command) error {
 	for _, c := range cmds {
-		fc.answers = append(fc.answers, fc.run(c))
+		ans := fc.run(c)
+		if fc.s.loses == nil || !fc.s.loses(c) {
+			fc.answers = append(fc.answers, ans)
+		}
 	}
 	return nil
 }
@@ -125,6 +130,10 @@
 	if broken {
 		return core.Answer{}, errors.New("connection reset")
 	}
+	if len(fc.answers) == 0 {
+		time.Sleep(time.Until(deadline))
+		return core.Answer{}, os.ErrDeadlineExceeded
+	}
 	ans := fc.answers[0]
 	if ans.Signed {
 		if left := time.Until(deadline); left < service {
