Keep few texts of prepared statements for other VMs, and count them

Cause: a relay kept the text of each statement that ever came over its connection, and nothing counted it. The record of a connection's statements, and what the upstream keeps, grew without limit too.

What relays keep counts against the memory for connections. A connection with 1,000 prepared statements is reset before the next one.

--- a/core/proxy/conn.go
+++ b/core/proxy/conn.go
@@ -35,12 +35,14 @@
 	op core.Op
 	// key is the part of conn.valueKey that OpSet adds, or the name that OpPrepare and OpExecute use.
 	key string
+	// size is that of the text.
+	size int
 }
 
 // Send implements core.LineConn.
 func (c *conn) Send(cmds []core.Command) error {
 	for i := range cmds {
-		st := step{op: cmds[i].Op, key: cmds[i].Name}
+		st := step{op: cmds[i].Op, key: cmds[i].Name, size: len(cmds[i].Text)}
 		if st.op == core.OpSet {
 			st.key = keyPart(cmds[i].Name) + keyPart(cmds[i].Text)
 		}
@@ -73,14 +75,22 @@
 	case core.OpSet:
 		c.valueKey += st.key
 	case core.OpPrepare:
-		if c.prepared == nil {
-			c.prepared = make(map[string]bool)
-		}
-		c.prepared[st.key] = true
+		c.notePrepared(st)
 	}
 	return ans, nil
 }
 
+func (c *conn) notePrepared(st step) {
+	if c.owner != "" && entryBytes+st.size > maxKeptTexts {
+		// The owner drops it after the statement that follows.
+		return
+	}
+	if c.prepared == nil {
+		c.prepared = make(map[string]bool)
+	}
+	c.prepared[st.key] = true
+}
+
 var (
 	errNothingAsked = errors.New("no answer is expected")
 	errOtherAnswer  = errors.New("the answer belongs to another command")
@@ -153,6 +163,9 @@
 	return preparedStmt{write: write, text: text, name: prefix + hex.EncodeToString(sum[:nameBytes])}
 }
 
+// maxPreparedNames is the number of prepared statements on a connection from which on it is reset before the next one.
+const maxPreparedNames = 1000
+
 // isSetUp reports whether setUpCommands returns none.
 func (c *conn) isSetUp(s *Session, ps *preparedStmt) bool {
 	return c.valueKey == s.valueKey && (ps == nil || c.prepared[ps.name])
@@ -163,8 +176,9 @@
 func (c *conn) setUpCommands(s *Session, ps *preparedStmt) []core.Command {
 	var cmds []core.Command
 	isPrepared := ps == nil || c.prepared[ps.name]
-	if c.valueKey != s.valueKey {
-		if c.valueKey != "" {
+	isFull := !isPrepared && len(c.prepared) >= maxPreparedNames
+	if isFull || c.valueKey != s.valueKey {
+		if isFull || c.valueKey != "" {
 			cmds = append(cmds, core.Command{Op: core.OpReset})
 			isPrepared = ps == nil
 		}
--- a/core/proxy/conn_test.go
+++ b/core/proxy/conn_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"fmt"
 	"os"
 	"sync"
 	"testing"
@@ -190,3 +191,19 @@
 		assert.Equal(t, sets, 4, "SET and PREPARE")
 	})
 }
+
+// Guards against memory that grows, here and at the upstream, with each statement that callers ever prepare on a connection.
+func TestPreparedNamesAreLimited(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *harness) {
+		c := newTablet(r, "own", "tablet-00")
+		for i := range 2*maxPreparedNames + 10 {
+			c.s.Execute(t.Context(), &Statement{ID: "0", Verb: VerbPrepare, Name: "s", Arg: fmt.Sprintf("WRITE shape %d", i), Write: true})
+			assert.Equal(t, c.run(Statement{Verb: VerbExecute, Text: "EXECUTE s", Name: "s", Arg: c.name + " 1"}), core.FaultNone)
+		}
+		r.servers[primaryID].update(func(s *server) {
+			assert.Equal(t, len(s.open), 1)
+			assert.Assert(t, len(s.open[0].prepared) <= maxPreparedNames, "%d", len(s.open[0].prepared))
+		})
+		assert.Equal(t, len(c.checkOutcomes(r.servers[primaryID].runs())), 0)
+	})
+}
--- a/core/proxy/relay.go
+++ b/core/proxy/relay.go
@@ -14,9 +14,8 @@
 type Relay struct {
 	n *node
 	// session holds the values that the other VM's session has set.
-	session Session
-	// prepared holds the prepared statements by their name on upstream connections.
-	prepared map[string]preparedStmt
+	session  Session
+	prepared relayedStmts
 	held     *heldConn
 	// beginRefused is set if BEGIN was refused, so that nothing runs before ROLLBACK.
 	beginRefused bool
@@ -62,13 +61,17 @@
 // Close rolls back an open transaction.
 func (r *Relay) Close() { r.rollback() }
 
-// Pause releases the slot of a transaction whose next statement hasn't arrived.
+// Pause releases the slot of a transaction whose next statement hasn't arrived, and memory that no statement needs now.
 func (r *Relay) Pause() {
 	if r.held != nil {
 		r.held.releaseSlot(false)
 	}
+	r.prepared.trim(maxKeptTexts)
 }
 
+// StateBytes returns the memory that the other VM's values and prepared statements take.
+func (r *Relay) StateBytes() int { return r.session.stateBytes + r.prepared.bytes }
+
 // Execute executes one command. Its answer is due at the deadline.
 func (r *Relay) Execute(ctx context.Context, cmd core.Command, deadline time.Time) core.Answer {
 	began := time.Now()
@@ -83,14 +86,11 @@
 	r.followNode()
 	switch cmd.Op {
 	case core.OpReset:
-		r.session.values, r.session.valueKey, r.session.stateBytes, r.prepared = nil, "", 0, nil
+		r.session.values, r.session.valueKey, r.session.stateBytes, r.prepared = nil, "", 0, relayedStmts{}
 	case core.OpSet:
 		r.session.set(cmd.Name, cmd.Text)
 	case core.OpPrepare:
-		if r.prepared == nil {
-			r.prepared = make(map[string]preparedStmt)
-		}
-		r.prepared[cmd.Name] = newPreparedStmt(cmd.Write, cmd.Text)
+		r.prepared.add(cmd.Name, newPreparedStmt(cmd.Write, cmd.Text))
 	case core.OpRollback:
 		r.rollback()
 		r.beginRefused = false
@@ -233,7 +233,7 @@
 func (r *Relay) run(ctx context.Context, cmd core.Command, deadline time.Time) core.Answer {
 	var ps *preparedStmt
 	if cmd.Op == core.OpExecute {
-		s, ok := r.prepared[cmd.Name]
+		s, ok := r.prepared.stmts[cmd.Name]
 		if !ok {
 			return core.Answer{Fault: core.FaultUnprepared, Text: "no such prepared statement", Status: r.status()}
 		}
--- a/core/proxy/sample_test.go
+++ b/core/proxy/sample_test.go
@@ -65,6 +65,20 @@
 	}
 }
 
+// relayLines collects the connections to other VMs that are opened from now on.
+func (r *harness) relayLines() *[]*relayLine {
+	var lines []*relayLine
+	dial := r.owner
+	r.owner = func(id core.UpstreamID) (core.LineConn, error) {
+		lc, err := dial(id)
+		if l, ok := lc.(*relayLine); ok {
+			lines = append(lines, l)
+		}
+		return lc, err
+	}
+	return &lines
+}
+
 // Guards against reads that replicas with their usual lag can't serve. Load pattern: each of many VMs has few statements
 // of a group, so that most reads find no sample and await what the primary has at that moment. A replica is 150 ms
 // behind, and a commit comes every 40 ms. The baseline is an owner that tells no samples.
--- a/io/hop/hop_test.go
+++ b/io/hop/hop_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"snipewall/core"
+	"snipewall/core/budget"
 )
 
 // echoRelay is a relay that answers each command with its text.
@@ -22,6 +24,7 @@
 	pauses    int
 	fault     core.Fault
 	closed    chan struct{}
+	state     atomic.Int64
 }
 
 func (e *echoRelay) Execute(_ context.Context, cmd core.Command, deadline time.Time) core.Answer {
@@ -39,15 +42,23 @@
 	e.pauses++
 }
 
+func (e *echoRelay) StateBytes() int { return int(e.state.Load()) }
+
 func (e *echoRelay) Close() { close(e.closed) }
 
 func newPair(t *testing.T, e *echoRelay) (*Server, *Conn) {
+	t.Helper()
+	return newPairWith(t, e, nil)
+}
+
+// newPairWith is newPair for a server with a limit of memory.
+func newPairWith(t *testing.T, e *echoRelay, memory *budget.Budget) (*Server, *Conn) {
 	t.Helper()
 	e.closed = make(chan struct{})
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	srv := NewServer(ServerConfig{
-		Listener: ln, Log: log.NewNopLogger(),
+		Listener: ln, Log: log.NewNopLogger(), Memory: memory,
 		Open: func(id core.UpstreamID) (Relay, core.Position, bool) {
 			return e, core.Position{Term: 1, Offset: 3}, id == "known"
 		},
@@ -132,3 +143,34 @@
 		t.Fatal("the relay wasn't closed")
 	}
 }
+
+// Guards against memory that relays keep for other VMs beyond the limit of this one: the connection that keeps the most is
+// closed while it is idle, and one that would exceed the limit by itself.
+func TestRelayStateCountsAgainstMemory(t *testing.T) {
+	const limit = 1 << 20
+	memory := budget.New(budget.Config{Limit: limit})
+	ask := func(c *Conn) error {
+		if err := c.Send([]core.Command{{Text: "a"}}); err != nil {
+			return err
+		}
+		_, err := c.Receive(time.Now().Add(5 * time.Second))
+		return err
+	}
+	first, second := &echoRelay{}, &echoRelay{}
+	_, a := newPairWith(t, first, memory)
+	_, b := newPairWith(t, second, memory)
+	first.state.Store(limit * 3 / 4)
+	assert.NilError(t, ask(a))
+	waitFor(t, func() bool { return memory.Used() == limit*3/4 })
+	second.state.Store(limit / 2)
+	assert.NilError(t, ask(b))
+	waitFor(t, func() bool { return memory.Used() <= limit/2 })
+	<-first.closed
+}
+
+func waitFor(t *testing.T, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); !ok(); time.Sleep(time.Millisecond) {
+		assert.Assert(t, time.Now().Before(end), "timeout")
+	}
+}
--- a/io/hop/server.go
+++ b/io/hop/server.go
@@ -41,6 +41,8 @@
 	// Pause is called after the last command of each batch, so that a transaction can give up its slot
 	// until its next statement arrives.
 	Pause()
+	// StateBytes returns the memory that the relay keeps between batches.
+	StateBytes() int
 	// Close rolls back an open transaction.
 	Close()
 }
@@ -116,9 +118,8 @@
 	if p.frames.Account != nil {
 		defer p.frames.Account.Close()
 	}
-	p.frames.Begin(maxHelloBytes)
 	var h hello
-	if err := p.dec.Decode(&h); err != nil {
+	if !p.frames.Begin(maxHelloBytes) || p.dec.Decode(&h) != nil {
 		return
 	}
 	relay, position, ok := p.server.cfg.Open(h.Upstream)
@@ -142,7 +143,10 @@
 	if err := p.conn.SetReadDeadline(time.Now().Add(idleTimeout)); err != nil {
 		return false
 	}
-	p.frames.Begin(maxBatchBytes)
+	p.frames.Kept = int64(relay.StateBytes())
+	if !p.frames.Begin(maxBatchBytes) {
+		return false
+	}
 	var b batch
 	if err := p.dec.Decode(&b); err != nil {
 		return false
--- a/io/sock/frames.go
+++ b/io/sock/frames.go
@@ -15,7 +15,9 @@
 type FrameReader struct {
 	R io.Reader
 	// Account is nil if there is no limit for all connections together.
-	Account   *budget.Account
+	Account *budget.Account
+	// Kept is what the connection holds between frames, in bytes.
+	Kept      int64
 	remaining int64
 	size      int64
 	one       [1]byte
@@ -24,12 +26,11 @@
 // frameCopies is how often a frame is held while it is decoded and handled.
 const frameCopies = 2
 
-// Begin begins the next frame, which may have so many bytes. What the last one held is given back.
-func (r *FrameReader) Begin(maxBytes int64) {
+// Begin begins the next frame, which may have so many bytes. What the last one held beyond Kept is given back. It reports
+// false if there is no memory for Kept.
+func (r *FrameReader) Begin(maxBytes int64) bool {
 	r.remaining, r.size = maxBytes, 0
-	if r.Account != nil {
-		r.Account.Close()
-	}
+	return r.Account == nil || r.Account.TryHold(r.Kept)
 }
 
 // Read implements io.Reader.
@@ -45,7 +46,7 @@
 	}
 	r.remaining -= int64(n)
 	r.size += int64(n)
-	if r.Account != nil && !r.Account.TryHold(frameCopies*r.size) {
+	if r.Account != nil && !r.Account.TryHold(r.Kept+frameCopies*r.size) {
 		return n, budget.ErrSpent
 	}
 	return n, err
