Pause a group for as long as a promotion may be executed

Cause: a pause ended by itself after 3 s, and with the failover, although a promotion that got no answer could still be executed. The old primary, back by then, acknowledged commits that the chosen replica had not received.

Change: a pause is begun again each second during a failover, and for 15 s after a promotion without an answer unless another upstream leads before. If a VM doesn't acknowledge it, an old primary that is back is told to step down. Nothing changes where commits don't wait for replicas.

--- a/core/lead/closed.go
+++ b/core/lead/closed.go
@@ -36,7 +36,7 @@
 // primary acknowledges what any replica has received, which need not be the candidate. Its log is therefore closed first.
 func (d *Driver) prepareClosed(ctx context.Context, g Group, req failoverRequest) (core.UpstreamID, ProbeResult, error) {
 	if !g.Leaving {
-		d.closeFailed(ctx, g)
+		d.closeFailed(ctx, g, req.pause)
 		return d.selectCandidate(ctx, g, req)
 	}
 	// While no replica has caught up, the leaving primary is better than none.
@@ -45,7 +45,7 @@
 	}
 	// A pause can be ended if the platform promotes nothing. A primary that has stepped down can't be used again without
 	// a promotion.
-	if !d.cfg.Pauser.Pause(ctx, g.ID, true) && !d.stepDown(ctx, g) {
+	if !d.pause(ctx, g.ID, req.pause, true) && !d.stepDown(ctx, g) {
 		return "", ProbeResult{}, errNotClosed
 	}
 	return d.selectCaughtUp(ctx, g, req)
@@ -53,12 +53,12 @@
 
 // closeFailed keeps a primary that doesn't answer this VM from committing more, as far as that is possible: other VMs may
 // reach it.
-func (d *Driver) closeFailed(ctx context.Context, g Group) {
+func (d *Driver) closeFailed(ctx context.Context, g Group, pause *groupPause) {
 	var calls sync.WaitGroup
 	if g.Primary != "" {
 		calls.Go(func() { d.stepDown(ctx, g) })
 	}
-	calls.Go(func() { d.cfg.Pauser.Pause(ctx, g.ID, false) })
+	calls.Go(func() { d.pause(ctx, g.ID, pause, false) })
 	calls.Wait()
 }
 
--- a/core/lead/driver.go
+++ b/core/lead/driver.go
@@ -109,12 +109,14 @@
 	lease      lease
 	// minoritySince is when a failover first failed with errMinority, or zero.
 	minoritySince time.Time
+	pause         groupPause
 }
 
 var (
 	errAlreadyReplaced = errors.New("the store names another primary")
 	errLeaseHeld       = errors.New("another VM holds the group's lease")
 	errNewEra          = errors.New("a lease that the store has lost may last")
+	errNowSynchronous  = errors.New("commits of the group wait for replicas since")
 	errLeaseOfOldEra   = errors.New("the lease is of an older era of the store")
 )
 
@@ -216,6 +218,12 @@
 		req.allowMissing = time.Since(st.minoritySince) > receiverTimeout
 	}
 	reason := req.reason
+	if d.pausesGroup(g) {
+		req.pause = &st.pause
+		if st.pause.start(g.Primary) {
+			d.runAsync(func() func() { d.keepPause(ctx, g, &st.pause); return func() {} })
+		}
+	}
 	d.runAsync(func() func() {
 		kept, err := d.failOver(ctx, g, req)
 		if err != nil {
@@ -244,10 +252,15 @@
 	// allowMinority allows a failover while only a minority of the group answers, allowMissing one while a replica
 	// that may hold acknowledged commits doesn't.
 	allowMinority, allowMissing bool
+	// pause is the group's pause where commits wait for replicas, otherwise nil.
+	pause *groupPause
 }
 
 // failOver promotes the best candidate and returns the lease that this VM still holds.
 func (d *Driver) failOver(ctx context.Context, g Group, req failoverRequest) (lease, error) {
+	if req.pause != nil {
+		defer d.endPause(ctx, g.ID, req.pause)
+	}
 	if g.Leaving {
 		sleep(ctx, rand.N(leavingJitter))
 	}
@@ -269,15 +282,7 @@
 	if err != nil {
 		return held, err
 	}
-	target, best, err := d.selectCandidate(ctx, g, req)
-	switch {
-	case err != nil || (best.Leads && d.cfg.Permits == nil):
-	case d.cfg.Permits != nil:
-		target, best, err = d.prepareHeld(ctx, g, target, best, req, &held)
-	case g.SyncReplicas > 0:
-		defer d.resume(ctx, g.ID)
-		target, best, err = d.prepareClosed(ctx, g, req)
-	}
+	target, best, err := d.prepare(ctx, g, req, &held)
 	if err != nil || best.Leads {
 		return held, err
 	}
@@ -289,7 +294,7 @@
 		}
 	}
 	level.Info(d.cfg.Log).Log("Msg", "promoting", "Group", g.ID, "Upstream", target, "Position", best.End(), "Applied", best.Log, "Old", g.Primary, "Reason", req.reason, "Token", held.token)
-	if err := d.promote(ctx, g, target, &held); err != nil {
+	if err := d.promote(ctx, g, target, &held, req.pause); err != nil {
 		if errors.Is(err, core.ErrFenced) {
 			d.release(ctx, held)
 			held = lease{}
@@ -309,6 +314,22 @@
 	return held, nil
 }
 
+// prepare chooses the candidate. Where the old primary might go on, it is kept from committing first.
+func (d *Driver) prepare(ctx context.Context, g Group, req failoverRequest, held *lease) (core.UpstreamID, ProbeResult, error) {
+	target, best, err := d.selectCandidate(ctx, g, req)
+	switch {
+	case err != nil || (best.Leads && d.cfg.Permits == nil):
+		return target, best, err
+	case d.cfg.Permits != nil:
+		return d.prepareHeld(ctx, g, target, best, req, held)
+	case g.SyncReplicas == 0:
+		return target, best, nil
+	case req.pause == nil:
+		return "", best, errNowSynchronous
+	}
+	return d.prepareClosed(ctx, g, req)
+}
+
 // findLeader probes for an upstream that is already the primary, for the case that another VM has
 // replaced the primary and this VM has not read that from the store yet. The result takes effect
 // through Cluster.Probe, which records answers for the routing of statements.
@@ -431,7 +452,7 @@
 
 // promote asks the platform to promote the target. The call is repeated with the same token and target
 // while there is no answer and the lease is certainly valid.
-func (d *Driver) promote(ctx context.Context, g Group, target core.UpstreamID, held *lease) error {
+func (d *Driver) promote(ctx context.Context, g Group, target core.UpstreamID, held *lease, pause *groupPause) error {
 	var err error
 	for range promoteAttempts {
 		if held.expiresAt.Sub(d.cfg.Now()) <= leaseMargin {
@@ -444,9 +465,12 @@
 		if err == nil || errors.Is(err, core.ErrFenced) {
 			return err
 		}
-		if d.closesLog(g) && !errors.Is(err, core.ErrNotExecuted) {
-			// The call may be executed after the pause has ended.
-			d.stepDown(ctx, g)
+		if pause != nil && !errors.Is(err, core.ErrNotExecuted) {
+			pause.noteUnanswered(d.cfg.Now().Add(lateCallTime))
+			// A VM that has just started may not know of the pause.
+			if d.closesLog(g) && d.stepDown(ctx, g) {
+				pause.noteClosed()
+			}
 		}
 		held.unansweredTarget = target
 		sleep(ctx, checkInterval)
--- /dev/null
+++ b/core/lead/keep.go
@@ -0,0 +1,144 @@
+package lead
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"snipewall/core"
+)
+
+const (
+	// pauseRenewal is the time after which a pause is begun again, a third of the time after which VMs end it by themselves.
+	pauseRenewal = time.Second
+	// lateCallTime is how long a promotion without an answer may still be executed.
+	lateCallTime = 15 * time.Second
+)
+
+// groupPause is the pause of a group whose commits wait for replicas, while this VM replaces its primary. It lasts as long as
+// a promotion may still be executed: until then the old primary, if it comes back, could acknowledge commits that the
+// promoted upstream lacks.
+type groupPause struct {
+	mu sync.Mutex
+	// inUse is set during a failover, begun once that has paused the group, and kept while a goroutine renews the pause.
+	inUse, begun, kept bool
+	// old is the primary that is replaced.
+	old core.UpstreamID
+	// lateUntil is until when a promotion without an answer may be executed; 0 if there is none.
+	lateUntil core.Instant
+}
+
+// start marks the pause as used by a failover of the primary. It returns true if the caller must start keepPause.
+func (p *groupPause) start(old core.UpstreamID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.inUse, p.old = true, old
+	isKept := p.kept
+	p.kept = true
+	return !isKept
+}
+
+func (p *groupPause) oldPrimary() core.UpstreamID {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.old
+}
+
+func (p *groupPause) begin() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.begun = true
+}
+
+// noteUnanswered records a promotion without an answer that may be executed until the instant.
+func (p *groupPause) noteUnanswered(until core.Instant) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lateUntil = until
+}
+
+// noteClosed records that the old primary can't commit any more.
+func (p *groupPause) noteClosed() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lateUntil = 0
+}
+
+// stop marks the end of a failover.
+func (p *groupPause) stop() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.inUse = false
+}
+
+// endIfUnneeded reports whether the pause can be ended now, and whether it had begun. It is then no longer kept if the
+// caller is the goroutine that keeps it.
+func (p *groupPause) endIfUnneeded(now core.Instant, isReplaced, isKeeper bool) (ends, hadBegun bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.inUse || (now < p.lateUntil && !isReplaced) {
+		return false, p.begun
+	}
+	hadBegun = p.begun
+	p.begun, p.lateUntil = false, 0
+	if isKeeper {
+		p.kept = false
+	}
+	return true, hadBegun
+}
+
+// pausesGroup reports whether the group's VMs pause while its primary is replaced.
+func (d *Driver) pausesGroup(g Group) bool { return g.SyncReplicas > 0 && d.cfg.Permits == nil }
+
+// pause pauses the group on all VMs and reports whether all of them acknowledged it.
+func (d *Driver) pause(ctx context.Context, id core.GroupID, p *groupPause, works bool) bool {
+	p.begin()
+	return d.cfg.Pauser.Pause(ctx, id, works)
+}
+
+// endPause ends the use of the pause by a failover, and the pause unless a promotion may still be executed.
+func (d *Driver) endPause(ctx context.Context, id core.GroupID, p *groupPause) {
+	p.stop()
+	if ends, hadBegun := p.endIfUnneeded(d.cfg.Now(), d.isReplaced(id, p.oldPrimary()), false); ends && hadBegun {
+		d.resume(ctx, id)
+	}
+}
+
+// isReplaced reports whether another upstream than the old primary is known to lead the group.
+func (d *Driver) isReplaced(id core.GroupID, old core.UpstreamID) bool {
+	for _, g := range d.cfg.Cluster.State() {
+		if g.ID == id {
+			return g.Primary != "" && g.Primary != old
+		}
+	}
+	return false
+}
+
+// keepPause renews the pause until no failover uses it and no promotion may still be executed, and then ends it. If a VM
+// doesn't acknowledge the pause, the old primary is told to step down, in case it is back.
+func (d *Driver) keepPause(ctx context.Context, g Group, p *groupPause) {
+	ticker := time.NewTicker(pauseRenewal)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		}
+		ends, hasBegun := p.endIfUnneeded(d.cfg.Now(), ctx.Err() != nil || d.isReplaced(g.ID, p.oldPrimary()), true)
+		switch {
+		case ends && hasBegun:
+			d.resume(ctx, g.ID)
+			return
+		case ends:
+			return
+		case ctx.Err() != nil:
+			// A failover in progress ends soon after the context.
+			sleep(context.WithoutCancel(ctx), pauseRenewal/10)
+		case hasBegun && !d.cfg.Pauser.Pause(ctx, g.ID, false) && d.stepDown(ctx, g):
+			level.Info(d.cfg.Log).Log("Msg", "old primary stepped down, since a VM doesn't pause", "Group", g.ID, "Upstream", g.Primary)
+			p.noteClosed()
+		}
+	}
+}
