--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 LINT := $(GOBIN_DIR)/golangci-lint
 GOPLS_VERSION := v0.23.0
 
-.PHONY: help build fmt lint tools test up down demo bench overhead reads surge slopes matrix soak
+.PHONY: help build fmt lint tools test up down demo bench overhead reads surge slopes matrix soak review
 
 help: ## Lists the targets.
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/'
@@ -65,3 +65,6 @@
 
 soak: ## Runs the soaks of real processes under random faults (SEED=n FOR=2m; SEED=0 picks a random seed).
 	$(GO) test -count=1 -v -timeout 1h ./platform -run 'Soak$$' -soak.seed $(SEED) -soak.for $(FOR) | grep -v '"Msg"'
+
+review: ## Plays the cases of the reviews with and without their disruptions (RUNS=5, CASES="6 7").
+	@scripts/review.sh
