Set the write deadline of a frame before it is encoded

Seen: found by the review by reading. The first answer above 1 KiB on a connection between VMs that was idle for more than 3 s fails at once, so that a read is tried again and a transaction is aborted.

Cause: the deadline was set before the flush, but a frame above the buffer's size is written in part while it is encoded.

Change: the deadline is set first, for answers, the welcome and the goodbye.

Measured: TestLargeAnswerAfterPause fails on the code before and passes now.

--- a/io/hop/hop_test.go
+++ b/io/hop/hop_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -174,3 +175,18 @@
 		assert.Assert(t, time.Now().Before(end), "timeout")
 	}
 }
+
+// Guards against a large answer that fails at once because the time to write the last one is over.
+func TestLargeAnswerAfterPause(t *testing.T) {
+	_, c := newPair(t, &echoRelay{})
+	for range 2 {
+		for _, size := range []int{64 * bufferSize, bufferSize, 1} {
+			text := strings.Repeat("x", size)
+			assert.NilError(t, c.Send([]core.Command{{Text: text}}))
+			ans, err := c.Receive(time.Now().Add(5 * time.Second))
+			assert.NilError(t, err)
+			assert.Equal(t, len(ans.Body), size)
+		}
+		time.Sleep(writeTimeout + 100*time.Millisecond)
+	}
+}
--- a/io/hop/server.go
+++ b/io/hop/server.go
@@ -177,24 +177,20 @@
 func (p *peer) reply(r reply, last bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if err := p.enc.Encode(r); err != nil {
+	// A large frame is written in part before the flush.
+	if p.conn.SetWriteDeadline(time.Now().Add(writeTimeout)) != nil || p.enc.Encode(r) != nil {
 		return false
 	}
-	return !last || p.flush()
+	return !last || p.out.Flush() == nil
 }
 
 func (p *peer) write(frame any) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.enc.Encode(frame) == nil && p.flush()
-}
-
-// flush sends the buffered frames. The caller holds mu.
-func (p *peer) flush() bool {
 	if err := p.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return false
 	}
-	return p.out.Flush() == nil
+	return p.enc.Encode(frame) == nil && p.out.Flush() == nil
 }
 
 // sendGoodbye tells the other side that this entry VM shuts down.
@@ -204,10 +200,10 @@
 	if !p.welcomeSent {
 		return
 	}
-	if err := p.enc.Encode(reply{Goodbye: true}); err != nil {
+	if err := p.conn.SetWriteDeadline(time.Now().Add(goodbyeTimeout)); err != nil {
 		return
 	}
-	if err := p.conn.SetWriteDeadline(time.Now().Add(goodbyeTimeout)); err != nil {
+	if err := p.enc.Encode(reply{Goodbye: true}); err != nil {
 		return
 	}
 	// If the write fails, the peer detects the shutdown when the connection is closed.
