Don't miss a new primary between the look at the nodes and the wait

A statement that finds no primary waits in vain, and is refused, if the primary becomes known right after its look.

Cause: the channel of changes was taken after the look.

Change: it is taken before, for single statements and transactions.

Measured: TestChangeBeforeTheWait passes; on the code before the wait had no channel that a test could give it.

--- a/core/proxy/session_test.go
+++ b/core/proxy/session_test.go
@@ -429,3 +429,18 @@
 		assert.Assert(t, leavingGrace < 7*time.Second)
 	})
 }
+
+// Guards against a statement that waits in vain because the new primary became known between its look at the nodes and its
+// wait.
+func TestChangeBeforeTheWait(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *harness) {
+		s := r.proxy.Open("own", noKey)
+		w, fault := s.newWork(&Statement{ID: "1", Verb: VerbWrite, Text: "WRITE 1"}, time.Now())
+		assert.Assert(t, fault == nil)
+		changed := r.proxy.Changed()
+		r.proxy.notifyChanged()
+		began := time.Now()
+		assert.Assert(t, s.awaitPrimary(t.Context(), w, changed))
+		assert.Equal(t, time.Since(began), time.Duration(0))
+	})
+}
--- a/core/proxy/single.go
+++ b/core/proxy/single.go
@@ -31,10 +31,11 @@
 	}
 	strict := false
 	for {
+		changed := s.p.Changed()
 		t, ok := s.chooseTarget(ctx, w, strict)
 		if !ok {
 			w.lastReply = Reply{Fault: core.FaultBusy, Text: "the group has no primary now"}
-			if !s.awaitPrimary(ctx, w) {
+			if !s.awaitPrimary(ctx, w, changed) {
 				return w.lastReply
 			}
 			continue
--- a/core/proxy/tx.go
+++ b/core/proxy/tx.go
@@ -89,10 +89,11 @@
 		return refused
 	}
 	for {
+		changed := s.p.Changed()
 		t, ok := s.chooseTxTarget(ctx, w)
 		if !ok {
 			w.lastReply = Reply{Fault: core.FaultBusy, Text: "the group has no primary now"}
-			if !s.awaitPrimary(ctx, w) {
+			if !s.awaitPrimary(ctx, w, changed) {
 				return &w.lastReply
 			}
 			continue
--- a/core/proxy/work.go
+++ b/core/proxy/work.go
@@ -279,13 +279,13 @@
 // runReserve is the part of the statement timeout that is kept for running the statement.
 func (w *work) runReserve() time.Duration { return w.route.StatementTimeout / runReserveDivisor }
 
-// awaitPrimary waits for a change such as a new primary, and reports whether to try again. It doesn't wait
-// if the group has been without a primary for longer than maxOutageWait.
-func (s *Session) awaitPrimary(ctx context.Context, w *work) bool {
+// awaitPrimary waits for a change such as a new primary, and reports whether to try again. The channel is that of the
+// changes since before the nodes were looked at. It doesn't wait if the group has been without a primary for longer than
+// maxOutageWait.
+func (s *Session) awaitPrimary(ctx context.Context, w *work, changed <-chan struct{}) bool {
 	if w.group.noteOutage(time.Now()) > maxOutageWait {
 		return false
 	}
-	changed := s.p.Changed()
 	left := time.Until(w.deadline) - w.runReserve()
 	if left <= 0 {
 		return false
