End a pause that was renewed while its failover ended

Seen: found while reading the change. VMs would pause a group for up to 3 s after its failover, if a renewal was under way when the failover ended the pause. The old primary of the first failover would also be told to step down in a later one.

Cause: the failover ended the pause, and the renewal began it again, which nobody ended.

Change: a renewal that finds the pause ended meanwhile ends its own, and uses the primary of the present failover.

Measured: TestRenewalDoesNotOutlastFailover fails without the change; core/lead passed 3 times with the race detector.

--- a/core/lead/keep.go
+++ b/core/lead/keep.go
@@ -73,20 +73,33 @@
 	p.inUse = false
 }
 
-// endIfUnneeded reports whether the pause can be ended now, and whether it had begun. It is then no longer kept if the
-// caller is the goroutine that keeps it.
-func (p *groupPause) endIfUnneeded(now core.Instant, isReplaced, isKeeper bool) (ends, hadBegun bool) {
+// endIfUnneeded reports whether the pause can be ended now.
+func (p *groupPause) endIfUnneeded(now core.Instant, isReplaced bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.inUse || (now < p.lateUntil && !isReplaced) {
-		return false, p.begun
+		return false
 	}
-	hadBegun = p.begun
 	p.begun, p.lateUntil = false, 0
-	if isKeeper {
-		p.kept = false
+	return true
+}
+
+// stopKeeping is endIfUnneeded for the goroutine that keeps the pause.
+func (p *groupPause) stopKeeping(now core.Instant, isReplaced bool) bool {
+	if !p.endIfUnneeded(now, isReplaced) {
+		return false
 	}
-	return true, hadBegun
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	// Another failover may have begun since.
+	p.kept = p.inUse
+	return !p.kept
+}
+
+func (p *groupPause) hasBegun() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.begun
 }
 
 // pausesGroup reports whether the group's VMs pause while its primary is replaced.
@@ -101,7 +114,8 @@
 // endPause ends the use of the pause by a failover, and the pause unless a promotion may still be executed.
 func (d *Driver) endPause(ctx context.Context, id core.GroupID, p *groupPause) {
 	p.stop()
-	if ends, hadBegun := p.endIfUnneeded(d.cfg.Now(), d.isReplaced(id, p.oldPrimary()), false); ends && hadBegun {
+	hadBegun := p.hasBegun()
+	if p.endIfUnneeded(d.cfg.Now(), d.isReplaced(id, p.oldPrimary())) && hadBegun {
 		d.resume(ctx, id)
 	}
 }
@@ -116,29 +130,36 @@
 	return false
 }
 
-// keepPause renews the pause until no failover uses it and no promotion may still be executed, and then ends it. If a VM
-// doesn't acknowledge the pause, the old primary is told to step down, in case it is back.
+// keepPause renews the pause until no failover uses it and no promotion may still be executed, and then ends it.
 func (d *Driver) keepPause(ctx context.Context, g Group, p *groupPause) {
 	ticker := time.NewTicker(pauseRenewal)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
+			// A failover in progress ends soon after the context.
+			sleep(context.WithoutCancel(ctx), checkInterval)
 		case <-ticker.C:
 		}
-		ends, hasBegun := p.endIfUnneeded(d.cfg.Now(), ctx.Err() != nil || d.isReplaced(g.ID, p.oldPrimary()), true)
-		switch {
-		case ends && hasBegun:
+		g.Primary = p.oldPrimary()
+		if p.stopKeeping(d.cfg.Now(), ctx.Err() != nil || d.isReplaced(g.ID, g.Primary)) {
 			d.resume(ctx, g.ID)
 			return
-		case ends:
-			return
-		case ctx.Err() != nil:
-			// A failover in progress ends soon after the context.
-			sleep(context.WithoutCancel(ctx), pauseRenewal/10)
-		case hasBegun && !d.cfg.Pauser.Pause(ctx, g.ID, false) && d.stepDown(ctx, g):
-			level.Info(d.cfg.Log).Log("Msg", "old primary stepped down, since a VM doesn't pause", "Group", g.ID, "Upstream", g.Primary)
-			p.noteClosed()
 		}
+		if ctx.Err() == nil && p.hasBegun() {
+			d.renewPause(ctx, g, p)
+		}
+	}
+}
+
+// renewPause begins the pause again. If a VM doesn't acknowledge it, the old primary is told to step down, in case it is back.
+func (d *Driver) renewPause(ctx context.Context, g Group, p *groupPause) {
+	if !d.cfg.Pauser.Pause(ctx, g.ID, false) && d.stepDown(ctx, g) {
+		level.Info(d.cfg.Log).Log("Msg", "old primary stepped down, since a VM doesn't pause", "Group", g.ID, "Upstream", g.Primary)
+		p.noteClosed()
+	}
+	if !p.hasBegun() {
+		// The failover has ended the pause meanwhile.
+		d.resume(ctx, g.ID)
 	}
 }
--- a/core/lead/keep_test.go
+++ b/core/lead/keep_test.go
@@ -24,6 +24,8 @@
 	outstanding int
 	pausedUntil time.Time
 	calls       int
+	// pauseDelay is how long the VMs take to acknowledge a pause.
+	pauseDelay time.Duration
 	// problems holds the times at which the old primary could commit while a call was outstanding.
 	problems []time.Duration
 }
@@ -37,6 +39,7 @@
 )
 
 func (s *slowPlatform) Pause(context.Context, core.GroupID, bool) bool {
+	time.Sleep(s.pauseDelay)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.pauses++
@@ -136,3 +139,26 @@
 		assert.Equal(t, s.view.Primary, core.UpstreamID("a"))
 	})
 }
+
+// Guards against a pause that goes on after a failover, because its renewal was under way when the failover ended it.
+func TestRenewalDoesNotOutlastFailover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &slowPlatform{fakeCluster: newFakeCluster(), pauseDelay: 300 * time.Millisecond}
+		d := New(Config{Cluster: s, Store: s, Promoter: s, Pauser: s, Self: "vm", Log: log.NewNopLogger()})
+		var p groupPause
+		assert.Assert(t, p.start("a"))
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			d.keepPause(t.Context(), s.view, &p)
+		}()
+		assert.Assert(t, d.pause(t.Context(), "g", &p, false))
+		time.Sleep(pauseRenewal - s.pauseDelay + 100*time.Millisecond)
+		d.endPause(t.Context(), "g", &p)
+		time.Sleep(s.pauseDelay)
+		s.mu.Lock()
+		assert.Assert(t, s.pausedUntil.IsZero(), "the group is paused after the failover")
+		s.mu.Unlock()
+		<-ended
+	})
+}
--- a/core/proxy/single.go
+++ b/core/proxy/single.go
@@ -172,7 +172,7 @@
 	if err != nil {
 		n.noteSetUpFailure(h.handle.Value, err)
 		h.discard()
-		reply.Text = "no answer of the upstream: " + err.Error()
+		reply.Text = "the connection couldn't be set up: " + err.Error()
 	} else {
 		h.rollbackAndFree(ans.Fault)
 	}
