Keep trying refused reads until their time to start is over

Cause: the limit of retries without a pause also counted the tries after a pause. A read that met two lagging replicas and a primary that refused set-ups used it up, and was answered with the fault of the last upstream.

Change: only retries without a pause between them count. A caller is told BUSY in place of LAGGING, which it can't act on.

Measured: TestReadOutlastsRefusedSetUps and TestReadOfLaggingGroupIsBusy fail without the change.

--- a/core/proxy/single.go
+++ b/core/proxy/single.go
@@ -317,6 +317,8 @@
 	switch reply.Fault {
 	case core.FaultLagging:
 		n.noteLag(t.await)
+		// Which upstreams lag is of no use to the caller.
+		reply.Fault, reply.Text = core.FaultBusy, "the upstream lacks the position"
 	case core.FaultReadOnly:
 		n.noteDenied()
 		return Reply{Fault: core.FaultBusy, Text: "the primary has changed"}, retryOnChange
--- a/core/proxy/work.go
+++ b/core/proxy/work.go
@@ -29,8 +29,8 @@
 	startTimeShare = 0.45
 	// runReserveDivisor divides the time for a statement to get the part that is kept for running it.
 	runReserveDivisor = 8
-	// maxTries limits the immediate retries of one statement.
-	maxTries = 6
+	// maxRetriesInRow limits the retries of one statement without a pause between them.
+	maxRetriesInRow = 6
 	// rollbackTimeout limits the wait for the answer to ROLLBACK, which takes no slot.
 	rollbackTimeout = time.Second
 )
@@ -62,7 +62,8 @@
 	// tried are the upstreams on which the statement failed, and declined those that refused it only because another
 	// one would serve it sooner.
 	tried, declined []*node
-	tries           int
+	// retriesInRow is the number of immediate retries since the last pause.
+	retriesInRow int
 	// readIndexRequested is set if the primary was asked for its position.
 	readIndexRequested bool
 	// lastReply is the result of the last failed try.
@@ -253,8 +254,11 @@
 
 // waitForRetry waits before a retry and reports whether there is time for one.
 func (s *Session) waitForRetry(ctx context.Context, w *work, pause time.Duration) bool {
-	w.tries++
-	if w.tries > maxTries && pause == 0 {
+	w.retriesInRow++
+	if pause > 0 {
+		w.retriesInRow = 0
+	}
+	if w.retriesInRow > maxRetriesInRow {
 		return false
 	}
 	now := time.Now()
