--- a/core/proxy/conn_test.go
+++ b/core/proxy/conn_test.go
@@ -179,7 +179,7 @@
 		tablets := []*tablet{newTablet(r, "own", "tablet-00"), newTablet(r, "own", "tablet-01")}
 		var wg sync.WaitGroup
 		for _, c := range tablets {
-			wg.Go(c.executePrepared)
+			wg.Go(func() { c.executePrepared() })
 		}
 		wg.Wait()
 		for range 10 {
--- a/core/proxy/fake_test.go
+++ b/core/proxy/fake_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -47,6 +48,10 @@
 	body []byte
 	// refuse returns the fault with which the upstream fails a command without running it; nil means that it fails none.
 	refuse func(c core.Command) core.Fault
+	// refusedStatus is the transaction status after a command that refuse fails; 0 means that of a plain error.
+	refusedStatus core.TxStatus
+	// echoes makes the body of an answer repeat the statement.
+	echoes bool
 	// loses reports whether the answer to a command is lost after it has run; nil means that none is.
 	loses func(c core.Command) bool
 	// open holds the connections that weren't closed.
@@ -153,10 +158,14 @@
 	if fc.s.refuse != nil {
 		fault = fc.s.refuse(c)
 	}
-	if fault == core.FaultNone {
+	isRefused := fault != core.FaultNone
+	if !isRefused {
 		fault = fc.execute(c)
 	}
-	if fault != core.FaultNone && c.Op != core.OpRollback && fc.status == core.TxOpen && fault != core.FaultBusy {
+	switch {
+	case isRefused && fc.s.refusedStatus != 0:
+		fc.status = fc.s.refusedStatus
+	case fault != core.FaultNone && c.Op != core.OpRollback && fc.status == core.TxOpen && fault != core.FaultBusy:
 		fc.status = core.TxFailed
 	}
 	ans := core.Answer{Fault: fault, Status: fc.status, Position: fc.s.log}
@@ -172,6 +181,9 @@
 	if fault == core.FaultNone && (c.Op == core.OpForward || c.Op == core.OpExecute) {
 		ans.Signed = true
 		ans.Body = []byte("COMPLETE " + string(fc.s.id) + "\r\n")
+		if fc.s.echoes {
+			ans.Body = []byte("COMPLETE " + fc.text(c) + "\r\n")
+		}
 		if fc.s.body != nil {
 			ans.Body = fc.s.body
 		}
@@ -214,6 +226,14 @@
 	return core.FaultNone
 }
 
+// text returns the text of a caller's statement. That of a prepared one has its arguments behind it.
+func (fc *fakeConn) text(c core.Command) string {
+	if c.Op == core.OpExecute {
+		return fc.prepared[c.Name] + " " + c.Text
+	}
+	return c.Text
+}
+
 func (fc *fakeConn) executeStatement(c core.Command) core.Fault {
 	if fc.s.busy > 0 {
 		fc.s.busy--
@@ -223,16 +243,11 @@
 		fc.s.lagged++
 		return core.FaultLagging
 	}
-	text := c.Text
-	write := len(text) > 5 && text[:5] == "WRITE"
-	if c.Op == core.OpExecute {
-		prepared, ok := fc.prepared[c.Name]
-		if !ok {
-			return core.FaultUnprepared
-		}
-		text = prepared + " " + c.Text
-		write = c.Name[0] == 'w'
+	if _, ok := fc.prepared[c.Name]; c.Op == core.OpExecute && !ok {
+		return core.FaultUnprepared
 	}
+	text := fc.text(c)
+	write := strings.HasPrefix(text, "WRITE")
 	if write && !fc.s.leads {
 		return core.FaultReadOnly
 	}
@@ -262,6 +277,8 @@
 	// full makes the upstreams refuse new connections. Dials of the unreachable ones don't answer.
 	full        atomic.Bool
 	unreachable map[core.UpstreamID]bool
+	// wrap replaces new connections to upstreams if it isn't nil.
+	wrap func(core.LineConn) core.LineConn
 	// owner connects to an upstream's owner; nil means that no owner answers.
 	owner func(id core.UpstreamID) (core.LineConn, error)
 	// ownerOf replaces owner if it isn't nil, and depends on the VM.
@@ -394,6 +411,9 @@
 	r.dials.Add(1)
 	fc := &fakeConn{s: s, n: s.conns, organisation: organisation, status: core.TxIdle, values: map[string]string{}, prepared: map[string]string{}, canPipelineBegin: r.canPipelineBegin}
 	s.open = append(s.open, fc)
+	if r.wrap != nil {
+		return r.wrap(fc), nil
+	}
 	return fc, nil
 }
 
--- a/core/proxy/setup_test.go
+++ b/core/proxy/setup_test.go
@@ -36,72 +36,131 @@
 	}
 }
 
-// tablet is a caller with a session value of its own. The texts of its statements contain its name.
+// tablet is a caller with a session value of its own, whose name it shares with half of the others. The texts of its
+// statements contain its name.
 type tablet struct {
 	r    *harness
 	name string
-	s    *Session
-	n    int
+	// values is what the upstreams must have of its session values.
+	values string
+	s      *Session
+	n      int
 	// acked and notRun hold the texts of the single writes that succeeded, and of those that were refused as not run.
 	acked, notRun []string
-	problems      []string
+	// wrote is set while the open transaction has a write.
+	wrote bool
+	// mayFail is set where statements may end with an unknown outcome.
+	mayFail  bool
+	problems []string
 }
 
 func newTablet(r *harness, database, name string) *tablet {
 	c := &tablet{r: r, name: name, s: r.proxy.Open(database, noKey)}
-	c.s.Execute(r.t.Context(), &Statement{ID: "0", Verb: VerbSet, Name: "actor", Arg: name})
+	valueName := "actor"
+	if (name[len(name)-1]-'0')%2 == 1 {
+		valueName = "actor of " + name
+	}
+	c.values = "map[" + valueName + ":" + name + "]"
+	c.s.Execute(r.t.Context(), &Statement{ID: "0", Verb: VerbSet, Name: valueName, Arg: name})
 	c.s.Execute(r.t.Context(), &Statement{ID: "0", Verb: VerbPrepare, Name: "s", Arg: "WRITE shape", Write: true})
 	return c
 }
 
-// run executes a statement. All that the upstreams refuse comes before it, so that its outcome is known.
+// run executes a statement, and checks its outcome unless it may fail, and its answer.
 func (c *tablet) run(st Statement) core.Fault {
 	st.ID = "q"
 	reply := c.s.Execute(c.r.t.Context(), &st)
 	switch reply.Fault {
-	case core.FaultNone, core.FaultBusy, core.FaultAborted:
+	case core.FaultNone:
+		c.checkAnswer(st, string(reply.Body))
+	case core.FaultBusy, core.FaultAborted:
 	default:
-		c.problems = append(c.problems, fmt.Sprintf("%s: %q got %s: %s", c.name, st.Text, reply.Fault, reply.Text))
+		if !c.mayFail {
+			c.problems = append(c.problems, fmt.Sprintf("%s: %q got %s: %s", c.name, st.Text, reply.Fault, reply.Text))
+		}
 	}
 	return reply.Fault
 }
 
+// checkAnswer checks that a success has the answer of an upstream if it needs one, and that an answer which repeats a
+// statement repeats this one.
+func (c *tablet) checkAnswer(st Statement, body string) {
+	want, needsAnswer := st.Text, false
+	switch st.Verb {
+	case VerbExecute:
+		want, needsAnswer = "WRITE shape "+st.Arg, true
+	case VerbRead, VerbWrite:
+		needsAnswer = true
+	case VerbCommit:
+		needsAnswer = c.wrote
+	}
+	answered, repeats := strings.CutPrefix(strings.TrimSuffix(body, "\r\n"), "COMPLETE ")
+	if repeats && strings.Contains(answered, " ") && answered != want {
+		c.problems = append(c.problems, fmt.Sprintf("%s: %q was answered with %q", c.name, want, answered))
+	}
+	if needsAnswer && body == "" {
+		c.problems = append(c.problems, fmt.Sprintf("%s: %q succeeded without an answer of an upstream", c.name, want))
+	}
+}
+
 func (c *tablet) next(word string) string {
 	c.n++
 	return fmt.Sprintf("%s %s %d", word, c.name, c.n)
 }
 
-func (c *tablet) write() {
+func (c *tablet) write() core.Fault {
 	text := c.next("WRITE")
-	c.record(text, c.run(Statement{Verb: VerbWrite, Text: text}))
+	return c.record(text, c.run(Statement{Verb: VerbWrite, Text: text}))
 }
 
-func (c *tablet) executePrepared() {
+func (c *tablet) executePrepared() core.Fault {
 	arg := strings.TrimPrefix(c.next("WRITE"), "WRITE ")
-	c.record("WRITE shape "+arg, c.run(Statement{Verb: VerbExecute, Text: "EXECUTE s " + arg, Name: "s", Arg: arg}))
+	return c.record("WRITE shape "+arg, c.run(Statement{Verb: VerbExecute, Text: "EXECUTE s " + arg, Name: "s", Arg: arg}))
 }
 
-func (c *tablet) record(text string, fault core.Fault) {
-	switch fault {
-	case core.FaultNone:
+func (c *tablet) record(text string, fault core.Fault) core.Fault {
+	switch {
+	case fault == core.FaultNone:
 		c.acked = append(c.acked, text)
-	case core.FaultBusy:
+	case fault.IsNotRun():
 		c.notRun = append(c.notRun, text)
 	}
+	return fault
+}
+
+func (c *tablet) read(suffix string) core.Fault {
+	return c.run(Statement{Verb: VerbRead, Text: c.next("READ") + suffix})
 }
 
-func (c *tablet) read() { c.run(Statement{Verb: VerbRead, Text: c.next("READ")}) }
+func (c *tablet) begin(verb Verb) { c.run(Statement{Verb: verb, Text: "BEGIN"}) }
+
+func (c *tablet) readTx() core.Fault { return c.read(" tx") }
+
+func (c *tablet) writeTx() core.Fault {
+	c.wrote = true
+	return c.run(Statement{Verb: VerbWrite, Text: c.next("WRITE") + " tx"})
+}
+
+func (c *tablet) commit() core.Fault {
+	defer func() { c.wrote = false }()
+	fault := c.run(Statement{Verb: VerbCommit, Text: "COMMIT"})
+	c.rollback()
+	return fault
+}
+
+func (c *tablet) rollback() {
+	c.run(Statement{Verb: VerbRollback, Text: "ROLLBACK"})
+	c.wrote = false
+}
 
 // transact runs a transaction of one write, and reports whether it was committed.
 func (c *tablet) transact() bool {
-	c.s.Execute(c.r.t.Context(), &Statement{ID: "q", Verb: VerbBegin, Text: "BEGIN"})
-	if c.run(Statement{Verb: VerbWrite, Text: c.next("WRITE") + " tx"}) == core.FaultNone {
-		if c.run(Statement{Verb: VerbCommit, Text: "COMMIT"}) == core.FaultNone {
-			return true
-		}
+	c.begin(VerbBegin)
+	if c.writeTx() != core.FaultNone {
+		c.rollback()
+		return false
 	}
-	c.s.Execute(c.r.t.Context(), &Statement{ID: "q", Verb: VerbRollback, Text: "ROLLBACK"})
-	return false
+	return c.commit() == core.FaultNone
 }
 
 // work runs the number of rounds of all kinds of statements.
@@ -109,7 +168,7 @@
 	for range rounds {
 		c.write()
 		c.executePrepared()
-		c.read()
+		c.read("")
 		c.transact()
 		time.Sleep(10 * time.Millisecond)
 	}
@@ -135,8 +194,13 @@
 	count := map[string]int{}
 	for _, x := range c.ownRuns(ran) {
 		count[x.Text]++
-		if want := "map[actor:" + c.name + "]"; x.Values != want {
-			problems = append(problems, fmt.Sprintf("%q ran with %s, acknowledged is %s", x.Text, x.Values, want))
+		if x.Values != c.values {
+			problems = append(problems, fmt.Sprintf("%q ran with %s, acknowledged is %s", x.Text, x.Values, c.values))
+		}
+	}
+	for text, n := range count {
+		if n > 1 && strings.HasPrefix(text, "WRITE") {
+			problems = append(problems, fmt.Sprintf("%q ran %d times", text, n))
 		}
 	}
 	for _, text := range c.acked {
--- a/core/proxy/single.go
+++ b/core/proxy/single.go
@@ -332,8 +332,8 @@
 			return reply, retryLater
 		}
 		return reply, retryNow
-	case core.FaultInDoubt, core.FaultTimeout:
-		// The owner lost its connection to the upstream. A read may run again.
+	case core.FaultInDoubt, core.FaultTimeout, core.FaultAborted:
+		// The owner lost its connection to the upstream, and with it the transaction of a strict read. A read may run again.
 		if !w.write && s.p.budget.Withdraw() {
 			w.tried = append(w.tried, n)
 			return reply, retryNow
