Probe a silent primary through up to three VMs

Cause: a VM that didn't reach the primary asked one other VM. If that one was cut off too, a primary that worked for all others was replaced.

Change: the probe goes through up to three VMs at once, in different failure domains. Only answers of the further ones count, not their errors.

Measured: in TestProbeThroughSeveralVMs the primary is found to lead with up to two VMs cut off; one was enough to lose it before.

--- a/core/proxy/cluster.go
+++ b/core/proxy/cluster.go
@@ -18,6 +18,10 @@
 // them two thirds of the time of a probe, and is longer than a probe between regions takes.
 const probeRelayDelay = 100 * time.Millisecond
 
+// maxProbePeers is the number of VMs that a probe goes through, this one left out. Each may be cut off from the upstream as
+// this VM is, and a primary that is replaced although most VMs reach it costs all of them a pause.
+const maxProbePeers = 3
+
 // statusTimeout limits the wait for an upstream's answer about what it has received, for which it needs a free slot.
 const statusTimeout = 150 * time.Millisecond
 
@@ -185,8 +189,82 @@
 	return isAtLimit(err) || errors.Is(err, errNoOwner) || errors.Is(err, pool.ErrClosed)
 }
 
+// probeThroughPeers probes through the VM that statements would use, and through others beside it. If all fail, the error is
+// that of the first one.
 func (n *node) probeThroughPeers(ctx context.Context, req probeRequest) (lead.ProbeResult, error) {
-	return n.probeFromPool(ctx, n.relayed, req)
+	handle, err := n.getFrom(ctx, n.relayed, pool.AnyLabel, req.deadline)
+	if err != nil {
+		return lead.ProbeResult{}, err
+	}
+	others := n.otherPeers(handle.Value.owner)
+	found := make(chan *lead.ProbeResult, len(others))
+	for _, vm := range others {
+		n.p.spawn(func() {
+			res, err := n.probeThrough(ctx, vm, req)
+			if err != nil {
+				found <- nil
+				return
+			}
+			found <- &res
+		})
+	}
+	res, err := n.probeOn(handle, req)
+	for range others {
+		if err == nil {
+			break
+		}
+		if other := <-found; other != nil {
+			res, err = *other, nil
+		}
+	}
+	return res, err
+}
+
+// otherPeers returns the VMs through which a probe goes beside the first one: the next in the order of ownership, at first
+// those in other failure domains than the ones before.
+func (n *node) otherPeers(first core.VMID) []core.VM {
+	alive := n.p.cfg.Members.Alive()
+	vms := slices.DeleteFunc(place.Owners(n.info.Load().UpstreamInfo, alive, len(alive)), func(vm core.VM) bool {
+		return vm.ID == n.p.cfg.Self.ID || vm.ID == first || vm.Relay == "" || n.p.suspects.has(vm.ID)
+	})
+	domains := map[core.FailureDomain]bool{n.p.cfg.Self.FailureDomain: true}
+	for _, vm := range alive {
+		if vm.ID == first {
+			domains[vm.FailureDomain] = true
+		}
+	}
+	var far, near []core.VM
+	for _, vm := range vms {
+		if domains[vm.FailureDomain] {
+			near = append(near, vm)
+			continue
+		}
+		domains[vm.FailureDomain] = true
+		far = append(far, vm)
+	}
+	far = append(far, near...)
+	return far[:min(len(far), maxProbePeers-1)]
+}
+
+// probeThrough probes on a new connection through the VM.
+func (n *node) probeThrough(ctx context.Context, vm core.VM, req probeRequest) (lead.ProbeResult, error) {
+	dialCtx, cancel := context.WithTimeout(ctx, relayDialTimeout)
+	defer cancel()
+	lc, err := n.p.cfg.DialOwner(dialCtx, vm, n.id())
+	if err != nil {
+		return lead.ProbeResult{}, err
+	}
+	defer func() { _ = lc.Close() }()
+	return n.probeNew(n.newConn(lc, vm.ID), req)
+}
+
+// probeNew probes on a connection that the caller closes.
+func (n *node) probeNew(c *conn, req probeRequest) (lead.ProbeResult, error) {
+	res, err := n.queryLeadership(c, req)
+	if err == nil && req.withStatus {
+		_ = n.addReceived(c, &res)
+	}
+	return res, err
 }
 
 // probePooled probes on a pooled connection, waiting for one until the deadline.
@@ -258,12 +336,7 @@
 		return lead.ProbeResult{}, err
 	}
 	defer func() { _ = lc.Close() }()
-	c := n.newConn(lc, "")
-	res, err := n.queryLeadership(c, req)
-	if err == nil && req.withStatus {
-		_ = n.addReceived(c, &res)
-	}
-	return res, err
+	return n.probeNew(n.newConn(lc, ""), req)
 }
 
 // queryLeadership opens and rolls back a transaction on the connection, which proves whether the
--- a/core/proxy/cluster_test.go
+++ b/core/proxy/cluster_test.go
@@ -1,7 +1,9 @@
 package proxy
 
 import (
+	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -86,6 +88,48 @@
 	})
 }
 
+// Guards against replacing a primary that works, because this VM and the one through which it probes are cut off from it. The
+// others reach it.
+func TestProbeThroughSeveralVMs(t *testing.T) {
+	for cutOff := range maxProbePeers + 1 {
+		synctest.Test(t, func(t *testing.T) {
+			var others []core.VM
+			for i := range 8 {
+				domain := []core.FailureDomain{"here", "there"}[i%2]
+				others = append(others, core.VM{ID: core.VMID(fmt.Sprintf("vm-%d", i+2)), FailureDomain: domain, Region: testRegions[domain], Relay: "relay"})
+			}
+			r := newHarness(t, others...)
+			r.unreachable = map[core.UpstreamID]bool{primaryID: true}
+			n, _ := r.proxy.lookup(primaryID)
+			first := r.proxy.relayOrder(primaryID)[0]
+			cut := map[core.VMID]bool{}
+			for _, vm := range append([]core.VM{first}, n.otherPeers(first.ID)...)[:cutOff] {
+				cut[vm.ID] = true
+			}
+			var mu sync.Mutex
+			asked := map[core.VMID]bool{}
+			r.ownerOf = func(vm core.VM, id core.UpstreamID) (core.LineConn, error) {
+				mu.Lock()
+				asked[vm.ID] = true
+				mu.Unlock()
+				lc, err := r.relayConn(id)
+				if cut[vm.ID] {
+					lc = &disturbedConn{LineConn: lc, d: &disturbance{}, silent: true}
+				}
+				return lc, err
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+			defer cancel()
+			res, err := r.proxy.Probe(ctx, primaryID)
+			assert.Equal(t, err == nil && res.Leads, cutOff < maxProbePeers, "%d VMs cut off: %v", cutOff, err)
+			time.Sleep(time.Second)
+			mu.Lock()
+			defer mu.Unlock()
+			assert.Assert(t, len(asked) <= maxProbePeers, "%v", asked)
+		})
+	}
+}
+
 // Guards against a relay that refuses everything once this VM's path to the upstream has changed.
 func TestRelayFollowsNewPath(t *testing.T) {
 	inBubble(t, func(t *testing.T, r *harness) {
