Pass on the largest messages that callers may send

Cause: a message to an upstream has a position to await, or a longer name of a prepared statement, beside what the caller sent. From 1 MiB less a few bytes on it was longer than allowed, so that the upstream closed the connection, with each try.

Change: a read without room for a position goes to the primary with a proof of leadership, and a prepared statement without room for its name gets one of a byte for each execution.

--- a/core/proxy/conn.go
+++ b/core/proxy/conn.go
@@ -81,6 +81,9 @@
 }
 
 func (c *conn) notePrepared(st step) {
+	if st.key == shortName {
+		return
+	}
 	if c.owner != "" && entryBytes+st.size > maxKeptTexts {
 		// The owner drops it after the statement that follows.
 		return
@@ -163,6 +166,13 @@
 	return preparedStmt{write: write, text: text, name: prefix + hex.EncodeToString(sum[:nameBytes])}
 }
 
+// shortName is the name of a prepared statement whose text or arguments leave no room for another name. It stands for another
+// text each time, so that no connection counts as having it: it is prepared anew, after a RESET, for each execution.
+const shortName = "x"
+
+// isLong reports whether a statement of the length leaves no room for what is longer in the message to an upstream.
+func (p *Proxy) isLong(n int) bool { return p.cfg.MaxText > 0 && n > p.cfg.MaxText }
+
 // maxPreparedNames is the number of prepared statements on a connection from which on it is reset before the next one.
 const maxPreparedNames = 1000
 
@@ -176,7 +186,7 @@
 func (c *conn) setUpCommands(s *Session, ps *preparedStmt) []core.Command {
 	var cmds []core.Command
 	isPrepared := ps == nil || c.prepared[ps.name]
-	isFull := !isPrepared && len(c.prepared) >= maxPreparedNames
+	isFull := !isPrepared && (len(c.prepared) >= maxPreparedNames || ps.name == shortName)
 	if isFull || c.valueKey != s.valueKey {
 		if isFull || c.valueKey != "" {
 			cmds = append(cmds, core.Command{Op: core.OpReset})
--- a/core/proxy/conn_test.go
+++ b/core/proxy/conn_test.go
@@ -3,8 +3,10 @@
 import (
 	"fmt"
 	"os"
+	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -207,3 +209,43 @@
 		assert.Equal(t, len(c.checkOutcomes(r.servers[primaryID].runs())), 0)
 	})
 }
+
+// Guards against running another caller's statement under the short name that long ones share, and against losing short ones
+// that are prepared beside them. Half of the callers are on a VM that relays.
+func TestLongPreparedStatements(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		owner := newHarness(t)
+		other := newHarness(t, manyVMs()...)
+		other.relaysTo(owner, nil)
+		owner.proxy.cfg.MaxText, other.proxy.cfg.MaxText = 60, 60
+		var tablets []*tablet
+		for i, r := range []*harness{owner, other, owner, other} {
+			c := newTablet(r, "own", fmt.Sprintf("tablet-%02d", i))
+			c.s.Execute(t.Context(), &Statement{ID: "0", Verb: VerbPrepare, Name: "long", Arg: "WRITE " + strings.Repeat(c.name+" ", 8), Write: true})
+			tablets = append(tablets, c)
+		}
+		want := map[string]int{}
+		for i := range 5 {
+			for _, c := range tablets {
+				c.executePrepared()
+				assert.Equal(t, c.run(Statement{Verb: VerbExecute, Text: "EXECUTE long 1", Name: "long", Arg: fmt.Sprint(i)}), core.FaultNone)
+				want[fmt.Sprintf("WRITE %s %d", strings.Repeat(c.name+" ", 8), i)]++
+				arg := fmt.Sprintf("%s%d", strings.Repeat(c.name+" ", 8), i)
+				assert.Equal(t, c.run(Statement{Verb: VerbExecute, Text: "EXECUTE s " + arg, Name: "s", Arg: arg}), core.FaultNone)
+				want["WRITE shape "+arg]++
+			}
+		}
+		ran := owner.servers[primaryID].runs()
+		got := map[string]int{}
+		for _, x := range ran {
+			if len(x.Text) > 60 {
+				got[x.Text]++
+			}
+		}
+		assert.DeepEqual(t, got, want)
+		for _, c := range tablets {
+			assert.Equal(t, len(c.acked), 5)
+			assert.Equal(t, len(c.checkOutcomes(ran)), 0)
+		}
+	})
+}
--- a/core/proxy/proxy.go
+++ b/core/proxy/proxy.go
@@ -32,6 +32,9 @@
 	// Members are the entry VMs, and DialOwner connects to one that owns an upstream.
 	Members   Members
 	DialOwner func(ctx context.Context, owner core.VM, id core.UpstreamID) (core.LineConn, error)
+	// MaxText is the length, with the request id, from which on a statement leaves no room in a message for what is longer
+	// there than in the caller's: a position to await, the name of a prepared statement. 0 means that there is always room.
+	MaxText int
 	// DrainTarget is the time after which an upstream that announced its stop must get no new work; 0 means that it is long.
 	DrainTarget time.Duration
 	// Tariff is the price of bytes between failure domains.
--- a/core/proxy/relay.go
+++ b/core/proxy/relay.go
@@ -237,6 +237,9 @@
 		if !ok {
 			return core.Answer{Fault: core.FaultUnprepared, Text: "no such prepared statement", Status: r.status()}
 		}
+		if cmd.Name == shortName {
+			s.name = shortName
+		}
 		ps = &s
 	}
 	if ans, ok := r.lacks(cmd); ok {
--- a/core/proxy/single.go
+++ b/core/proxy/single.go
@@ -29,7 +29,8 @@
 	if refused := s.checkQuota(ctx, w); refused != nil {
 		return *refused
 	}
-	strict := false
+	// A read without room for the position that it awaits needs a proof of leadership instead.
+	strict := s.p.isLong(len(w.st.ID) + len(w.st.Text))
 	for {
 		changed := s.p.Changed()
 		t, ok := s.chooseTarget(ctx, w, strict)
--- a/core/proxy/work.go
+++ b/core/proxy/work.go
@@ -91,6 +91,9 @@
 		if !ok {
 			return nil, &Reply{Fault: core.FaultUnprepared, Text: "no such prepared statement"}
 		}
+		if s.p.isLong(len(st.ID)+len(st.Text)) || s.p.isLong(len(ps.text)) {
+			ps.name = shortName
+		}
 		w.prepared, w.write = &ps, ps.write
 	}
 	if !w.write {
