Keep the pause after the promoting VM is gone

Cause: only the VM that had asked for a promotion knew that it may still be executed. Once it was gone, or told to stop, the others ended their pause within 3 s, and an old primary that was back acknowledged commits that the promoted replica lacked.

Each holder's pause has its own end. Ends are repeated to VMs that missed them.

TestPauseEndsAfterLostPromotion held only because its VM was stopped; it now checks that the pause ends once a later promotion is executed.

--- a/core/lead/closed.go
+++ b/core/lead/closed.go
@@ -17,9 +17,10 @@
 // Pauser keeps all VMs from using a group's primary for a short time. *permit.Pauses implements it.
 type Pauser interface {
 	// Pause reports whether all VMs acknowledged the pause. If the primary works, work in progress gets time to end.
-	Pause(ctx context.Context, id core.GroupID, works bool) bool
-	// Resume ends the pause.
-	Resume(ctx context.Context, id core.GroupID)
+	// The VMs end it by themselves after the longer one of lasts and a default.
+	Pause(ctx context.Context, id core.GroupID, works bool, lasts time.Duration) bool
+	// Resume ends the pause, and those of other VMs if another upstream leads since.
+	Resume(ctx context.Context, id core.GroupID, replaced bool)
 }
 
 var (
@@ -85,8 +86,8 @@
 }
 
 // resume ends this VM's pause of the group.
-func (d *Driver) resume(ctx context.Context, id core.GroupID) {
+func (d *Driver) resume(ctx context.Context, id core.GroupID, replaced bool) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), resumeTimeout)
 	defer cancel()
-	d.cfg.Pauser.Resume(ctx, id)
+	d.cfg.Pauser.Resume(ctx, id, replaced)
 }
--- a/core/lead/driver_test.go
+++ b/core/lead/driver_test.go
@@ -116,7 +116,7 @@
 	return nil
 }
 
-func (f *fakeCluster) Pause(context.Context, core.GroupID, bool) bool {
+func (f *fakeCluster) Pause(context.Context, core.GroupID, bool, time.Duration) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.pauses++
@@ -124,7 +124,7 @@
 	return !f.silentVM
 }
 
-func (f *fakeCluster) Resume(context.Context, core.GroupID) {
+func (f *fakeCluster) Resume(context.Context, core.GroupID, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.paused = false
--- a/core/lead/keep.go
+++ b/core/lead/keep.go
@@ -66,6 +66,13 @@
 	p.lateUntil = 0
 }
 
+// isLate reports whether a promotion without an answer may still be executed.
+func (p *groupPause) isLate(now core.Instant) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return now < p.lateUntil
+}
+
 // stop marks the end of a failover.
 func (p *groupPause) stop() {
 	p.mu.Lock()
@@ -108,15 +115,16 @@
 // pause pauses the group on all VMs and reports whether all of them acknowledged it.
 func (d *Driver) pause(ctx context.Context, id core.GroupID, p *groupPause, works bool) bool {
 	p.begin()
-	return d.cfg.Pauser.Pause(ctx, id, works)
+	return d.cfg.Pauser.Pause(ctx, id, works, lateCallTime)
 }
 
 // endPause ends the use of the pause by a failover, and the pause unless a promotion may still be executed.
 func (d *Driver) endPause(ctx context.Context, id core.GroupID, p *groupPause) {
 	p.stop()
 	hadBegun := p.hasBegun()
-	if p.endIfUnneeded(d.cfg.Now(), d.isReplaced(id, p.oldPrimary())) && hadBegun {
-		d.resume(ctx, id)
+	replaced := d.isReplaced(id, p.oldPrimary())
+	if p.endIfUnneeded(d.cfg.Now(), replaced) && hadBegun {
+		d.resume(ctx, id, replaced)
 	}
 }
 
@@ -142,8 +150,13 @@
 		case <-ticker.C:
 		}
 		g.Primary = p.oldPrimary()
-		if p.stopKeeping(d.cfg.Now(), ctx.Err() != nil || d.isReplaced(g.ID, g.Primary)) {
-			d.resume(ctx, g.ID)
+		now, replaced := d.cfg.Now(), d.isReplaced(g.ID, g.Primary)
+		isLate := p.isLate(now)
+		if p.stopKeeping(now, ctx.Err() != nil || replaced) {
+			if replaced || !isLate {
+				d.resume(ctx, g.ID, replaced)
+			}
+			// Otherwise this VM stops, and the others end the pause by themselves.
 			return
 		}
 		if ctx.Err() == nil && p.hasBegun() {
@@ -154,12 +167,12 @@
 
 // renewPause begins the pause again. If a VM doesn't acknowledge it, the old primary is told to step down, in case it is back.
 func (d *Driver) renewPause(ctx context.Context, g Group, p *groupPause) {
-	if !d.cfg.Pauser.Pause(ctx, g.ID, false) && d.stepDown(ctx, g) {
+	if !d.cfg.Pauser.Pause(ctx, g.ID, false, lateCallTime) && d.stepDown(ctx, g) {
 		level.Info(d.cfg.Log).Log("Msg", "old primary stepped down, since a VM doesn't pause", "Group", g.ID, "Upstream", g.Primary)
 		p.noteClosed()
 	}
 	if !p.hasBegun() {
 		// The failover has ended the pause meanwhile.
-		d.resume(ctx, g.ID)
+		d.resume(ctx, g.ID, false)
 	}
 }
--- a/core/lead/keep_test.go
+++ b/core/lead/keep_test.go
@@ -19,13 +19,19 @@
 type slowPlatform struct {
 	*fakeCluster
 	// late is the time from a call until its execution, 0 if it is never executed. callTimeout limits the wait for the answer.
+	// Of the calls that are never executed, the first lost ones get no answer, unless that is 0.
 	late time.Duration
+	lost int
+	// killed is set once the VM is gone.
+	killed bool
 	// outstanding counts the calls that may still be executed, pausedUntil is when the VMs end the pause by themselves.
 	outstanding int
 	pausedUntil time.Time
 	calls       int
 	// pauseDelay is how long the VMs take to acknowledge a pause.
 	pauseDelay time.Duration
+	// onResume is called at the end of a pause, with mu held.
+	onResume func()
 	// problems holds the times at which the old primary could commit while a call was outstanding.
 	problems []time.Duration
 }
@@ -38,24 +44,42 @@
 	takeOverTime = 300 * time.Millisecond
 )
 
-func (s *slowPlatform) Pause(context.Context, core.GroupID, bool) bool {
+func (s *slowPlatform) Pause(_ context.Context, _ core.GroupID, _ bool, lasts time.Duration) bool {
 	time.Sleep(s.pauseDelay)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.killed {
+		return false
+	}
 	s.pauses++
-	s.pausedUntil = time.Now().Add(pauseTime)
+	s.pausedUntil = time.Now().Add(max(pauseTime, lasts))
 	return true
 }
 
-func (s *slowPlatform) Resume(context.Context, core.GroupID) {
+func (s *slowPlatform) Resume(context.Context, core.GroupID, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.killed {
+		return
+	}
 	s.pausedUntil = time.Time{}
+	if s.onResume != nil {
+		s.onResume()
+	}
 }
 
 func (s *slowPlatform) Promote(_ context.Context, _ core.GroupID, id core.UpstreamID, _ core.VMID, _ core.Version) error {
 	s.mu.Lock()
+	if s.killed {
+		s.mu.Unlock()
+		return errDown
+	}
 	s.calls++
+	if s.lost > 0 && s.calls > s.lost {
+		s.setPrimary(id)
+		s.mu.Unlock()
+		return nil
+	}
 	if s.late > 0 {
 		s.outstanding++
 		time.AfterFunc(s.late+takeOverTime, func() {
@@ -77,15 +101,20 @@
 	return !s.unresponsive["a"] && s.probes["a"].Leads && !time.Now().Before(s.pausedUntil)
 }
 
-// play lets the primary be silent for the time, and watches the group.
-func (s *slowPlatform) play(t *testing.T, silence, length time.Duration) {
+// play lets the primary be silent for the time and the VM be killed at another one, and watches the group.
+func (s *slowPlatform) play(t *testing.T, silence, killedAt, length time.Duration) {
 	t.Helper()
 	s.view.SyncReplicas = 1
 	s.stored = s.view
 	s.unresponsive["a"] = true
-	ctx, cancel := context.WithTimeout(t.Context(), length)
+	ctx, cancel := context.WithTimeout(t.Context(), killedAt)
 	defer cancel()
 	start := time.Now()
+	time.AfterFunc(killedAt, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.killed = true
+	})
 	time.AfterFunc(silence, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -94,7 +123,7 @@
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		for ; ctx.Err() == nil; time.Sleep(5 * time.Millisecond) {
+		for ; time.Since(start) < length; time.Sleep(5 * time.Millisecond) {
 			s.mu.Lock()
 			if s.outstanding > 0 && s.canCommit() {
 				s.problems = append(s.problems, time.Since(start))
@@ -118,7 +147,7 @@
 			t.Run(fmt.Sprintf("%v late, %v silent", late, silence), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					s := &slowPlatform{fakeCluster: newFakeCluster(), late: late}
-					s.play(t, silence, 40*time.Second)
+					s.play(t, silence, 40*time.Second, 40*time.Second)
 					assert.Assert(t, s.calls > 0)
 					assert.Equal(t, len(s.problems), 0, "the old primary could commit at %v", s.problems)
 					assert.Assert(t, s.view.Primary != "a", "the primary wasn't replaced")
@@ -129,17 +158,42 @@
 	}
 }
 
-// Guards against a group that stays paused, although its primary is back, after a promotion that is never executed.
+// Guards against a group that stays paused after promotions that are never executed, once a later one is.
 func TestPauseEndsAfterLostPromotion(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := &slowPlatform{fakeCluster: newFakeCluster()}
-		s.play(t, 2*time.Second, 30*time.Second)
-		assert.Assert(t, s.calls > 0)
+		s := &slowPlatform{fakeCluster: newFakeCluster(), lost: 2}
+		var endedAt time.Duration
+		start := time.Now()
+		s.onResume = func() { endedAt = time.Since(start) }
+		s.play(t, 2*time.Second, 30*time.Second, 30*time.Second)
+		assert.Equal(t, s.calls, 3)
 		assert.Assert(t, s.pausedUntil.IsZero(), "the pause wasn't ended")
-		assert.Equal(t, s.view.Primary, core.UpstreamID("a"))
+		assert.Assert(t, endedAt < 7*time.Second, "the pause ended after %v", endedAt)
+		assert.Assert(t, s.view.Primary != "a")
 	})
 }
 
+// Guards against commits that an old primary acknowledges once it is back, after the VM that asked for a promotion was killed
+// and before that is executed.
+func TestPauseOutlastsKilledVM(t *testing.T) {
+	for _, late := range []time.Duration{1200 * time.Millisecond, 5 * time.Second, 12 * time.Second} {
+		for _, silence := range []time.Duration{time.Second, 2 * time.Second, 4 * time.Second} {
+			for killedAt := time.Second; killedAt < 4*time.Second; killedAt += 300 * time.Millisecond {
+				t.Run(fmt.Sprintf("%v late, %v silent, killed at %v", late, silence, killedAt), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) {
+						s := &slowPlatform{fakeCluster: newFakeCluster(), late: late}
+						s.play(t, silence, killedAt, 40*time.Second)
+						assert.Assert(t, s.calls > 0)
+						assert.Equal(t, len(s.problems), 0, "the old primary could commit at %v", s.problems)
+						assert.Assert(t, s.view.Primary != "a", "the primary wasn't replaced")
+						assert.Assert(t, time.Now().After(s.pausedUntil), "the group stays paused")
+					})
+				})
+			}
+		}
+	}
+}
+
 // Guards against a pause that goes on after a failover, because its renewal was under way when the failover ended it.
 func TestRenewalDoesNotOutlastFailover(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/core/permit/doc.go
+++ b/core/permit/doc.go
@@ -35,6 +35,6 @@
 //
 //	p := permit.NewPauses(permit.PausesConfig{Members: roster, Self: vm, Call: client.Call, Changed: wake, Log: logger})
 //	err = server.Register("Pause", p.Service())
-//	if p.Pause(ctx, group, true) { ... }
-//	p.Resume(ctx, group)
+//	if p.Pause(ctx, group, true, 0) { ... }
+//	p.Resume(ctx, group, true)
 package permit
--- a/core/permit/pause.go
+++ b/core/permit/pause.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -12,8 +15,13 @@
 )
 
 const (
-	// pauseTime is how long a pause lasts if nobody ends it. A change of the primary takes less.
+	// pauseTime is how long a pause lasts if nobody ends it and its holder doesn't ask for more. A change of the primary takes
+	// less.
 	pauseTime = 3 * time.Second
+	// maxPauseTime limits what a holder may ask for.
+	maxPauseTime = 30 * time.Second
+	// endRetryDelay is the time between the attempts to tell a VM that a pause has ended.
+	endRetryDelay = time.Second
 
 	beginPauseMethod = "Pause.Begin"
 	endPauseMethod   = "Pause.End"
@@ -40,9 +48,13 @@
 	cfg PausesConfig
 	// begun wakes Run after a pause has begun.
 	begun chan struct{}
+	// lastSeq is the number of the last request.
+	lastSeq atomic.Uint64
 
 	mu     sync.Mutex
 	groups map[core.GroupID]pause
+	// unended holds the pauses whose end isn't acknowledged by all VMs.
+	unended []unendedPause
 }
 
 var _ core.Permits = (*Pauses)(nil)
@@ -59,28 +71,52 @@
 type pause struct {
 	// epoch is the number of pauses that work in progress has ended for.
 	epoch core.Version
-	// holder is the VM that asked for the pause, and until is its end.
-	holder core.VMID
-	until  core.Instant
+	// ends holds the end of each VM's pause: one VM may still wait for a promotion while another one replaces the primary.
+	ends map[core.VMID]pauseEnd
 	// closeAt is until when work in progress may end; 0 once epoch has counted the pause.
 	closeAt core.Instant
 }
 
+// pauseEnd is the end of one VM's pause, with the number of its request.
+type pauseEnd struct {
+	at  core.Instant
+	seq uint64
+}
+
 // admits reports whether new work may start.
-func (p pause) admits(now core.Instant) bool { return now >= p.until }
+func (p pause) admits(now core.Instant) bool { return now >= p.end() }
+
+// end returns the end of the last pause.
+func (p pause) end() core.Instant {
+	end := core.Instant(0)
+	for _, e := range p.ends {
+		end = max(end, e.at)
+	}
+	return end
+}
+
+// isHeldBy reports whether the VM's pause is in force.
+func (p pause) isHeldBy(holder core.VMID, now core.Instant) bool { return now < p.ends[holder].at }
 
 // covers reports whether work that started in the epoch has not been overtaken by a pause.
 func (p pause) covers(now core.Instant, epoch core.Version) bool {
 	return epoch == p.epoch && (p.closeAt == 0 || now < p.closeAt)
 }
 
-// begin returns the state after a VM asked for a pause, with the time for work in progress.
-func (p pause) begin(now core.Instant, holder core.VMID, drain time.Duration) pause {
-	closeAt := now.Add(drain)
+// begin returns the state after a VM asked for a pause.
+func (p pause) begin(now core.Instant, req *PauseRequest) pause {
+	closeAt := now.Add(min(max(0, req.Drain), drainTime))
 	if p.closeAt != 0 {
 		closeAt = min(closeAt, p.closeAt)
 	}
-	return pause{epoch: p.epoch, holder: holder, until: now.Add(pauseTime), closeAt: closeAt}
+	ends := make(map[core.VMID]pauseEnd, len(p.ends)+1)
+	for vm, e := range p.ends {
+		if now < e.at {
+			ends[vm] = e
+		}
+	}
+	ends[req.Holder] = pauseEnd{at: now.Add(min(max(pauseTime, req.Lasts), maxPauseTime)), seq: req.Seq}
+	return pause{epoch: p.epoch, ends: ends, closeAt: closeAt}
 }
 
 // revoke returns the state once work in progress no longer counts.
@@ -91,11 +127,18 @@
 	return p
 }
 
-// end returns the state after the holder ended its pause.
-func (p pause) end(holder core.VMID) pause {
-	if p.holder == holder {
-		p.until = 0
+// resume returns the state after the holder ended its pause, or those of all VMs. A request that a newer pause of the holder has
+// overtaken does nothing.
+func (p pause) resume(req *PauseRequest) pause {
+	if p.ends[req.Holder].seq > req.Seq {
+		return p
 	}
+	ends := maps.Clone(p.ends)
+	if req.All {
+		clear(ends)
+	}
+	delete(ends, req.Holder)
+	p.ends = ends
 	return p
 }
 
@@ -127,36 +170,36 @@
 }
 
 // begin pauses the group on this VM and returns once work in progress no longer counts.
-func (p *Pauses) begin(id core.GroupID, holder core.VMID, drain time.Duration) {
-	p.update(id, func(g pause) pause { return g.begin(p.cfg.Now(), holder, drain) })
+func (p *Pauses) begin(req *PauseRequest) {
+	p.update(req.Group, func(g pause) pause { return g.begin(p.cfg.Now(), req) })
 	select {
 	case p.begun <- struct{}{}:
 	default:
 	}
-	time.Sleep(drain)
-	p.update(id, pause.revoke)
+	time.Sleep(min(max(0, req.Drain), drainTime))
+	p.update(req.Group, pause.revoke)
 }
 
 // end ends a pause of the group on this VM.
-func (p *Pauses) end(id core.GroupID, holder core.VMID) {
-	p.update(id, func(g pause) pause { return g.end(holder) })
+func (p *Pauses) end(req *PauseRequest) {
+	p.update(req.Group, func(g pause) pause { return g.resume(req) })
 	p.cfg.Changed()
 }
 
 // Pause pauses the group on all VMs and reports whether all of them acknowledged it. Work in progress gets a short time
-// if the primary works.
-func (p *Pauses) Pause(ctx context.Context, id core.GroupID, works bool) bool {
-	drain := time.Duration(0)
+// if the primary works. VMs end the pause by themselves after the longer one of lasts and pauseTime.
+func (p *Pauses) Pause(ctx context.Context, id core.GroupID, works bool, lasts time.Duration) bool {
+	req := &PauseRequest{Group: id, Holder: p.cfg.Self, Lasts: lasts, Seq: p.lastSeq.Add(1)}
 	if works {
-		drain = drainTime
+		req.Drain = drainTime
 	}
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		p.begin(id, p.cfg.Self, drain)
+		p.begin(req)
 	}()
 	err := p.cfg.Members.Refresh(ctx)
-	silent := p.callAll(ctx, spreadTimeout+drain, beginPauseMethod, &PauseRequest{Group: id, Holder: p.cfg.Self, Drain: drain})
+	silent := p.callAll(ctx, spreadTimeout+req.Drain, beginPauseMethod, req)
 	<-ended
 	if err != nil || len(silent) > 0 {
 		level.Info(p.cfg.Log).Log("Msg", "pause not acknowledged by all VMs", "Group", id, "Silent", len(silent), "Err", err)
@@ -164,26 +207,70 @@
 	return err == nil && len(silent) == 0
 }
 
-// Resume ends this VM's pause of the group on all VMs. It does nothing if there is none.
-func (p *Pauses) Resume(ctx context.Context, id core.GroupID) {
+// Resume ends this VM's pause of the group on all VMs, or the pauses of all VMs once another upstream leads. It does nothing if
+// this VM has none.
+func (p *Pauses) Resume(ctx context.Context, id core.GroupID, replaced bool) {
 	p.mu.Lock()
 	g := p.groups[id]
 	p.mu.Unlock()
-	if g.holder != p.cfg.Self || g.admits(p.cfg.Now()) {
+	now := p.cfg.Now()
+	if !g.isHeldBy(p.cfg.Self, now) {
 		return
 	}
-	p.end(id, p.cfg.Self)
-	silent := p.callAll(ctx, spreadTimeout, endPauseMethod, &PauseRequest{Group: id, Holder: p.cfg.Self})
-	if len(silent) > 0 {
-		level.Info(p.cfg.Log).Log("Msg", "end of a pause not acknowledged by all VMs", "Group", id, "Silent", len(silent), "First", silent[0])
+	req := &PauseRequest{Group: id, Holder: p.cfg.Self, All: replaced, Seq: g.ends[p.cfg.Self].seq}
+	p.end(req)
+	silent := p.callAll(ctx, spreadTimeout, endPauseMethod, req)
+	if len(silent) == 0 {
+		return
+	}
+	level.Info(p.cfg.Log).Log("Msg", "end of a pause not acknowledged by all VMs", "Group", id, "Silent", len(silent), "First", silent[0])
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.unended = append(p.unended, unendedPause{req: req, vms: silent, until: g.ends[p.cfg.Self].at})
+}
+
+// unendedPause is a pause whose end some VMs haven't acknowledged. They would end it at the instant until.
+type unendedPause struct {
+	req   *PauseRequest
+	vms   []core.VMID
+	until core.Instant
+}
+
+// retryEnds tells VMs again that pauses have ended, unless there is a new one since.
+func (p *Pauses) retryEnds(ctx context.Context) {
+	p.mu.Lock()
+	unended := p.unended
+	p.unended = nil
+	p.mu.Unlock()
+	for _, u := range unended {
+		p.mu.Lock()
+		g := p.groups[u.req.Group]
+		p.mu.Unlock()
+		now := p.cfg.Now()
+		if now >= u.until || g.isHeldBy(p.cfg.Self, now) {
+			continue
+		}
+		if u.vms = p.call(ctx, u.vms, spreadTimeout, endPauseMethod, u.req); len(u.vms) > 0 {
+			p.mu.Lock()
+			p.unended = append(p.unended, u)
+			p.mu.Unlock()
+		}
 	}
 }
 
 // callAll calls the method of all other VMs and returns those that didn't answer.
 func (p *Pauses) callAll(ctx context.Context, timeout time.Duration, method string, req *PauseRequest) []core.VMID {
+	return p.call(ctx, nil, timeout, method, req)
+}
+
+// call calls the method of the other VMs among vms, or of all if it is nil, and returns those that didn't answer.
+func (p *Pauses) call(ctx context.Context, vms []core.VMID, timeout time.Duration, method string, req *PauseRequest) []core.VMID {
 	var mu sync.Mutex
 	var silent []core.VMID
 	callOthers(ctx, p.cfg.Members, p.cfg.Self, timeout, func(ctx context.Context, vm core.VM) {
+		if vms != nil && !slices.Contains(vms, vm.ID) {
+			return
+		}
 		if err := p.cfg.Call(ctx, vm.Control, method, req, &PauseAnswer{}); err != nil {
 			mu.Lock()
 			defer mu.Unlock()
@@ -197,8 +284,13 @@
 type PauseRequest struct {
 	Group  core.GroupID
 	Holder core.VMID
-	// Drain is the time for work in progress.
-	Drain time.Duration
+	// Drain is the time for work in progress, and Lasts how long the pause lasts if nobody ends it; VMs of older builds don't
+	// know Lasts.
+	Drain, Lasts time.Duration
+	// All ends the pauses of all holders.
+	All bool
+	// Seq orders the requests of a VM since its start: a call that ends a pause may arrive after the next one has begun.
+	Seq uint64
 }
 
 // PauseAnswer acknowledges a PauseRequest.
@@ -212,31 +304,51 @@
 
 // Begin begins a pause. It answers once work in progress no longer counts.
 func (s *PauseService) Begin(req *PauseRequest, _ *PauseAnswer) error {
-	s.p.begin(req.Group, req.Holder, min(max(0, req.Drain), drainTime))
+	s.p.begin(req)
 	return nil
 }
 
 // End ends a pause.
 func (s *PauseService) End(req *PauseRequest, _ *PauseAnswer) error {
-	s.p.end(req.Group, req.Holder)
+	s.p.end(req)
 	return nil
 }
 
 // Name implements core.Service.
 func (p *Pauses) Name() string { return "pause" }
 
-// Run reports the ends of pauses that nobody has ended, until ctx ends. It returns nil.
+// Run reports the ends of pauses that nobody has ended, and repeats the calls that end one, until ctx ends. It returns nil.
 func (p *Pauses) Run(ctx context.Context) error {
 	timer := time.NewTimer(pauseTime)
 	defer timer.Stop()
+	retry := time.NewTicker(endRetryDelay)
+	defer retry.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-p.begun:
-			timer.Reset(pauseTime)
+		case <-retry.C:
+			p.retryEnds(ctx)
+			continue
 		case <-timer.C:
 			p.cfg.Changed()
 		}
+		if left := p.timeToNextEnd(); left > 0 {
+			timer.Reset(left)
+		}
+	}
+}
+
+// timeToNextEnd returns the time until the first group's pauses end, 0 if there are none.
+func (p *Pauses) timeToNextEnd() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now, next := p.cfg.Now(), time.Duration(0)
+	for _, g := range p.groups {
+		if left := g.end().Sub(now); left > 0 && (next == 0 || left < next) {
+			next = left
+		}
 	}
+	return next
 }
