--- a/review/stand3/deploy.go
+++ b/review/stand3/deploy.go
@@ -105,6 +105,13 @@
 	slots                      int
 	work                       time.Duration
 	connections                int
+	// Set by scripts with groups of their own: the zones with their regions, that of each machine, the services of the
+	// configuration, the groups, and the platform's calls.
+	zones        map[string]string
+	machineZones []string
+	services     []map[string]any
+	start        func(*kvStore)
+	cloud        http.Handler
 }
 
 // promotion answers the platform's promotion call. The stand-in executes it at once.
@@ -126,16 +133,26 @@
 		panic(err)
 	}
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /promotion", d.servePromotion)
+	if cfg.cloud != nil {
+		mux.Handle("POST /promotion", cfg.cloud)
+	} else {
+		mux.HandleFunc("POST /promotion", d.servePromotion)
+	}
 	go func() { _ = http.Serve(cloudLn, mux) }()
 	zoneNames := []string{"zone-a", "zone-b", "zone-c"}
 	zones := map[string]string{"zone-a": "region-a", "zone-b": "region-a", "zone-c": "region-b"}
-	d.group = newGroup("ledger", 3, cfg.slots, cfg.work, int64(cfg.connections))
-	d.group.beat(d.store, zoneNames)
+	services := cfg.services
+	if cfg.start != nil {
+		zones = cfg.zones
+		cfg.start(d.store)
+	} else {
+		d.group = newGroup("ledger", 3, cfg.slots, cfg.work, int64(cfg.connections))
+		d.group.beat(d.store, zoneNames)
+		services = []map[string]any{{"name": "ledger", "healthPath": "/health", "maxConnections": cfg.connections, "protocol": "h1", "tls": false, "syncReplicas": 0}}
+	}
 	config := map[string]any{
-		"configVersion": 7, "routes": cfg.routes,
-		"services": []map[string]any{{"name": "ledger", "healthPath": "/health", "maxConnections": cfg.connections, "protocol": "h1", "tls": false, "syncReplicas": 0}},
-		"limits":   map[string]any{"headerBytes": 16384, "bodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000, "txIdleMs": 3000},
+		"configVersion": 7, "routes": cfg.routes, "services": services,
+		"limits": map[string]any{"headerBytes": 16384, "bodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000, "txIdleMs": 3000},
 	}
 	for k, v := range cfg.extra {
 		config[k] = v
@@ -151,6 +168,9 @@
 		m.front = fmt.Sprintf("%s:%d", ip, freePort(ip))
 		m.ready = fmt.Sprintf("%s:%d", ip, freePort(ip))
 		zone := zoneNames[i%len(zoneNames)]
+		if cfg.machineZones != nil {
+			zone = cfg.machineZones[i]
+		}
 		f := fields{
 			"nodeName": m.name, "zone": zone, "region": zones[zone], "ip": ip,
 			"bindAddrs.front": m.front, "bindAddrs.ready": m.ready,
