Record pauses in the store, for VMs that start meanwhile

The promotion was executed 4 s late, and acknowledged commits weren't in the log of the promoted upstream.

Cause: a pause was a message to the VMs that run when it is sent, and nothing else knew of it. Its renewals reach a VM that starts only while the VM that pauses lives.

Change: the pause is written to the store under a lease before the VMs are listed and asked. A VM reads the records after its own entry is in the store and before it uses the first primary whose commits wait, so that one of the two finds the other. A promotion needs the record or a primary that has stepped down. A process is another holder than its predecessor on the same VM.

--- a/core/lead/closed.go
+++ b/core/lead/closed.go
@@ -9,6 +9,7 @@
 	"github.com/go-kit/log/level"
 
 	"snipewall/core"
+	"snipewall/core/permit"
 )
 
 // resumeTimeout limits ending a pause, also after this VM was told to stop.
@@ -16,9 +17,9 @@
 
 // Pauser keeps all VMs from using a group's primary for a short time. *permit.Pauses implements it.
 type Pauser interface {
-	// Pause reports whether all VMs acknowledged the pause. If the primary works, work in progress gets time to end.
+	// Pause begins or renews a pause and tells which VMs keep it. If the primary works, work in progress gets time to end.
 	// The VMs end it by themselves after the longer one of lasts and a default.
-	Pause(ctx context.Context, id core.GroupID, works bool, lasts time.Duration) bool
+	Pause(ctx context.Context, id core.GroupID, works bool, lasts time.Duration) permit.PauseResult
 	// Resume ends the pause, and those of other VMs if another upstream leads since.
 	Resume(ctx context.Context, id core.GroupID, replaced bool)
 }
@@ -26,6 +27,7 @@
 var (
 	errNotClosed   = errors.New("the leaving primary may still commit")
 	errNotCaughtUp = errors.New("no replica has received what the leaving primary has committed")
+	errNotRecorded = errors.New("VMs that start may use the old primary, since the pause isn't in the store")
 )
 
 // closesLog reports whether the log of the group's leaving primary is closed before a promotion.
@@ -37,7 +39,9 @@
 // primary acknowledges what any replica has received, which need not be the candidate. Its log is therefore closed first.
 func (d *Driver) prepareClosed(ctx context.Context, g Group, req failoverRequest) (core.UpstreamID, ProbeResult, error) {
 	if !g.Leaving {
-		d.closeFailed(ctx, g, req.pause)
+		if err := d.closeFailed(ctx, g, req.pause); err != nil {
+			return "", ProbeResult{}, err
+		}
 		return d.selectCandidate(ctx, g, req)
 	}
 	// While no replica has caught up, the leaving primary is better than none.
@@ -46,21 +50,26 @@
 	}
 	// A pause can be ended if the platform promotes nothing. A primary that has stepped down can't be used again without
 	// a promotion.
-	if !d.pause(ctx, g.ID, req.pause, true) && !d.stepDown(ctx, g) {
+	if !d.pause(ctx, g.ID, req.pause, true).IsComplete() && !d.stepDown(ctx, g) {
 		return "", ProbeResult{}, errNotClosed
 	}
 	return d.selectCaughtUp(ctx, g, req)
 }
 
-// closeFailed keeps a primary that doesn't answer this VM from committing more, as far as that is possible: other VMs may
-// reach it.
-func (d *Driver) closeFailed(ctx context.Context, g Group, pause *groupPause) {
+// closeFailed keeps a primary that doesn't answer this VM from committing more, as far as that is possible: VMs that don't
+// acknowledge the pause may reach it. It returns an error if VMs that start later could, too.
+func (d *Driver) closeFailed(ctx context.Context, g Group, pause *groupPause) error {
 	var calls sync.WaitGroup
+	isSteppedDown := false
 	if g.Primary != "" {
-		calls.Go(func() { d.stepDown(ctx, g) })
+		calls.Go(func() { isSteppedDown = d.stepDown(ctx, g) })
 	}
-	calls.Go(func() { d.pause(ctx, g.ID, pause, false) })
+	result := d.pause(ctx, g.ID, pause, false)
 	calls.Wait()
+	if !result.Recorded && !isSteppedDown {
+		return errNotRecorded
+	}
+	return nil
 }
 
 // selectCaughtUp waits for a candidate that has received all that the leaving primary has committed, and chooses it. If the
--- a/core/lead/closed_test.go
+++ b/core/lead/closed_test.go
@@ -196,6 +196,31 @@
 	})
 }
 
+// Guards against a promotion during which VMs that start may use the old primary, since the store hasn't accepted the record of
+// the pause: a leaving primary steps down first, one that doesn't answer isn't replaced until the record is written.
+func TestPromotionNeedsRecordedPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRelease()
+		r.recordsNoPause = true
+		assert.Equal(t, len(r.run(t, 2*time.Second)), 1)
+		assert.Assert(t, r.isSteppedDownFirst)
+		assert.Equal(t, r.lost, 0)
+	})
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeCluster()
+		f.view.SyncReplicas = 1
+		f.stored = f.view
+		f.unresponsive["a"], f.recordsNoPause = true, true
+		time.AfterFunc(3*time.Second, func() {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			assert.Check(t, len(f.promotions) == 0, "promoted without a recorded pause")
+			f.recordsNoPause = false
+		})
+		assert.Equal(t, len(f.run(t, 5*time.Second)), 1)
+	})
+}
+
 // Guards against the cost of a closed log where commits don't wait for replicas.
 func TestAsynchronousReleaseIsNotClosed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/core/lead/driver_test.go
+++ b/core/lead/driver_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"snipewall/core"
+	"snipewall/core/permit"
 )
 
 // fakeCluster is a group of upstreams, the store and the platform's promotion call, as seen by one VM.
@@ -49,6 +50,8 @@
 	// not acknowledge pauses, and promotionsDown makes all promotions fail.
 	inspect                                   func(id core.UpstreamID) ProbeResult
 	refusesStepDown, silentVM, promotionsDown bool
+	// recordsNoPause makes the store not accept the records of pauses.
+	recordsNoPause bool
 	// pauses counts the pauses, paused is set during one.
 	pauses int
 	paused bool
@@ -116,12 +119,12 @@
 	return nil
 }
 
-func (f *fakeCluster) Pause(context.Context, core.GroupID, bool, time.Duration) bool {
+func (f *fakeCluster) Pause(context.Context, core.GroupID, bool, time.Duration) permit.PauseResult {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.pauses++
 	f.paused = true
-	return !f.silentVM
+	return permit.PauseResult{Recorded: !f.recordsNoPause, Acknowledged: !f.silentVM}
 }
 
 func (f *fakeCluster) Resume(context.Context, core.GroupID, bool) {
--- a/core/lead/keep.go
+++ b/core/lead/keep.go
@@ -8,6 +8,7 @@
 	"github.com/go-kit/log/level"
 
 	"snipewall/core"
+	"snipewall/core/permit"
 )
 
 const (
@@ -112,8 +113,8 @@
 // pausesGroup reports whether the group's VMs pause while its primary is replaced.
 func (d *Driver) pausesGroup(g Group) bool { return g.SyncReplicas > 0 && d.cfg.Permits == nil }
 
-// pause pauses the group on all VMs and reports whether all of them acknowledged it.
-func (d *Driver) pause(ctx context.Context, id core.GroupID, p *groupPause, works bool) bool {
+// pause pauses the group on all VMs and tells which of them keep the pause.
+func (d *Driver) pause(ctx context.Context, id core.GroupID, p *groupPause, works bool) permit.PauseResult {
 	p.begin()
 	return d.cfg.Pauser.Pause(ctx, id, works, lateCallTime)
 }
@@ -165,10 +166,10 @@
 	}
 }
 
-// renewPause begins the pause again. If a VM doesn't acknowledge it, the old primary is told to step down, in case it is back.
+// renewPause begins the pause again. If a VM may not keep it, the old primary is told to step down, in case it is back.
 func (d *Driver) renewPause(ctx context.Context, g Group, p *groupPause) {
-	if !d.cfg.Pauser.Pause(ctx, g.ID, false, lateCallTime) && d.stepDown(ctx, g) {
-		level.Info(d.cfg.Log).Log("Msg", "old primary stepped down, since a VM doesn't pause", "Group", g.ID, "Upstream", g.Primary)
+	if !d.cfg.Pauser.Pause(ctx, g.ID, false, lateCallTime).IsComplete() && d.stepDown(ctx, g) {
+		level.Info(d.cfg.Log).Log("Msg", "old primary stepped down, since a VM may not pause", "Group", g.ID, "Upstream", g.Primary)
 		p.noteClosed()
 	}
 	if !p.hasBegun() {
--- a/core/lead/keep_test.go
+++ b/core/lead/keep_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"snipewall/core"
+	"snipewall/core/permit"
 )
 
 // slowPlatform is a group whose primary "a" is silent for a while, and a platform that executes promotions late and answers
@@ -44,16 +45,16 @@
 	takeOverTime = 300 * time.Millisecond
 )
 
-func (s *slowPlatform) Pause(_ context.Context, _ core.GroupID, _ bool, lasts time.Duration) bool {
+func (s *slowPlatform) Pause(_ context.Context, _ core.GroupID, _ bool, lasts time.Duration) permit.PauseResult {
 	time.Sleep(s.pauseDelay)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.killed {
-		return false
+		return permit.PauseResult{}
 	}
 	s.pauses++
 	s.pausedUntil = time.Now().Add(max(pauseTime, lasts))
-	return true
+	return permit.PauseResult{Recorded: true, Acknowledged: true}
 }
 
 func (s *slowPlatform) Resume(context.Context, core.GroupID, bool) {
@@ -206,7 +207,7 @@
 			defer close(ended)
 			d.keepPause(t.Context(), s.view, &p)
 		}()
-		assert.Assert(t, d.pause(t.Context(), "g", &p, false))
+		assert.Assert(t, d.pause(t.Context(), "g", &p, false).IsComplete())
 		time.Sleep(pauseRenewal - s.pauseDelay + 100*time.Millisecond)
 		d.endPause(t.Context(), "g", &p)
 		time.Sleep(s.pauseDelay)
--- a/core/permit/pause.go
+++ b/core/permit/pause.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -12,6 +13,7 @@
 	"github.com/go-kit/log/level"
 
 	"snipewall/core"
+	"snipewall/core/eras"
 )
 
 const (
@@ -25,12 +27,18 @@
 
 	beginPauseMethod = "Pause.Begin"
 	endPauseMethod   = "Pause.End"
+	listPauseMethod  = "Pause.List"
 )
 
-// PausesConfig configures Pauses. Now may be nil.
+// PausesConfig configures Pauses. Eras and Now may be nil.
 type PausesConfig struct {
 	Members Members
-	Self    core.VMID
+	Store   PauseStore
+	// Eras keeps the newest era of the store; nil stands for a store that never comes back from a copy.
+	Eras *eras.Tracker
+	Self core.VMID
+	// NeedsRecords reports whether the group's primary may be used only while this VM knows the pauses in the store.
+	NeedsRecords func(id core.GroupID) bool
 	// Call calls a method of another entry VM at its control address.
 	Call func(ctx context.Context, address, method string, req, answer any) error
 	// Changed is called when a group's primary may be used again.
@@ -50,9 +58,13 @@
 	begun chan struct{}
 	// lastSeq is the number of the last request.
 	lastSeq atomic.Uint64
+	// self names this process among those that begin pauses.
+	self holder
 
-	mu     sync.Mutex
-	groups map[core.GroupID]pause
+	mu       sync.Mutex
+	groups   map[core.GroupID]pause
+	records  map[core.GroupID]*ownRecord
+	recorded knowledge
 	// unended holds the pauses whose end isn't acknowledged by all VMs.
 	unended []unendedPause
 }
@@ -64,23 +76,39 @@
 	if cfg.Now == nil {
 		cfg.Now = core.Now
 	}
-	return &Pauses{cfg: cfg, begun: make(chan struct{}, 1), groups: make(map[core.GroupID]pause)}
+	if cfg.Eras == nil {
+		cfg.Eras = eras.New(eras.Config{Now: cfg.Now})
+	}
+	return &Pauses{
+		cfg: cfg, begun: make(chan struct{}, 1), self: holder{cfg.Self, rand.Uint64()},
+		groups: make(map[core.GroupID]pause), records: make(map[core.GroupID]*ownRecord),
+		recorded: knowledge{wanted: make(chan struct{}, 1), since: cfg.Now(), seenAt: cfg.Now()},
+	}
+}
+
+// holder is a process that has begun a pause. A VM that has started again is another holder, since promotions that its earlier
+// process asked for may still be executed.
+type holder struct {
+	vm      core.VMID
+	process uint64
 }
 
 // pause is the last pause of a group. It does no input or output.
 type pause struct {
 	// epoch is the number of pauses that work in progress has ended for.
 	epoch core.Version
-	// ends holds the end of each VM's pause: one VM may still wait for a promotion while another one replaces the primary.
-	ends map[core.VMID]pauseEnd
+	// ends holds the end of each holder's pause: one VM may still wait for a promotion while another one replaces the primary.
+	ends map[holder]pauseEnd
 	// closeAt is until when work in progress may end; 0 once epoch has counted the pause.
 	closeAt core.Instant
 }
 
-// pauseEnd is the end of one VM's pause, with the number of its request.
+// pauseEnd is the end of one holder's pause, with the number of its request.
 type pauseEnd struct {
 	at  core.Instant
 	seq uint64
+	// recordKey is the key of the record from which this VM knows the pause; empty if the holder has told it.
+	recordKey string
 }
 
 // admits reports whether new work may start.
@@ -95,8 +123,8 @@
 	return end
 }
 
-// isHeldBy reports whether the VM's pause is in force.
-func (p pause) isHeldBy(holder core.VMID, now core.Instant) bool { return now < p.ends[holder].at }
+// isHeldBy reports whether the holder's pause is in force.
+func (p pause) isHeldBy(h holder, now core.Instant) bool { return now < p.ends[h].at }
 
 // covers reports whether work that started in the epoch has not been overtaken by a pause.
 func (p pause) covers(now core.Instant, epoch core.Version) bool {
@@ -109,16 +137,25 @@
 	if p.closeAt != 0 {
 		closeAt = min(closeAt, p.closeAt)
 	}
-	ends := make(map[core.VMID]pauseEnd, len(p.ends)+1)
-	for vm, e := range p.ends {
+	next := pause{epoch: p.epoch, ends: p.endsAfter(now), closeAt: closeAt}
+	next.ends[req.holder()] = pauseEnd{at: now.Add(lengthOf(req.Lasts)), seq: req.Seq}
+	return next
+}
+
+// endsAfter returns a copy of the ends that are still to come.
+func (p pause) endsAfter(now core.Instant) map[holder]pauseEnd {
+	ends := make(map[holder]pauseEnd, len(p.ends)+1)
+	for h, e := range p.ends {
 		if now < e.at {
-			ends[vm] = e
+			ends[h] = e
 		}
 	}
-	ends[req.Holder] = pauseEnd{at: now.Add(min(max(pauseTime, req.Lasts), maxPauseTime)), seq: req.Seq}
-	return pause{epoch: p.epoch, ends: ends, closeAt: closeAt}
+	return ends
 }
 
+// lengthOf returns how long a pause lasts if its holder asks for the time and nobody ends it.
+func lengthOf(lasts time.Duration) time.Duration { return min(max(pauseTime, lasts), maxPauseTime) }
+
 // revoke returns the state once work in progress no longer counts.
 func (p pause) revoke() pause {
 	if p.closeAt != 0 {
@@ -130,31 +167,42 @@
 // resume returns the state after the holder ended its pause, or those of all VMs. A request that a newer pause of the holder has
 // overtaken does nothing.
 func (p pause) resume(req *PauseRequest) pause {
-	if p.ends[req.Holder].seq > req.Seq {
+	if p.ends[req.holder()].seq > req.Seq {
 		return p
 	}
 	ends := maps.Clone(p.ends)
 	if req.All {
 		clear(ends)
 	}
-	delete(ends, req.Holder)
+	delete(ends, req.holder())
 	p.ends = ends
 	return p
 }
 
 // Admits implements core.Permits.
 func (p *Pauses) Admits(id core.GroupID) (core.Version, bool) {
+	needsRecords := p.cfg.NeedsRecords(id)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	g := p.groups[id]
-	return g.epoch, g.admits(p.cfg.Now())
+	g, now := p.groups[id], p.cfg.Now()
+	if !needsRecords {
+		return g.epoch, g.admits(now)
+	}
+	p.noteTime(now)
+	return g.epoch + p.recorded.gaps, p.knowsRecords(now) && g.admits(now)
 }
 
 // Covers implements core.Permits.
 func (p *Pauses) Covers(id core.GroupID, epoch core.Version) bool {
+	needsRecords := p.cfg.NeedsRecords(id)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.groups[id].covers(p.cfg.Now(), epoch)
+	now := p.cfg.Now()
+	if needsRecords {
+		p.noteTime(now)
+		epoch -= p.recorded.gaps
+	}
+	return p.groups[id].covers(now, epoch)
 }
 
 // Leader implements core.Permits. The platform decides who leads.
@@ -172,12 +220,17 @@
 // begin pauses the group on this VM and returns once work in progress no longer counts.
 func (p *Pauses) begin(req *PauseRequest) {
 	p.update(req.Group, func(g pause) pause { return g.begin(p.cfg.Now(), req) })
+	signal(p.begun)
+	time.Sleep(min(max(0, req.Drain), drainTime))
+	p.update(req.Group, pause.revoke)
+}
+
+// signal wakes the reader of a channel that has room for one value.
+func signal(ch chan<- struct{}) {
 	select {
-	case p.begun <- struct{}{}:
+	case ch <- struct{}{}:
 	default:
 	}
-	time.Sleep(min(max(0, req.Drain), drainTime))
-	p.update(req.Group, pause.revoke)
 }
 
 // end ends a pause of the group on this VM.
@@ -186,13 +239,29 @@
 	p.cfg.Changed()
 }
 
-// Pause pauses the group on all VMs and reports whether all of them acknowledged it. Work in progress gets a short time
+// PauseResult tells which VMs keep a pause.
+type PauseResult struct {
+	// Recorded is set if the store has the pause, so that VMs that start later keep it too.
+	Recorded bool
+	// Acknowledged is set if all VMs that run have acknowledged it.
+	Acknowledged bool
+}
+
+// IsComplete reports whether no VM uses the primary as long as the pause lasts.
+func (r PauseResult) IsComplete() bool { return r.Recorded && r.Acknowledged }
+
+// Pause records a pause of the group in the store and begins it on all VMs. Work in progress gets a short time
 // if the primary works. VMs end the pause by themselves after the longer one of lasts and pauseTime.
-func (p *Pauses) Pause(ctx context.Context, id core.GroupID, works bool, lasts time.Duration) bool {
-	req := &PauseRequest{Group: id, Holder: p.cfg.Self, Lasts: lasts, Seq: p.lastSeq.Add(1)}
+func (p *Pauses) Pause(ctx context.Context, id core.GroupID, works bool, lasts time.Duration) PauseResult {
+	req := &PauseRequest{Group: id, Holder: p.cfg.Self, Process: p.self.process, Lasts: lasts, Seq: p.lastSeq.Add(1)}
 	if works {
 		req.Drain = drainTime
 	}
+	// A VM that the listing below lacks reads the records after it was enlisted, and so finds this one.
+	recordErr := p.writeRecord(ctx, id, lasts)
+	if recordErr != nil {
+		level.Warn(p.cfg.Log).Log("Msg", "pause not recorded", "Group", id, "Err", recordErr)
+	}
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
@@ -204,7 +273,7 @@
 	if err != nil || len(silent) > 0 {
 		level.Info(p.cfg.Log).Log("Msg", "pause not acknowledged by all VMs", "Group", id, "Silent", len(silent), "Err", err)
 	}
-	return err == nil && len(silent) == 0
+	return PauseResult{Recorded: recordErr == nil, Acknowledged: err == nil && len(silent) == 0}
 }
 
 // Resume ends this VM's pause of the group on all VMs, or the pauses of all VMs once another upstream leads. It does nothing if
@@ -214,19 +283,21 @@
 	g := p.groups[id]
 	p.mu.Unlock()
 	now := p.cfg.Now()
-	if !g.isHeldBy(p.cfg.Self, now) {
+	if !g.isHeldBy(p.self, now) {
 		return
 	}
-	req := &PauseRequest{Group: id, Holder: p.cfg.Self, All: replaced, Seq: g.ends[p.cfg.Self].seq}
+	own := g.ends[p.self]
+	req := &PauseRequest{Group: id, Holder: p.cfg.Self, Process: p.self.process, All: replaced, Seq: own.seq}
 	p.end(req)
 	silent := p.callAll(ctx, spreadTimeout, endPauseMethod, req)
+	p.removeRecords(ctx, id, replaced)
 	if len(silent) == 0 {
 		return
 	}
 	level.Info(p.cfg.Log).Log("Msg", "end of a pause not acknowledged by all VMs", "Group", id, "Silent", len(silent), "First", silent[0])
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.unended = append(p.unended, unendedPause{req: req, vms: silent, until: g.ends[p.cfg.Self].at})
+	p.unended = append(p.unended, unendedPause{req: req, vms: silent, until: own.at})
 }
 
 // unendedPause is a pause whose end some VMs haven't acknowledged. They would end it at the instant until.
@@ -247,7 +318,7 @@
 		g := p.groups[u.req.Group]
 		p.mu.Unlock()
 		now := p.cfg.Now()
-		if now >= u.until || g.isHeldBy(p.cfg.Self, now) {
+		if now >= u.until || g.isHeldBy(p.self, now) {
 			continue
 		}
 		if u.vms = p.call(ctx, u.vms, spreadTimeout, endPauseMethod, u.req); len(u.vms) > 0 {
@@ -289,10 +360,14 @@
 	Drain, Lasts time.Duration
 	// All ends the pauses of all holders.
 	All bool
-	// Seq orders the requests of a VM since its start: a call that ends a pause may arrive after the next one has begun.
+	// Seq orders the requests of a process: a call that ends a pause may arrive after the next one has begun.
 	Seq uint64
+	// Process tells the processes of one VM apart; VMs of older builds don't know it.
+	Process uint64
 }
 
+func (r *PauseRequest) holder() holder { return holder{r.Holder, r.Process} }
+
 // PauseAnswer acknowledges a PauseRequest.
 type PauseAnswer struct{}
 
@@ -323,11 +398,32 @@
 	defer timer.Stop()
 	retry := time.NewTicker(endRetryDelay)
 	defer retry.Stop()
+	// Records are seldom needed, and each tick costs processor time.
+	var tick <-chan time.Time
+	read, ended := make(chan struct{}, 1), make(chan struct{})
+	go func() {
+		defer close(ended)
+		p.followRecords(ctx, read)
+	}()
 	for {
 		select {
 		case <-ctx.Done():
+			<-ended
 			return nil
 		case <-p.begun:
+		case <-p.recorded.wanted:
+			signal(read)
+			if tick == nil {
+				ticker := time.NewTicker(maxGap / 4)
+				defer ticker.Stop()
+				tick = ticker.C
+			}
+			continue
+		case <-tick:
+			p.mu.Lock()
+			p.noteTime(p.cfg.Now())
+			p.mu.Unlock()
+			continue
 		case <-retry.C:
 			p.retryEnds(ctx)
 			continue
--- a/core/permit/pause_test.go
+++ b/core/permit/pause_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -13,24 +15,61 @@
 	"gotest.tools/v3/assert"
 
 	"snipewall/core"
+	"snipewall/core/eras"
+	"snipewall/core/fakes"
 )
 
-// pauseFleet is a fleet of VMs that call each other's pauses.
+// pauseFleet is a fleet of VMs that call each other's pauses and share a store.
 type pauseFleet struct {
+	t      *testing.T
+	start  time.Time
+	store  *fakes.Store
 	vms    []core.VM
 	pauses map[core.VMID]*Pauses
-	mu     sync.Mutex
-	// silent holds the VMs that don't answer.
-	silent map[core.VMID]bool
+	// kills end the processes of the VMs.
+	kills   map[core.VMID]func()
+	eras    map[core.VMID]*eras.Tracker
+	changes atomic.Int32
+
+	mu sync.Mutex
+	// silent holds the VMs that don't answer, unlisted those that no other VM and no listing of the store finds.
+	silent, unlisted map[core.VMID]bool
+	// suspended is for how long each VM was suspended.
+	suspended map[core.VMID]time.Duration
 	// refreshErr is the result of reading the list of VMs.
 	refreshErr error
-	changes    atomic.Int32
 }
 
-func (f *pauseFleet) Alive() []core.VM                 { return f.vms }
-func (f *pauseFleet) EnlistedAt() (core.Instant, bool) { return 0, false }
-func (f *pauseFleet) IsSettled() bool                  { return true }
-func (f *pauseFleet) Refresh(context.Context) error    { return f.refreshErr }
+// pauseMember is a VM's view of a pauseFleet.
+type pauseMember struct {
+	f  *pauseFleet
+	id core.VMID
+}
+
+func (m pauseMember) Alive() []core.VM {
+	m.f.mu.Lock()
+	defer m.f.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(m.f.vms), func(vm core.VM) bool { return m.f.unlisted[vm.ID] })
+}
+
+func (m pauseMember) EnlistedAt() (core.Instant, bool) {
+	m.f.mu.Lock()
+	defer m.f.mu.Unlock()
+	return core.Instant(time.Hour), !m.f.unlisted[m.id]
+}
+func (m pauseMember) IsSettled() bool               { return true }
+func (m pauseMember) Refresh(context.Context) error { return m.f.refreshErr }
+
+// pauseStore adds listings to the fake store.
+type pauseStore struct{ *fakes.Store }
+
+func (s pauseStore) List(ctx context.Context, prefix string) ([]core.Entry, core.Version, error) {
+	if _, err := s.Get(ctx, "any"); !errors.Is(err, core.ErrNotFound) {
+		return nil, 0, err
+	}
+	entries, at := s.Entries(prefix)
+	return entries, at, nil
+}
 
 func (f *pauseFleet) setSilent(id core.VMID, isSilent bool) {
 	f.mu.Lock()
@@ -38,44 +77,95 @@
 	f.silent[id] = isSilent
 }
 
-func (f *pauseFleet) call(ctx context.Context, address, method string, req, _ any) error {
+func (f *pauseFleet) setUnlisted(id core.VMID, isUnlisted bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.unlisted[id] = isUnlisted
+}
+
+func (f *pauseFleet) call(ctx context.Context, address, method string, req, answer any) error {
 	id := core.VMID(address)
 	f.mu.Lock()
-	isSilent := f.silent[id]
+	p := f.pauses[id]
+	isSilent := f.silent[id] || p == nil
 	f.mu.Unlock()
 	if isSilent {
 		<-ctx.Done()
 		return ctx.Err()
 	}
-	s := f.pauses[id].Service()
-	if method == beginPauseMethod {
+	s := p.Service()
+	switch method {
+	case beginPauseMethod:
 		return s.Begin(req.(*PauseRequest), &PauseAnswer{})
+	case endPauseMethod:
+		return s.End(req.(*PauseRequest), &PauseAnswer{})
+	default:
+		return s.List(req.(*ListPausesRequest), answer.(*ListPausesAnswer))
+	}
+}
+
+// admits reports whether the VM admits work on the group "g".
+func (f *pauseFleet) admits(id core.VMID) bool {
+	f.mu.Lock()
+	p := f.pauses[id]
+	f.mu.Unlock()
+	_, ok := p.Admits("g")
+	return ok
+}
+
+// launch starts a process of the VM.
+func (f *pauseFleet) launch(id core.VMID) {
+	ctx, cancel := context.WithCancel(f.t.Context())
+	now := func() core.Instant {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return core.Instant(time.Since(f.start)) + core.Instant(time.Hour) + core.Instant(f.suspended[id])
+	}
+	e := eras.New(eras.Config{Now: now})
+	p := NewPauses(PausesConfig{
+		Members: pauseMember{f, id}, Store: pauseStore{f.store}, Eras: e, Self: id, NeedsRecords: func(core.GroupID) bool { return true },
+		Call: f.call, Changed: func() { f.changes.Add(1) }, Log: log.NewNopLogger(), Now: now,
+	})
+	end := make(chan error, 1)
+	go func() { end <- p.Run(ctx) }()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !slices.ContainsFunc(f.vms, func(vm core.VM) bool { return vm.ID == id }) {
+		f.vms = append(f.vms, core.VM{ID: id, Control: string(id)})
+	}
+	f.pauses[id], f.eras[id] = p, e
+	f.kills[id] = func() {
+		cancel()
+		assert.NilError(f.t, <-end)
+	}
+}
+
+// kill ends the processes of the VMs.
+func (f *pauseFleet) kill(ids ...core.VMID) {
+	for _, id := range ids {
+		f.kills[id]()
+		f.mu.Lock()
+		delete(f.pauses, id)
+		delete(f.kills, id)
+		f.mu.Unlock()
 	}
-	return s.End(req.(*PauseRequest), &PauseAnswer{})
 }
 
 func newPauseFleet(t *testing.T) *pauseFleet {
 	t.Helper()
-	f := &pauseFleet{pauses: map[core.VMID]*Pauses{}, silent: map[core.VMID]bool{}}
-	start := time.Now()
-	ctx, cancel := context.WithCancel(t.Context())
-	var ends []chan error
+	f := &pauseFleet{
+		t: t, start: time.Now(), store: fakes.NewStore(), pauses: map[core.VMID]*Pauses{}, kills: map[core.VMID]func(){},
+		eras: map[core.VMID]*eras.Tracker{}, silent: map[core.VMID]bool{}, unlisted: map[core.VMID]bool{}, suspended: map[core.VMID]time.Duration{},
+	}
 	for _, id := range []core.VMID{"vm-1", "vm-2", "vm-3"} {
-		f.vms = append(f.vms, core.VM{ID: id, Control: string(id)})
-		p := NewPauses(PausesConfig{
-			Members: f, Self: id, Call: f.call, Changed: func() { f.changes.Add(1) }, Log: log.NewNopLogger(),
-			Now: func() core.Instant { return core.Instant(time.Since(start)) + core.Instant(time.Hour) },
-		})
-		f.pauses[id] = p
-		end := make(chan error, 1)
-		ends = append(ends, end)
-		go func() { end <- p.Run(ctx) }()
+		f.launch(id)
+		f.admits(id)
 	}
+	// All VMs read the records.
+	synctest.Wait()
 	t.Cleanup(func() {
-		cancel()
-		for _, end := range ends {
-			assert.NilError(t, <-end)
-		}
+		f.kill(slices.Collect(maps.Keys(f.kills))...)
+		f.store.Close()
 	})
 	return f
 }
@@ -92,7 +182,7 @@
 			epochs[id] = epoch
 		}
 		began := time.Now()
-		assert.Assert(t, f.pauses["vm-1"].Pause(t.Context(), "g", true, 0))
+		assert.Assert(t, f.pauses["vm-1"].Pause(t.Context(), "g", true, 0).IsComplete())
 		assert.Equal(t, time.Since(began), drainTime)
 		for id, p := range f.pauses {
 			_, admits := p.Admits("g")
@@ -115,7 +205,7 @@
 		f := newPauseFleet(t)
 		epoch, _ := f.pauses["vm-2"].Admits("g")
 		paused := make(chan bool)
-		go func() { paused <- f.pauses["vm-1"].Pause(t.Context(), "g", true, 0) }()
+		go func() { paused <- f.pauses["vm-1"].Pause(t.Context(), "g", true, 0).IsComplete() }()
 		time.Sleep(drainTime / 2)
 		_, admits := f.pauses["vm-2"].Admits("g")
 		assert.Assert(t, !admits && f.pauses["vm-2"].Covers("g", epoch))
@@ -128,9 +218,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newPauseFleet(t)
 		f.silent["vm-3"] = true
-		assert.Assert(t, !f.pauses["vm-1"].Pause(t.Context(), "g", false, 0))
+		assert.Assert(t, !f.pauses["vm-1"].Pause(t.Context(), "g", false, 0).IsComplete())
 		f.silent["vm-3"], f.refreshErr = false, errors.New("store is down")
-		assert.Assert(t, !f.pauses["vm-1"].Pause(t.Context(), "g", false, 0))
+		assert.Assert(t, !f.pauses["vm-1"].Pause(t.Context(), "g", false, 0).IsComplete())
 	})
 }
 
@@ -139,7 +229,7 @@
 func TestPauseEndsByItself(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newPauseFleet(t)
-		assert.Assert(t, f.pauses["vm-1"].Pause(t.Context(), "g", false, 0))
+		assert.Assert(t, f.pauses["vm-1"].Pause(t.Context(), "g", false, 0).IsComplete())
 		before := f.changes.Load()
 		time.Sleep(pauseTime + time.Millisecond)
 		_, admits := f.pauses["vm-2"].Admits("g")
@@ -175,7 +265,7 @@
 		f := newPauseFleet(t)
 		for _, lasts := range []time.Duration{0, pauseTime / 2, 15 * time.Second, time.Hour} {
 			want := min(max(pauseTime, lasts), maxPauseTime)
-			assert.Assert(t, f.pauses["vm-1"].Pause(t.Context(), "g", false, lasts))
+			assert.Assert(t, f.pauses["vm-1"].Pause(t.Context(), "g", false, lasts).IsComplete())
 			before := f.changes.Load()
 			time.Sleep(want - time.Millisecond)
 			_, admits := f.pauses["vm-2"].Admits("g")
@@ -212,13 +302,13 @@
 	for _, again := range []bool{false, true} {
 		synctest.Test(t, func(t *testing.T) {
 			f := newPauseFleet(t)
-			assert.Assert(t, f.pauses["vm-1"].Pause(t.Context(), "g", false, 15*time.Second))
+			assert.Assert(t, f.pauses["vm-1"].Pause(t.Context(), "g", false, 15*time.Second).IsComplete())
 			f.setSilent("vm-3", true)
 			f.pauses["vm-1"].Resume(t.Context(), "g", true)
 			time.Sleep(100 * time.Millisecond)
 			f.setSilent("vm-3", false)
 			if again {
-				assert.Assert(t, f.pauses["vm-1"].Pause(t.Context(), "g", false, 15*time.Second))
+				assert.Assert(t, f.pauses["vm-1"].Pause(t.Context(), "g", false, 15*time.Second).IsComplete())
 			}
 			time.Sleep(2 * endRetryDelay)
 			_, admits := f.pauses["vm-3"].Admits("g")
