Keep a pause while this VM's own promotion may be executed

What callers would see: where commits wait for a replica, two promotions without an answer, of which the earlier one is executed first. The VM of the second one ended the pause since another upstream led, and its own call, with the higher token, cut off what was acknowledged since.

Cause: any other leader than the old primary was taken as the end of the change.

Evidence: TestPauseOutlastsOtherPromotion fails before in 5 of 6 histories (commits could be cut off for up to 7.5 s), and passes now. The other histories of late promotions and killed VMs pass as before.

Change: the pause lasts until the target of the unanswered call leads, a later call was answered, 15 s have passed, or the old primary has stepped down while nobody else leads.

--- a/core/lead/driver.go
+++ b/core/lead/driver.go
@@ -302,8 +302,7 @@
 		return held, err
 	}
 	if d.closesLog(g) {
-		// A VM that has just started may not know of the pause. The new primary receives what is committed until here
-		// before it takes over.
+		// The new primary receives what is committed until here before it takes over.
 		d.stepDown(ctx, g)
 	}
 	d.finish(ctx, g, target)
@@ -462,12 +461,14 @@
 			return errLeaseOfOldEra
 		}
 		err = d.cfg.Promoter.Promote(ctx, g.ID, target, d.cfg.Self, held.token)
+		if err == nil && pause != nil {
+			pause.noteAnswered()
+		}
 		if err == nil || errors.Is(err, core.ErrFenced) {
 			return err
 		}
 		if pause != nil && !errors.Is(err, core.ErrNotExecuted) {
-			pause.noteUnanswered(d.cfg.Now().Add(lateCallTime))
-			// A VM that has just started may not know of the pause.
+			pause.noteUnanswered(d.cfg.Now().Add(lateCallTime), target)
 			if d.closesLog(g) && d.stepDown(ctx, g) {
 				pause.noteClosed()
 			}
--- a/core/lead/keep.go
+++ b/core/lead/keep.go
@@ -27,14 +27,20 @@
 	inUse, begun, kept bool
 	// old is the primary that is replaced.
 	old core.UpstreamID
-	// lateUntil is until when a promotion without an answer may be executed; 0 if there is none.
-	lateUntil core.Instant
+	// lateUntil is until when a promotion of lateTarget without an answer may be executed; 0 if there is none.
+	lateUntil  core.Instant
+	lateTarget core.UpstreamID
+	// isClosed is set once the old primary can't commit any more.
+	isClosed bool
 }
 
 // start marks the pause as used by a failover of the primary. It returns true if the caller must start keepPause.
 func (p *groupPause) start(old core.UpstreamID) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if old != p.old {
+		p.isClosed = false
+	}
 	p.inUse, p.old = true, old
 	isKept := p.kept
 	p.kept = true
@@ -54,24 +60,43 @@
 }
 
 // noteUnanswered records a promotion without an answer that may be executed until the instant.
-func (p *groupPause) noteUnanswered(until core.Instant) {
+func (p *groupPause) noteUnanswered(until core.Instant, target core.UpstreamID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lateUntil, p.lateTarget = until, target
+}
+
+// noteAnswered records that a promotion was answered. The platform's fence refuses all earlier calls then.
+func (p *groupPause) noteAnswered() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.lateUntil = until
+	p.lateUntil = 0
 }
 
 // noteClosed records that the old primary can't commit any more.
 func (p *groupPause) noteClosed() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.lateUntil = 0
+	p.isClosed = true
 }
 
-// isLate reports whether a promotion without an answer may still be executed.
-func (p *groupPause) isLate(now core.Instant) bool {
+// isLate reports whether a promotion without an answer may still cut off commits.
+func (p *groupPause) isLate(now core.Instant, leader core.UpstreamID) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return now < p.lateUntil
+	return p.isLateLocked(now, leader)
+}
+
+// isLateLocked is isLate for a caller that holds mu. A promotion of the upstream that leads already changes nothing. Another
+// upstream may lead since an earlier call of another VM was executed late; the fence doesn't stop this VM's call then.
+func (p *groupPause) isLateLocked(now core.Instant, leader core.UpstreamID) bool {
+	switch {
+	case now >= p.lateUntil, leader == p.lateTarget:
+		return false
+	case leader == "", leader == p.old:
+		return !p.isClosed
+	}
+	return true
 }
 
 // stop marks the end of a failover.
@@ -82,19 +107,20 @@
 }
 
 // endIfUnneeded reports whether the pause can be ended now.
-func (p *groupPause) endIfUnneeded(now core.Instant, isReplaced bool) bool {
+func (p *groupPause) endIfUnneeded(now core.Instant, leader core.UpstreamID) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.inUse || (now < p.lateUntil && !isReplaced) {
+	if p.inUse || p.isLateLocked(now, leader) {
 		return false
 	}
 	p.begun, p.lateUntil = false, 0
 	return true
 }
 
-// stopKeeping is endIfUnneeded for the goroutine that keeps the pause.
-func (p *groupPause) stopKeeping(now core.Instant, isReplaced bool) bool {
-	if !p.endIfUnneeded(now, isReplaced) {
+// stopKeeping is endIfUnneeded for the goroutine that keeps the pause. It also returns true if this VM stops: the others end the
+// pause by themselves then.
+func (p *groupPause) stopKeeping(now core.Instant, leader core.UpstreamID, isStopping bool) bool {
+	if !p.endIfUnneeded(now, leader) && !isStopping {
 		return false
 	}
 	p.mu.Lock()
@@ -123,20 +149,27 @@
 func (d *Driver) endPause(ctx context.Context, id core.GroupID, p *groupPause) {
 	p.stop()
 	hadBegun := p.hasBegun()
-	replaced := d.isReplaced(id, p.oldPrimary())
-	if p.endIfUnneeded(d.cfg.Now(), replaced) && hadBegun {
-		d.resume(ctx, id, replaced)
+	leader := d.leader(id)
+	if p.endIfUnneeded(d.cfg.Now(), leader) && hadBegun {
+		d.resume(ctx, id, p.isReplacedBy(leader))
 	}
 }
 
-// isReplaced reports whether another upstream than the old primary is known to lead the group.
-func (d *Driver) isReplaced(id core.GroupID, old core.UpstreamID) bool {
+// leader returns the upstream that is known to lead the group, or an empty id.
+func (d *Driver) leader(id core.GroupID) core.UpstreamID {
 	for _, g := range d.cfg.Cluster.State() {
 		if g.ID == id {
-			return g.Primary != "" && g.Primary != old
+			return g.Primary
 		}
 	}
-	return false
+	return ""
+}
+
+// isReplacedBy reports whether the upstream is another one than the old primary.
+func (p *groupPause) isReplacedBy(leader core.UpstreamID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return leader != "" && leader != p.old
 }
 
 // keepPause renews the pause until no failover uses it and no promotion may still be executed, and then ends it.
@@ -151,13 +184,12 @@
 		case <-ticker.C:
 		}
 		g.Primary = p.oldPrimary()
-		now, replaced := d.cfg.Now(), d.isReplaced(g.ID, g.Primary)
-		isLate := p.isLate(now)
-		if p.stopKeeping(now, ctx.Err() != nil || replaced) {
-			if replaced || !isLate {
-				d.resume(ctx, g.ID, replaced)
+		now, leader := d.cfg.Now(), d.leader(g.ID)
+		isLate := p.isLate(now, leader)
+		if p.stopKeeping(now, leader, ctx.Err() != nil) {
+			if !isLate {
+				d.resume(ctx, g.ID, p.isReplacedBy(leader))
 			}
-			// Otherwise this VM stops, and the others end the pause by themselves.
 			return
 		}
 		if ctx.Err() == nil && p.hasBegun() {
--- a/core/lead/keep_test.go
+++ b/core/lead/keep_test.go
@@ -23,6 +23,8 @@
 	// Of the calls that are never executed, the first lost ones get no answer, unless that is 0.
 	late time.Duration
 	lost int
+	// other is the upstream that another VM has asked to promote, if any.
+	other core.UpstreamID
 	// killed is set once the VM is gone.
 	killed bool
 	// outstanding counts the calls that may still be executed, pausedUntil is when the VMs end the pause by themselves.
@@ -97,9 +99,11 @@
 	return errors.New("no answer")
 }
 
-// canCommit reports whether the old primary could acknowledge commits. The caller holds mu.
+// canCommit reports whether the old primary could acknowledge commits, or the one that another VM has promoted. The caller
+// holds mu.
 func (s *slowPlatform) canCommit() bool {
-	return !s.unresponsive["a"] && s.probes["a"].Leads && !time.Now().Before(s.pausedUntil)
+	isOther := s.other != "" && s.view.Primary == s.other
+	return (!s.unresponsive["a"] && s.probes["a"].Leads || isOther) && !time.Now().Before(s.pausedUntil)
 }
 
 // play lets the primary be silent for the time and the VM be killed at another one, and watches the group.
@@ -195,6 +199,29 @@
 	}
 }
 
+// Guards against commits of an upstream that leads since another VM's promotion was executed late, while this VM's own one, of
+// another upstream, may still be executed and cut them off.
+func TestPauseOutlastsOtherPromotion(t *testing.T) {
+	for _, otherAt := range []time.Duration{1500 * time.Millisecond, 3 * time.Second, 6 * time.Second} {
+		for _, late := range []time.Duration{5 * time.Second, 12 * time.Second} {
+			t.Run(fmt.Sprintf("other at %v, %v late", otherAt, late), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					s := &slowPlatform{fakeCluster: newFakeCluster(), late: late, other: "b"}
+					time.AfterFunc(otherAt, func() {
+						s.mu.Lock()
+						defer s.mu.Unlock()
+						s.setPrimary(s.other)
+					})
+					s.play(t, time.Hour, 40*time.Second, 40*time.Second)
+					assert.Assert(t, s.calls > 0)
+					assert.Equal(t, len(s.problems), 0, "commits could be cut off at %v", s.problems)
+					assert.Assert(t, s.pausedUntil.IsZero(), "the pause wasn't ended")
+				})
+			})
+		}
+	}
+}
+
 // Guards against a pause that goes on after a failover, because its renewal was under way when the failover ended it.
 func TestRenewalDoesNotOutlastFailover(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
