--- a/scripts/review.sh
+++ b/scripts/review.sh
@@ -12,6 +12,7 @@
 go build -ldflags=-linkmode=external -o target/ .
 review/build.sh
 review/build-2.sh
+review/build-3.sh
 
 # The stand-ins of the first review know only the placeholders of its time. Settings that came later get their defaults.
 set_template() {
