Don't promote a log again that a promotion has cut off

Commits that reads and writes had gone on without were there again.

Cause: choose took the greatest end of a log for the one that keeps the most. Ends are comparable only on one branch.

Change: each VM keeps the first entries that answers have shown it of the newest terms. The VM that promotes asks the others and passes over logs with an entry of an older term at or after the beginning of a later one, unless there is no other.

--- a/core/lead/candidate.go
+++ b/core/lead/candidate.go
@@ -39,10 +39,12 @@
 	err   error
 	// isDraining is set if the upstream is about to be removed.
 	isDraining bool
+	// isCutOff is set if the log has entries that an earlier promotion has cut off.
+	isCutOff bool
 }
 
 // choose returns the upstream that is the primary, or else the one whose promotion keeps the most of the log. Of
-// several, it prefers one that stays, then the first. It returns an error if an upstream that didn't answer may hold
+// several, it prefers one that stays, then the first. A log with entries that were cut off is chosen only if there is no other. It returns an error if an upstream that didn't answer may hold
 // acknowledged commits, unless the request allows that.
 func choose(g Group, answers []answer, req failoverRequest) (core.UpstreamID, ProbeResult, error) {
 	var best *answer
@@ -60,6 +62,7 @@
 			return a.id, a.probe, nil
 		}
 		answered++
+		a.isCutOff = req.begins.CutOff(a.probe.End())
 		if a.probe.IsReceivedKnown {
 			known++
 		}
@@ -79,6 +82,9 @@
 }
 
 func (a *answer) isWorseThan(b *answer) bool {
+	if a.isCutOff != b.isCutOff {
+		return a.isCutOff
+	}
 	if a.probe.End() != b.probe.End() {
 		return a.probe.End().Less(b.probe.End())
 	}
--- a/core/lead/driver.go
+++ b/core/lead/driver.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -79,6 +80,8 @@
 	Promoter core.Promoter
 	// Permits are needed where a promotion doesn't stop the old primary; nil means that it does.
 	Permits Permits
+	// Branches find the logs that earlier promotions have cut off; nil means that nothing is known of them.
+	Branches *Branches
 	// Pauser is needed where it does and commits may wait for replicas.
 	Pauser Pauser
 	// Eras keeps the newest era of the store; nil stands for a store that never comes back from a copy.
@@ -254,6 +257,8 @@
 	allowMinority, allowMissing bool
 	// pause is the group's pause where commits wait for replicas, otherwise nil.
 	pause *groupPause
+	// begins tells which logs an earlier promotion has cut off.
+	begins Begins
 }
 
 // failOver promotes the best candidate and returns the lease that this VM still holds.
@@ -282,6 +287,9 @@
 	if err != nil {
 		return held, err
 	}
+	if d.cfg.Branches != nil {
+		req.begins = d.cfg.Branches.Begins(ctx, g.ID)
+	}
 	target, best, err := d.prepare(ctx, g, req, &held)
 	if err != nil || best.Leads {
 		return held, err
@@ -293,7 +301,7 @@
 			return held, err
 		}
 	}
-	level.Info(d.cfg.Log).Log("Msg", "promoting", "Group", g.ID, "Upstream", target, "Position", best.End(), "Applied", best.Log, "Old", g.Primary, "Reason", req.reason, "Token", held.token)
+	level.Info(d.cfg.Log).Log("Msg", "promoting", "Group", g.ID, "Upstream", target, "Position", best.End(), "Applied", best.Log, "Begins", fmt.Sprint(req.begins), "Old", g.Primary, "Reason", req.reason, "Token", held.token)
 	if err := d.promote(ctx, g, target, &held, req.pause); err != nil {
 		if errors.Is(err, core.ErrFenced) {
 			d.release(ctx, held)
--- a/core/lead/driver_test.go
+++ b/core/lead/driver_test.go
@@ -50,6 +50,8 @@
 	// not acknowledge pauses, and promotionsDown makes all promotions fail.
 	inspect                                   func(id core.UpstreamID) ProbeResult
 	refusesStepDown, silentVM, promotionsDown bool
+	// branches is Config.Branches.
+	branches *Branches
 	// recordsNoPause makes the store not accept the records of pauses.
 	recordsNoPause bool
 	// pauses counts the pauses, paused is set during one.
@@ -239,7 +241,7 @@
 	defer cancel()
 	start := time.Now()
 	driver := New(Config{
-		Cluster: f, Store: f, Promoter: f, Permits: f.permits, Pauser: f, Self: "vm", Log: log.NewNopLogger(), StartedAt: f.startedAt,
+		Cluster: f, Store: f, Promoter: f, Permits: f.permits, Branches: f.branches, Pauser: f, Self: "vm", Log: log.NewNopLogger(), StartedAt: f.startedAt,
 		Now: func() core.Instant { return core.Instant(time.Since(start)) + core.Instant(time.Hour) },
 	})
 	assert.NilError(t, driver.Run(ctx))
--- a/core/permit/pause.go
+++ b/core/permit/pause.go
@@ -338,7 +338,7 @@
 func (p *Pauses) call(ctx context.Context, vms []core.VMID, timeout time.Duration, method string, req *PauseRequest) []core.VMID {
 	var mu sync.Mutex
 	var silent []core.VMID
-	callOthers(ctx, p.cfg.Members, p.cfg.Self, timeout, func(ctx context.Context, vm core.VM) {
+	CallOthers(ctx, p.cfg.Members, p.cfg.Self, timeout, func(ctx context.Context, vm core.VM) {
 		if vms != nil && !slices.Contains(vms, vm.ID) {
 			return
 		}
--- a/core/permit/pauseread.go
+++ b/core/permit/pauseread.go
@@ -220,7 +220,7 @@
 	}
 	var mu sync.Mutex
 	var out []ListedPause
-	callOthers(ctx, p.cfg.Members, p.cfg.Self, spreadTimeout, func(ctx context.Context, vm core.VM) {
+	CallOthers(ctx, p.cfg.Members, p.cfg.Self, spreadTimeout, func(ctx context.Context, vm core.VM) {
 		var ans ListPausesAnswer
 		if err := p.cfg.Call(ctx, vm.Control, listPauseMethod, &ListPausesRequest{}, &ans); err != nil {
 			level.Info(p.cfg.Log).Log("Msg", "VM doesn't tell its pauses", "VM", vm.ID, "Err", err)
--- a/core/permit/peers.go
+++ b/core/permit/peers.go
@@ -203,13 +203,13 @@
 	}
 }
 
-// callAll is callOthers for the guard's VMs.
+// callAll is CallOthers for the guard's VMs.
 func (g *Guard) callAll(ctx context.Context, timeout time.Duration, fn func(ctx context.Context, vm core.VM)) {
-	callOthers(ctx, g.cfg.Members, g.cfg.Self, timeout, fn)
+	CallOthers(ctx, g.cfg.Members, g.cfg.Self, timeout, fn)
 }
 
-// callOthers runs fn for all other VMs at the same time, with a limit for each, and waits for the last one.
-func callOthers(ctx context.Context, members Members, self core.VMID, timeout time.Duration, fn func(ctx context.Context, vm core.VM)) {
+// CallOthers runs fn for all other VMs at the same time, with a limit for each, and waits for the last one.
+func CallOthers(ctx context.Context, members Members, self core.VMID, timeout time.Duration, fn func(ctx context.Context, vm core.VM)) {
 	var calls sync.WaitGroup
 	for _, vm := range members.Alive() {
 		if vm.ID == self || vm.Control == "" {
--- a/core/proxy/group.go
+++ b/core/proxy/group.go
@@ -29,6 +29,7 @@
 	leavingGrace time.Duration
 	fresh        fresh.Tracker
 	nodes        atomic.Pointer[[]*node]
+	branch       branch
 	// isMonitored is set if this VM probes the primary continuously.
 	isMonitored atomic.Bool
 
--- a/core/proxy/node.go
+++ b/core/proxy/node.go
@@ -134,6 +134,7 @@
 	if p.IsZero() {
 		return
 	}
+	n.group.branch.note(p)
 	n.mu.Lock()
 	if n.position.Less(p) {
 		n.position = p
@@ -143,6 +144,7 @@
 
 // noteAnswer records an answer that took d, not counting the round trip.
 func (n *node) noteAnswer(now time.Time, d time.Duration, p core.Position) {
+	n.group.branch.note(p)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.failures = 0
