Record where terms begin, a second after a promotion

What a VM has seen of a term is gone with it: after a restart of the VM whose caller made the first commit, the others know a slightly later beginning, and after a restart of all VMs nobody knows one. A log that was cut off could then be promoted again.

The VM that has asked for a promotion collects what all know a second later and writes it to the store, unless it is there already. The next VM that promotes reads it while it asks the others, 0.3 s at most. A record that can't be read counts as none.

--- a/core/lead/branch_test.go
+++ b/core/lead/branch_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"snipewall/core"
+	"snipewall/core/fakes"
 )
 
 // Guards against wrong beginnings of terms: entries that arrive in any order, zero positions, more terms than are kept.
@@ -75,7 +76,12 @@
 }
 
 // branchVMs are VMs of which one is silent.
-type branchVMs struct{ known map[core.VMID]Begins }
+type branchVMs struct {
+	known map[core.VMID]Begins
+	store *fakes.Store
+}
+
+func newBranchVMs(known map[core.VMID]Begins) branchVMs { return branchVMs{known, fakes.NewStore()} }
 
 func (v branchVMs) Alive() []core.VM {
 	return []core.VM{{ID: "vm-1", Control: "vm-1"}, {ID: "vm-2", Control: "vm-2"}, {ID: "vm-3", Control: "vm-3"}, {ID: "silent", Control: "silent"}}
@@ -86,7 +92,7 @@
 
 func (v branchVMs) branches(id core.VMID) *Branches {
 	return NewBranches(BranchesConfig{
-		Members: v, Self: id, Log: log.NewNopLogger(), Begins: func(core.GroupID) Begins { return v.known[id] },
+		Members: v, Self: id, Store: v.store, Log: log.NewNopLogger(), Begins: func(core.GroupID) Begins { return v.known[id] },
 		Call: func(ctx context.Context, address, method string, req, answer any) error {
 			if address == "silent" || method != branchMethod {
 				<-ctx.Done()
@@ -101,20 +107,70 @@
 // for a silent one.
 func TestBeginsOfAllVMs(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		v := branchVMs{map[core.VMID]Begins{"vm-2": {{Term: 2, Offset: 90}, {Term: 1, Offset: 3}}, "vm-3": {{Term: 2, Offset: 86}}}}
+		v := newBranchVMs(map[core.VMID]Begins{"vm-2": {{Term: 2, Offset: 90}, {Term: 1, Offset: 3}}, "vm-3": {{Term: 2, Offset: 86}}})
 		began := time.Now()
 		assert.DeepEqual(t, v.branches("vm-1").Begins(t.Context(), "g"), Begins{{Term: 2, Offset: 86}, {Term: 1, Offset: 3}})
 		assert.Equal(t, time.Since(began), branchTimeout)
 	})
 }
 
+// Guards against a beginning that is forgotten with the VM whose caller made the first commit, or with all VMs, and against a record
+// that can't be read, is older than what VMs know, or outlives a store that doesn't answer.
+func TestBeginsOutliveVMs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		v := newBranchVMs(map[core.VMID]Begins{"vm-2": {{Term: 2, Offset: 86}}})
+		v.branches("vm-1").Record(t.Context(), "g")
+		v.known = map[core.VMID]Begins{"vm-3": {{Term: 2, Offset: 90}}}
+		assert.DeepEqual(t, v.branches("vm-1").Begins(t.Context(), "g"), Begins{{Term: 2, Offset: 86}})
+		v.known = map[core.VMID]Begins{"vm-3": {{Term: 3, Offset: 120}}}
+		calls := v.store.Calls()
+		for range 2 {
+			v.branches("vm-1").Record(t.Context(), "g")
+		}
+		assert.Equal(t, v.store.Calls()-calls, 3, "a record is written again although nothing is new")
+		v.known = nil
+		assert.DeepEqual(t, v.branches("vm-1").Begins(t.Context(), "g"), Begins{{Term: 3, Offset: 120}, {Term: 2, Offset: 86}})
+		v.store.SetDown(true)
+		v.branches("vm-1").Record(t.Context(), "g")
+		assert.Equal(t, len(v.branches("vm-1").Begins(t.Context(), "g")), 0)
+		v.store.SetDown(false)
+		v.store.SetDelay(time.Second)
+		began := time.Now()
+		assert.Equal(t, len(v.branches("vm-1").Begins(t.Context(), "g")), 0)
+		assert.Equal(t, time.Since(began), beginsTimeout)
+	})
+	synctest.Test(t, func(t *testing.T) {
+		v := newBranchVMs(map[core.VMID]Begins{"vm-2": {{Term: 2, Offset: 86}}})
+		_, err := v.store.CompareAndSwap(t.Context(), branchPrefix+"g", []byte(`[{"Term":-1}`), 0, "")
+		assert.NilError(t, err)
+		assert.DeepEqual(t, v.branches("vm-1").Begins(t.Context(), "g"), Begins{{Term: 2, Offset: 86}})
+		v.branches("vm-1").Record(t.Context(), "g")
+		v.known = nil
+		assert.DeepEqual(t, v.branches("vm-1").Begins(t.Context(), "g"), Begins{{Term: 2, Offset: 86}})
+	})
+}
+
+// Guards against a promotion whose term's beginning isn't recorded.
+func TestPromotionRecordsBegin(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeCluster()
+		f.unresponsive["a"] = true
+		v := newBranchVMs(map[core.VMID]Begins{})
+		f.branches = v.branches("vm-1")
+		f.onPromote = func() { v.known["vm-2"] = Begins{{Term: 2, Offset: 101}} }
+		assert.Equal(t, len(f.run(t, 4*time.Second)), 1)
+		v.known["vm-2"] = nil
+		assert.DeepEqual(t, v.branches("vm-3").Begins(t.Context(), "g"), Begins{{Term: 2, Offset: 101}})
+	})
+}
+
 // Guards against a driver that doesn't use what the VMs know.
 func TestFailoverAvoidsLogThatWasCutOff(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFakeCluster()
 		f.unresponsive["a"] = true
 		f.probes["b"], f.probes["c"] = received(79, 79), received(107, 107)
-		f.branches = branchVMs{map[core.VMID]Begins{"vm-2": {{Term: 2, Offset: 86}}}}.branches("vm-1")
+		f.branches = newBranchVMs(map[core.VMID]Begins{"vm-2": {{Term: 2, Offset: 86}}}).branches("vm-1")
 		promotions := f.run(t, 3*time.Second)
 		assert.Equal(t, len(promotions), 1)
 		assert.Equal(t, promotions[0].ID, core.UpstreamID("b"))
--- a/core/lead/driver.go
+++ b/core/lead/driver.go
@@ -240,6 +240,7 @@
 			case err == nil:
 				st.detector.failures = 0
 				st.minoritySince = time.Time{}
+				d.recordBegins(ctx, g.ID)
 			case (errors.Is(err, errMinority) || errors.Is(err, errReceivers)) && st.minoritySince.IsZero():
 				st.minoritySince = time.Now()
 			}
@@ -247,6 +248,18 @@
 	})
 }
 
+// recordBegins records where the term of a promotion begins, once that has had its first commit.
+func (d *Driver) recordBegins(ctx context.Context, id core.GroupID) {
+	if d.cfg.Branches == nil {
+		return
+	}
+	d.runAsync(func() func() {
+		sleep(ctx, recordDelay)
+		d.cfg.Branches.Record(ctx, id)
+		return func() {}
+	})
+}
+
 // failoverRequest holds the parameters of one failover.
 type failoverRequest struct {
 	reason string
