--- a/Makefile
+++ b/Makefile
@@ -66,5 +66,5 @@
 soak: ## Runs the soaks of real processes under random faults (SEED=n FOR=2m; SEED=0 picks a random seed).
 	$(GO) test -count=1 -v -timeout 1h ./platform -run 'Soak$$' -soak.seed $(SEED) -soak.for $(FOR) | grep -v '"Msg"'
 
-review: ## Plays the cases of the reviews with and without their disruptions (RUNS=5, CASES="6 7").
+review: ## Plays the cases of the reviews with and without their disruptions (RUNS=5, SEEDS=12, CASES="6 7").
 	@scripts/review.sh
