Leave a primary in place that works again before it is replaced

Cause: a driver that had begun to replace a primary probed only the replicas again, also after it had waited for the lease.

Change: the primary is probed while the candidates are inspected. If it has answered that it leads by the time they have, the lease is released and nothing is sent. Nobody waits for its answer, so that replacing one that is gone takes no longer.

TestPrimaryBackBeforePromotion failed before (1 promotion), with commits that wait for replicas and without.

--- a/core/lead/driver.go
+++ b/core/lead/driver.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -121,6 +122,7 @@
 	errNewEra          = errors.New("a lease that the store has lost may last")
 	errNowSynchronous  = errors.New("commits of the group wait for replicas since")
 	errLeaseOfOldEra   = errors.New("the lease is of an older era of the store")
+	errPrimaryBack     = errors.New("the primary answers again")
 )
 
 // lease is a group's lease in the store, which entitles its holder to promote an upstream.
@@ -303,7 +305,13 @@
 	if d.cfg.Branches != nil {
 		req.begins = d.cfg.Branches.Begins(ctx, g.ID)
 	}
-	target, best, err := d.prepare(ctx, g, req, &held)
+	old := d.probeOld(ctx, g)
+	defer old.wait()
+	target, best, err := d.prepare(ctx, g, req, &held, old)
+	if errors.Is(err, errPrimaryBack) {
+		d.release(ctx, held)
+		return lease{}, err
+	}
 	if err != nil || best.Leads {
 		return held, err
 	}
@@ -335,11 +343,15 @@
 }
 
 // prepare chooses the candidate. Where the old primary might go on, it is kept from committing first.
-func (d *Driver) prepare(ctx context.Context, g Group, req failoverRequest, held *lease) (core.UpstreamID, ProbeResult, error) {
+func (d *Driver) prepare(
+	ctx context.Context, g Group, req failoverRequest, held *lease, old *oldProbe,
+) (core.UpstreamID, ProbeResult, error) {
 	target, best, err := d.selectCandidate(ctx, g, req)
 	switch {
 	case err != nil || (best.Leads && d.cfg.Permits == nil):
 		return target, best, err
+	case d.cfg.Permits == nil && held.unansweredTarget == "" && old.leads():
+		return "", best, errPrimaryBack
 	case d.cfg.Permits != nil:
 		return d.prepareHeld(ctx, g, target, best, req, held)
 	case g.SyncReplicas == 0:
@@ -350,6 +362,28 @@
 	return d.prepareClosed(ctx, g, req)
 }
 
+// oldProbe is a probe of the primary that is to be replaced.
+type oldProbe struct {
+	ended  chan struct{}
+	answer atomic.Bool
+}
+
+// probeOld probes a primary that was taken for failed while the candidates are inspected, in case it works again.
+func (d *Driver) probeOld(ctx context.Context, g Group) *oldProbe {
+	p := &oldProbe{ended: make(chan struct{})}
+	go func() {
+		defer close(p.ended)
+		p.answer.Store(!g.Leaving && d.leads(ctx, g.Primary))
+	}()
+	return p
+}
+
+// leads reports whether the primary has answered by now that it leads. Waiting for it would prolong the failover of one that
+// is gone.
+func (p *oldProbe) leads() bool { return p.answer.Load() }
+
+func (p *oldProbe) wait() { <-p.ended }
+
 // findLeader probes for an upstream that is already the primary, for the case that another VM has
 // replaced the primary and this VM has not read that from the store yet. The result takes effect
 // through Cluster.Probe, which records answers for the routing of statements.
--- a/core/lead/driver_test.go
+++ b/core/lead/driver_test.go
@@ -416,3 +416,35 @@
 		})
 	}
 }
+
+// Guards against replacing a primary that was silent for a moment and works again before anything was sent.
+func TestPrimaryBackBeforePromotion(t *testing.T) {
+	for _, syncReplicas := range []int{0, 1} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFakeCluster()
+			f.view.SyncReplicas = syncReplicas
+			f.stored = f.view
+			f.unresponsive["a"], f.getDelay = true, 500*time.Millisecond
+			f.inspect = func(id core.UpstreamID) ProbeResult {
+				time.Sleep(5 * time.Millisecond)
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				res := f.probes[id]
+				res.IsReceivedKnown = true
+				return res
+			}
+			// The first failover is reading the lease's key.
+			time.AfterFunc(1200*time.Millisecond, func() {
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				f.unresponsive["a"] = false
+				f.view.PrimaryConfirmedAt = time.Now()
+				f.stored = f.view
+			})
+			assert.Equal(t, len(f.run(t, 3*time.Second)), 0)
+			assert.Equal(t, f.grants, 1)
+			assert.Equal(t, f.released, 1)
+			assert.Equal(t, len(f.steppedDown)+f.pauses, 0)
+		})
+	}
+}
