Keep a recorded pause whose record the store has lost

A VM that knows a pause only from its record took it for ended when the store came back from an older copy without the record, and used the old primary while a promotion was outstanding.

Records are compared only with those of the era in which they were read; in a later one the pause ends by itself. The probe of a primary that may be back is left out where promotions don't stop it, since the hold asks it there.

--- a/core/lead/driver.go
+++ b/core/lead/driver.go
@@ -350,7 +350,7 @@
 	switch {
 	case err != nil || (best.Leads && d.cfg.Permits == nil):
 		return target, best, err
-	case d.cfg.Permits == nil && held.unansweredTarget == "" && old.leads():
+	case held.unansweredTarget == "" && old.leads():
 		return "", best, errPrimaryBack
 	case d.cfg.Permits != nil:
 		return d.prepareHeld(ctx, g, target, best, req, held)
@@ -368,12 +368,13 @@
 	answer atomic.Bool
 }
 
-// probeOld probes a primary that was taken for failed while the candidates are inspected, in case it works again.
+// probeOld probes a primary that was taken for failed while the candidates are inspected, in case it works again. Where promotions
+// don't stop the old primary, that is asked during the hold.
 func (d *Driver) probeOld(ctx context.Context, g Group) *oldProbe {
 	p := &oldProbe{ended: make(chan struct{})}
 	go func() {
 		defer close(p.ended)
-		p.answer.Store(!g.Leaving && d.leads(ctx, g.Primary))
+		p.answer.Store(!g.Leaving && d.cfg.Permits == nil && d.leads(ctx, g.Primary))
 	}()
 	return p
 }
--- a/core/permit/pauseread.go
+++ b/core/permit/pauseread.go
@@ -27,6 +27,8 @@
 	known bool
 	// since is when the last time without knowledge began, seenAt the last look at the clock.
 	since, seenAt core.Instant
+	// era is the store's era in which the records were read.
+	era core.Era
 	// gaps is the number of times that this VM was suspended. Work that began before isn't covered after.
 	gaps core.Version
 }
@@ -100,7 +102,7 @@
 	p.mu.Lock()
 	gaps := p.recorded.gaps
 	p.mu.Unlock()
-	entries, _, err := p.cfg.Store.List(ctx, pausePrefix)
+	entries, at, err := p.cfg.Store.List(ctx, pausePrefix)
 	if err != nil {
 		level.Info(p.cfg.Log).Log("Msg", "records of pauses not read", "Err", err)
 		return
@@ -115,8 +117,9 @@
 	p.noteTime(now)
 	if isFirst := !p.recorded.known; isFirst && p.recorded.gaps == gaps {
 		p.adopt(p.decode(entries), told, now)
-		p.recorded.known = true
-	} else if !isFirst {
+		p.recorded.known, p.recorded.era = true, at.Era()
+	} else if !isFirst && at.Era() == p.recorded.era {
+		// A store that has come back from an older copy may lack records of pauses that are in force. These end by themselves.
 		p.compare(p.decode(entries), now)
 	}
 	p.mu.Unlock()
--- a/core/permit/pauserecord_test.go
+++ b/core/permit/pauserecord_test.go
@@ -71,6 +71,21 @@
 	}
 }
 
+// Guards against a VM that takes a pause for ended because the store has lost its record.
+func TestPauseOutlastsLostRecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newPauseFleet(t)
+		f.store.Save()
+		f.pauseThenKill([]core.VMID{"vm-1", "vm-2"}, []core.VMID{"vm-2"})
+		f.checkPaused(time.Second, "vm-2")
+		f.store.ComeBack()
+		f.checkPaused(lateTime-2*time.Second, "vm-2")
+		// The record was last seen up to two seconds after the pause began.
+		time.Sleep(recordMargin + 2*time.Second)
+		assert.Assert(t, f.admits("vm-2"))
+	})
+}
+
 // Guards against a VM that was suspended while the others were told to pause, and uses the primary once it runs again, or takes work
 // from before for valid.
 func TestSuspendedVMKeepsPause(t *testing.T) {
