--- a/core/permit/doc.go
+++ b/core/permit/doc.go
@@ -24,7 +24,9 @@
 // # Pauses
 //
 // Where a promotion stops the old primary, no permits are needed. Pauses keep all VMs from using a primary while it is replaced,
-// for a few seconds at most, so that its log doesn't grow any more.
+// so that its log doesn't grow any more. A VM that pauses a group writes a record to the store, then lists the VMs and calls them.
+// A VM that starts, or that was suspended, reads the records once it is listed and before it uses a primary again, so that it
+// either is called or finds the record.
 //
 // # Usage
 //
@@ -33,8 +35,10 @@
 //	feed := topo.NewFeed(topo.FeedConfig{Event: g.Event, Applied: func() { g.Confirm(mirror.ConfirmedAt(prefix)) }})
 //	if g.Admits(group) { ... }
 //
-//	p := permit.NewPauses(permit.PausesConfig{Members: roster, Self: vm, Call: client.Call, Changed: wake, Log: logger})
+//	p := permit.NewPauses(permit.PausesConfig{
+//		Members: roster, Store: store, Self: vm, NeedsRecords: waitsForReplicas, Call: client.Call, Changed: wake, Log: logger,
+//	})
 //	err = server.Register("Pause", p.Service())
-//	if p.Pause(ctx, group, true, 0) { ... }
+//	if p.Pause(ctx, group, true, 0).IsComplete() { ... }
 //	p.Resume(ctx, group, true)
 package permit
