--- a/core/lead/branch_test.go
+++ b/core/lead/branch_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -266,6 +267,45 @@
 	return slices.ContainsFunc(l, func(p core.Position) bool { return m.cutOff[p] })
 }
 
+// clone returns a copy of the model. Begins are never changed.
+func (m *branchModel) clone() *branchModel {
+	next := *m
+	next.logs, next.cutOff = slices.Clone(m.logs), maps.Clone(m.cutOff)
+	for i, l := range next.logs {
+		next.logs[i] = slices.Clip(l)
+	}
+	next.down, next.deaf = slices.Clone(m.down), slices.Clone(m.deaf)
+	return &next
+}
+
+// playAll plays all histories of the given number of steps after the model's: a commit, the replicas stop or begin to receive,
+// an upstream goes down or comes back, the primary is replaced.
+func (m *branchModel) playAll(ids []core.UpstreamID, steps int, usesBegins bool) (restored, promotions int) {
+	if steps == 0 || m.restored > 0 {
+		return m.restored, m.promotions
+	}
+	for event := range 3 + len(m.logs) {
+		next := m.clone()
+		switch {
+		case event == 0 && !m.down[m.primary]:
+			next.commit()
+		case event == 1:
+			for i := range next.deaf {
+				next.deaf[i] = !next.deaf[i]
+			}
+		case event == 2 && m.down[m.primary]:
+			next.replace(ids, usesBegins)
+		case event > 2:
+			next.down[event-3] = !next.down[event-3]
+		default:
+			continue
+		}
+		r, p := next.playAll(ids, steps-1, usesBegins)
+		restored, promotions = restored+r, promotions+p
+	}
+	return restored, promotions
+}
+
 func (m *branchModel) step(ids []core.UpstreamID, usesBegins bool) {
 	i := m.rng.IntN(len(m.logs))
 	switch m.rng.IntN(6) {
@@ -286,14 +326,36 @@
 	}
 }
 
+func newBranchModel(upstreams int, rng *rand.Rand) *branchModel {
+	m := &branchModel{
+		rng: rng, logs: make([][]core.Position, upstreams), down: make([]bool, upstreams), deaf: make([]bool, upstreams),
+		term: 1, cutOff: map[core.Position]bool{},
+	}
+	m.commit()
+	return m
+}
+
+// Guards against the same in all short histories of three upstreams. The shortest one that a choice by the greatest end fails has
+// seven steps.
+func TestCutOffEntriesStayAwayInAllHistories(t *testing.T) {
+	const steps = 7
+	ids := []core.UpstreamID{"a", "b", "c"}
+	restored, promotions := newBranchModel(len(ids), nil).playAll(ids, steps, true)
+	assert.Assert(t, promotions > 0)
+	assert.Equal(t, restored, 0)
+	restored, _ = newBranchModel(len(ids), nil).playAll(ids, steps, false)
+	assert.Assert(t, restored > 0, "the histories don't detect a choice by the greatest end")
+	restored, _ = newBranchModel(len(ids), nil).playAll(ids, steps-1, false)
+	assert.Equal(t, restored, 0)
+}
+
 // playBranches plays random histories and returns how often entries that were cut off came back, and the promotions.
 func playBranches(histories uint64, usesBegins bool) (restored, promotions int) {
 	ids := []core.UpstreamID{"a", "b", "c", "d"}
 	for seed := range histories {
 		rng := rand.New(rand.NewPCG(seed, 1))
 		n := 3 + rng.IntN(2)
-		m := &branchModel{rng: rng, logs: make([][]core.Position, n), down: make([]bool, n), deaf: make([]bool, n), term: 1, cutOff: map[core.Position]bool{}}
-		m.commit()
+		m := newBranchModel(n, rng)
 		for range 200 {
 			m.step(ids[:n], usesBegins)
 		}
