End the pause of a VM that was killed while it replaced a primary

What callers saw: where commits wait for a replica, a group's writes waited for 15 s on the other VMs after the one that replaced the primary was killed, also once the promotion was executed; since pauses are recorded, for up to 20 s on VMs that had started.

Cause: only the VM that began a pause ended it, or one that replaced the primary again. Nobody could tell that no promotion of the killed VM was outstanding.

Change: a pause that wasn't renewed for 6 s is taken over by the VM that gets the lease. If the primary works, that one is promoted with the new token, which changes nothing but lets the fence refuse earlier calls; then the pauses are ended. A promotion that the fence refuses ends the lease where it is made, so that both callers of promote do the same.

--- a/core/lead/closed.go
+++ b/core/lead/closed.go
@@ -20,6 +20,8 @@
 	// Pause begins or renews a pause and tells which VMs keep it. If the primary works, work in progress gets time to end.
 	// The VMs end it by themselves after the longer one of lasts and a default.
 	Pause(ctx context.Context, id core.GroupID, works bool, lasts time.Duration) permit.PauseResult
+	// Unrenewed returns for how long another process hasn't renewed its pause of the group, or 0 if there is none.
+	Unrenewed(id core.GroupID) time.Duration
 	// Resume ends the pause, and those of other VMs if another upstream leads since.
 	Resume(ctx context.Context, id core.GroupID, replaced bool)
 }
--- a/core/lead/driver.go
+++ b/core/lead/driver.go
@@ -182,13 +182,16 @@
 			st = &groupState{detector: Detector{startedAt: d.cfg.StartedAt}}
 			d.groups[g.ID] = st
 		}
-		switch st.detector.Decide(now, g) {
-		case Probe:
+		action := st.detector.Decide(now, g)
+		if action == Probe {
 			d.probe(ctx, st, g)
-		case Replace:
-			if !st.inProgress && !now.Before(st.retryAt) {
-				d.startFailover(ctx, st, g)
-			}
+		}
+		mayStart := !st.inProgress && !now.Before(st.retryAt)
+		switch {
+		case action == Replace && mayStart:
+			d.startFailover(ctx, st, g, st.detector.reason)
+		case mayStart && d.isInterrupted(g):
+			d.startFailover(ctx, st, g, reasonInterrupted)
 		}
 	}
 }
@@ -212,9 +215,9 @@
 	return d.cfg.Cluster.Probe(ctx, id)
 }
 
-func (d *Driver) startFailover(ctx context.Context, st *groupState, g Group) {
+func (d *Driver) startFailover(ctx context.Context, st *groupState, g Group, reason string) {
 	st.inProgress = true
-	req := failoverRequest{reason: st.detector.reason, held: st.lease}
+	req := failoverRequest{reason: reason, held: st.lease}
 	if time.Since(st.retryAt) > maxRetryGap {
 		st.minoritySince = time.Time{}
 	}
@@ -222,7 +225,6 @@
 		req.allowMinority = time.Since(st.minoritySince) > majorityTimeout
 		req.allowMissing = time.Since(st.minoritySince) > receiverTimeout
 	}
-	reason := req.reason
 	if d.pausesGroup(g) {
 		req.pause = &st.pause
 		if st.pause.start(g.Primary) {
@@ -302,6 +304,10 @@
 	if err != nil {
 		return held, err
 	}
+	if req.reason == reasonInterrupted && !g.Leaving && d.leads(ctx, g.Primary) {
+		err := d.endInterrupted(ctx, g, &held, req.pause)
+		return held, err
+	}
 	if d.cfg.Branches != nil {
 		req.begins = d.cfg.Branches.Begins(ctx, g.ID)
 	}
@@ -315,19 +321,11 @@
 	if err != nil || best.Leads {
 		return held, err
 	}
-	if held.unansweredTarget != "" && held.unansweredTarget != target {
-		// With the same token, the unanswered promotion could pass the fence after the new one.
-		d.release(ctx, held)
-		if held, err = d.acquire(ctx, g.ID, lease{}); err != nil {
-			return held, err
-		}
+	if err := d.renewToken(ctx, g.ID, target, &held); err != nil {
+		return held, err
 	}
 	level.Info(d.cfg.Log).Log("Msg", "promoting", "Group", g.ID, "Upstream", target, "Position", best.End(), "Applied", best.Log, "Begins", fmt.Sprint(req.begins), "Old", g.Primary, "Reason", req.reason, "Token", held.token)
 	if err := d.promote(ctx, g, target, &held, req.pause); err != nil {
-		if errors.Is(err, core.ErrFenced) {
-			d.release(ctx, held)
-			held = lease{}
-		}
 		return held, err
 	}
 	if d.closesLog(g) {
@@ -342,6 +340,18 @@
 	return held, nil
 }
 
+// renewToken acquires another lease if a promotion of another target got no answer: with the same token, that one could pass the
+// fence after the new one.
+func (d *Driver) renewToken(ctx context.Context, id core.GroupID, target core.UpstreamID, held *lease) error {
+	if held.unansweredTarget == "" || held.unansweredTarget == target {
+		return nil
+	}
+	d.release(ctx, *held)
+	var err error
+	*held, err = d.acquire(ctx, id, lease{})
+	return err
+}
+
 // prepare chooses the candidate. Where the old primary might go on, it is kept from committing first.
 func (d *Driver) prepare(
 	ctx context.Context, g Group, req failoverRequest, held *lease, old *oldProbe,
@@ -506,7 +516,7 @@
 }
 
 // promote asks the platform to promote the target. The call is repeated with the same token and target
-// while there is no answer and the lease is certainly valid.
+// while there is no answer and the lease is certainly valid. A refusal by the fence ends the lease.
 func (d *Driver) promote(ctx context.Context, g Group, target core.UpstreamID, held *lease, pause *groupPause) error {
 	var err error
 	for range promoteAttempts {
@@ -520,6 +530,10 @@
 		if err == nil && pause != nil {
 			pause.noteAnswered()
 		}
+		if errors.Is(err, core.ErrFenced) {
+			d.release(ctx, *held)
+			*held = lease{}
+		}
 		if err == nil || errors.Is(err, core.ErrFenced) {
 			return err
 		}
--- a/core/lead/driver_test.go
+++ b/core/lead/driver_test.go
@@ -54,6 +54,8 @@
 	branches *Branches
 	// recordsNoPause makes the store not accept the records of pauses.
 	recordsNoPause bool
+	// abandonedAt is when another VM was killed that had paused the group, zero if there is none.
+	abandonedAt time.Time
 	// pauses counts the pauses, paused is set during one.
 	pauses int
 	paused bool
@@ -129,10 +131,22 @@
 	return permit.PauseResult{Recorded: !f.recordsNoPause, Acknowledged: !f.silentVM}
 }
 
-func (f *fakeCluster) Resume(context.Context, core.GroupID, bool) {
+func (f *fakeCluster) Resume(_ context.Context, _ core.GroupID, replaced bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.paused = false
+	if replaced {
+		f.abandonedAt = time.Time{}
+	}
+}
+
+func (f *fakeCluster) Unrenewed(core.GroupID) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.abandonedAt.IsZero() {
+		return 0
+	}
+	return time.Since(f.abandonedAt)
 }
 
 func (f *fakeCluster) RelayThrough(_ core.UpstreamID, vms []core.VMID) {
--- a/core/permit/pause.go
+++ b/core/permit/pause.go
@@ -107,6 +107,8 @@
 type pauseEnd struct {
 	at  core.Instant
 	seq uint64
+	// renewedAt is when the holder last told this VM of the pause, or this VM read of it.
+	renewedAt core.Instant
 	// recordKey is the key of the record from which this VM knows the pause; empty if the holder has told it.
 	recordKey string
 }
@@ -138,7 +140,7 @@
 		closeAt = min(closeAt, p.closeAt)
 	}
 	next := pause{epoch: p.epoch, ends: p.endsAfter(now), closeAt: closeAt}
-	next.ends[req.holder()] = pauseEnd{at: now.Add(lengthOf(req.Lasts)), seq: req.Seq}
+	next.ends[req.holder()] = pauseEnd{at: now.Add(lengthOf(req.Lasts)), seq: req.Seq, renewedAt: now}
 	return next
 }
 
@@ -211,6 +213,20 @@
 // Hold implements core.Permits. A pause isn't a promotion that other VMs must finish.
 func (p *Pauses) Hold(core.GroupID) (core.Hold, bool) { return core.Hold{}, false }
 
+// Unrenewed returns for how long another process hasn't renewed a pause of the group that is in force, or 0 if there is none. One
+// that works renews it each second.
+func (p *Pauses) Unrenewed(id core.GroupID) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now, longest := p.cfg.Now(), time.Duration(0)
+	for h, e := range p.groups[id].ends {
+		if h != p.self && now < e.at {
+			longest = max(longest, now.Sub(e.renewedAt))
+		}
+	}
+	return longest
+}
+
 func (p *Pauses) update(id core.GroupID, change func(pause) pause) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/core/permit/pauseread.go
+++ b/core/permit/pauseread.go
@@ -147,11 +147,11 @@
 // holds mu.
 func (p *Pauses) adopt(records map[string]pauseRecord, told []ListedPause, now core.Instant) {
 	for key, r := range records {
-		p.keep(r.Group, r.holder(), pauseEnd{at: now.Add(lengthOf(r.Lasts)), recordKey: key}, now)
+		p.keep(r.Group, r.holder(), pauseEnd{at: now.Add(lengthOf(r.Lasts)), renewedAt: now, recordKey: key}, now)
 		level.Info(p.cfg.Log).Log("Msg", "pause of another VM is in force", "Group", r.Group, "Holder", r.Holder)
 	}
 	for _, l := range told {
-		p.keep(l.Group, holder{l.Holder, l.Process}, pauseEnd{at: now.Add(min(l.Remaining, maxPauseTime)), seq: l.Seq}, now)
+		p.keep(l.Group, holder{l.Holder, l.Process}, pauseEnd{at: now.Add(min(l.Remaining, maxPauseTime)), renewedAt: now, seq: l.Seq}, now)
 	}
 }
 
--- a/core/permit/pauserecord_test.go
+++ b/core/permit/pauserecord_test.go
@@ -178,6 +178,31 @@
 	})
 }
 
+// Guards against a pause that other VMs take over while its holder works, and against one that nobody ends after its holder is gone.
+func TestUnrenewedPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newPauseFleet(t)
+		for range 5 {
+			f.pauses["vm-1"].Pause(t.Context(), "g", false, lateTime)
+			time.Sleep(time.Second)
+		}
+		assert.Equal(t, f.pauses["vm-2"].Unrenewed("g"), time.Second)
+		assert.Equal(t, f.pauses["vm-1"].Unrenewed("g"), time.Duration(0), "a VM's own pause")
+		f.kill("vm-1")
+		f.launch("vm-1")
+		f.admits("vm-1")
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, f.pauses["vm-2"].Unrenewed("g"), 6*time.Second)
+		assert.Assert(t, f.pauses["vm-1"].Unrenewed("g") > 4*time.Second, "known from the record since the start")
+		f.pauses["vm-2"].Pause(t.Context(), "g", false, lateTime)
+		f.pauses["vm-2"].Resume(t.Context(), "g", true)
+		for id, p := range f.pauses {
+			assert.Equal(t, p.Unrenewed("g"), time.Duration(0))
+			assert.Assert(t, f.admits(id))
+		}
+	})
+}
+
 // Guards against a process that ends the pause of the VM's earlier process, whose promotion may still be executed.
 func TestRestartedHolderKeepsEarlierPause(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
