Don't step a primary down that an interrupted change leaves in place

While the pause of a killed VM is ended, this VM pauses the group too. If another VM, such as the killed one, doesn't acknowledge a renewal, the old primary is told to step down; here that is the primary that works.

--- a/core/lead/candidate.go
+++ b/core/lead/candidate.go
@@ -44,8 +44,8 @@
 }
 
 // choose returns the upstream that is the primary, or else the one whose promotion keeps the most of the log. Of
-// several, it prefers one that stays, then the first. A log with entries that were cut off is chosen only if there is no other. It returns an error if an upstream that didn't answer may hold
-// acknowledged commits, unless the request allows that.
+// several, it prefers one that stays, then the first. A log with entries that were cut off is chosen only if there is no
+// other. It returns an error if an upstream that didn't answer may hold acknowledged commits, unless the request allows that.
 func choose(g Group, answers []answer, req failoverRequest) (core.UpstreamID, ProbeResult, error) {
 	var best *answer
 	answered, known := 0, 0
--- a/core/lead/interrupt.go
+++ b/core/lead/interrupt.go
@@ -26,6 +26,7 @@
 // asked for may still be executed, so that the present primary is promoted first: this changes nothing, except that the
 // platform's fence refuses earlier calls from then on.
 func (d *Driver) endInterrupted(ctx context.Context, g Group, held *lease, pause *groupPause) error {
+	pause.keepPrimary()
 	if err := d.renewToken(ctx, g.ID, g.Primary, held); err != nil {
 		return err
 	}
--- a/core/lead/interrupt_test.go
+++ b/core/lead/interrupt_test.go
@@ -1,10 +1,12 @@
 package lead
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/go-kit/log"
 	"gotest.tools/v3/assert"
 
 	"snipewall/core"
@@ -71,3 +73,18 @@
 		})
 	}
 }
+
+// Guards against stepping down a primary that works, because a VM, such as the one that was killed, doesn't acknowledge the pause with
+// which another one's is ended, and the platform is slow.
+func TestPrimaryStaysWhilePauseIsEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &slowPlatform{fakeCluster: newAbandoned()}
+		s.silentVM = true
+		ctx, cancel := context.WithTimeout(t.Context(), pauseTakeover+6*time.Second)
+		defer cancel()
+		d := New(Config{Cluster: s, Store: s, Promoter: s, Pauser: s, Self: "vm", Log: log.NewNopLogger()})
+		assert.NilError(t, d.Run(ctx))
+		assert.Assert(t, s.calls > 0 && s.pauses > 1)
+		assert.Equal(t, len(s.steppedDown), 0)
+	})
+}
--- a/core/lead/keep.go
+++ b/core/lead/keep.go
@@ -32,6 +32,8 @@
 	lateTarget core.UpstreamID
 	// isClosed is set once the old primary can't commit any more.
 	isClosed bool
+	// keepsPrimary is set while the pause serves to end another VM's, and the primary isn't to be replaced.
+	keepsPrimary bool
 }
 
 // start marks the pause as used by a failover of the primary. It returns true if the caller must start keepPause.
@@ -41,7 +43,7 @@
 	if old != p.old {
 		p.isClosed = false
 	}
-	p.inUse, p.old = true, old
+	p.inUse, p.old, p.keepsPrimary = true, old, false
 	isKept := p.kept
 	p.kept = true
 	return !isKept
@@ -66,6 +68,20 @@
 	p.lateUntil, p.lateTarget = until, target
 }
 
+// keepPrimary marks the failover in progress as one that leaves the primary in place.
+func (p *groupPause) keepPrimary() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.keepsPrimary = true
+}
+
+// mayStepDown reports whether the primary may be told to step down.
+func (p *groupPause) mayStepDown() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.keepsPrimary
+}
+
 // noteAnswered records that a promotion was answered. The platform's fence refuses all earlier calls then.
 func (p *groupPause) noteAnswered() {
 	p.mu.Lock()
@@ -200,7 +216,8 @@
 
 // renewPause begins the pause again. If a VM may not keep it, the old primary is told to step down, in case it is back.
 func (d *Driver) renewPause(ctx context.Context, g Group, p *groupPause) {
-	if !d.cfg.Pauser.Pause(ctx, g.ID, false, lateCallTime).IsComplete() && d.stepDown(ctx, g) {
+	isComplete := d.cfg.Pauser.Pause(ctx, g.ID, false, lateCallTime).IsComplete()
+	if !isComplete && p.mayStepDown() && d.stepDown(ctx, g) {
 		level.Info(d.cfg.Log).Log("Msg", "old primary stepped down, since a VM may not pause", "Group", g.ID, "Upstream", g.Primary)
 		p.noteClosed()
 	}
--- a/core/lead/keep_test.go
+++ b/core/lead/keep_test.go
@@ -56,7 +56,7 @@
 	}
 	s.pauses++
 	s.pausedUntil = time.Now().Add(max(pauseTime, lasts))
-	return permit.PauseResult{Recorded: true, Acknowledged: true}
+	return permit.PauseResult{Recorded: true, Acknowledged: !s.silentVM}
 }
 
 func (s *slowPlatform) Resume(context.Context, core.GroupID, bool) {
