Move the lease and the probe of the old primary out of driver.go

Functions, types and constants are moved to lease.go and probe.go, unchanged; core/lead's tests pass with -race.

--- a/core/lead/driver.go
+++ b/core/lead/driver.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -21,12 +20,6 @@
 	checkInterval = 100 * time.Millisecond
 	// probeTimeout is ten times the longest round trip between regions.
 	probeTimeout = 300 * time.Millisecond
-	// leaseTTL also keeps other VMs from replacing a primary again before the last failover shows in
-	// the store.
-	leaseTTL = 5 * time.Second
-	// leaseMargin is the remaining lifetime below which a lease is no longer used, since a call takes
-	// time to arrive.
-	leaseMargin = time.Second
 	// promoteAttempts is how many times a promotion is sent while no answer arrives.
 	promoteAttempts = 3
 	// reportTimeout is how long the new primary may take to report itself, reportInterval the time between two looks.
@@ -48,8 +41,6 @@
 	maxRetryGap = time.Second
 	// leavingJitter spreads the attempts of the entry VMs that see the same primary leave.
 	leavingJitter = 150 * time.Millisecond
-	// keyPrefix is the prefix of the leases' keys; the group's id follows.
-	keyPrefix = "snipewall/lead/"
 )
 
 // Cluster gives the driver access to the groups. Implementations are safe for concurrent use.
@@ -125,15 +116,6 @@
 	errPrimaryBack     = errors.New("the primary answers again")
 )
 
-// lease is a group's lease in the store, which entitles its holder to promote an upstream.
-type lease struct {
-	id        core.LeaseID
-	token     core.Version
-	expiresAt core.Instant
-	// unansweredTarget is the target of a promotion without an answer, which may still be executed.
-	unansweredTarget core.UpstreamID
-}
-
 // New returns a driver. It does nothing until Run is called.
 func New(cfg Config) *Driver {
 	if cfg.Now == nil {
@@ -340,18 +322,6 @@
 	return held, nil
 }
 
-// renewToken acquires another lease if a promotion of another target got no answer: with the same token, that one could pass the
-// fence after the new one.
-func (d *Driver) renewToken(ctx context.Context, id core.GroupID, target core.UpstreamID, held *lease) error {
-	if held.unansweredTarget == "" || held.unansweredTarget == target {
-		return nil
-	}
-	d.release(ctx, *held)
-	var err error
-	*held, err = d.acquire(ctx, id, lease{})
-	return err
-}
-
 // prepare chooses the candidate. Where the old primary might go on, it is kept from committing first.
 func (d *Driver) prepare(
 	ctx context.Context, g Group, req failoverRequest, held *lease, old *oldProbe,
@@ -372,29 +342,6 @@
 	return d.prepareClosed(ctx, g, req)
 }
 
-// oldProbe is a probe of the primary that is to be replaced.
-type oldProbe struct {
-	ended  chan struct{}
-	answer atomic.Bool
-}
-
-// probeOld probes a primary that was taken for failed while the candidates are inspected, in case it works again. Where promotions
-// don't stop the old primary, that is asked during the hold.
-func (d *Driver) probeOld(ctx context.Context, g Group) *oldProbe {
-	p := &oldProbe{ended: make(chan struct{})}
-	go func() {
-		defer close(p.ended)
-		p.answer.Store(!g.Leaving && d.cfg.Permits == nil && d.leads(ctx, g.Primary))
-	}()
-	return p
-}
-
-// leads reports whether the primary has answered by now that it leads. Waiting for it would prolong the failover of one that
-// is gone.
-func (p *oldProbe) leads() bool { return p.answer.Load() }
-
-func (p *oldProbe) wait() { <-p.ended }
-
 // findLeader probes for an upstream that is already the primary, for the case that another VM has
 // replaced the primary and this VM has not read that from the store yet. The result takes effect
 // through Cluster.Probe, which records answers for the routing of statements.
@@ -423,65 +370,6 @@
 	return old, errors.New("the group no longer exists")
 }
 
-// acquire acquires the group's lease, or returns the held one if it is certainly still valid. The
-// lifetime counts from before the call that granted the lease.
-//
-// In a new era the store may have lost the lease of a VM that doesn't know that yet. Others than that VM acquire the lease
-// only once they have known the era for the lease's whole life, when that VM has stopped by its own clock.
-func (d *Driver) acquire(ctx context.Context, id core.GroupID, held lease) (lease, error) {
-	requestedAt := d.cfg.Now()
-	isHolder := held.expiresAt.Sub(requestedAt) > leaseMargin
-	// Another VM may have written a record before this one got the lease, which the store has lost with the lease.
-	needsWait := !isHolder || d.cfg.Permits != nil && !d.wroteHold(id)
-	if isHolder && d.isOfNewestEra(held) {
-		return held, nil
-	}
-	if needsWait && d.cfg.Eras.Remaining(leaseTTL) > 0 {
-		return keepHolder(held, isHolder), errNewEra
-	}
-	// When a primary fails, most VMs find the lease taken. Reading the key first saves them two calls.
-	switch _, err := d.cfg.Store.Get(ctx, keyPrefix+string(id)); {
-	case err == nil:
-		return keepHolder(held, isHolder), errLeaseHeld
-	case !errors.Is(err, core.ErrNotFound):
-		return keepHolder(held, isHolder), err
-	}
-	granted, err := d.cfg.Store.Grant(ctx, leaseTTL)
-	if err != nil {
-		return keepHolder(held, isHolder), err
-	}
-	token, err := d.cfg.Store.CompareAndSwap(ctx, keyPrefix+string(id), []byte(d.cfg.Self), 0, granted)
-	if err != nil {
-		d.release(ctx, lease{id: granted})
-		return keepHolder(held, isHolder), err
-	}
-	next := lease{id: granted, token: token, expiresAt: requestedAt.Add(leaseTTL)}
-	if needsWait && d.cfg.Eras.Remaining(leaseTTL) > 0 {
-		// The era has changed during the calls.
-		d.release(ctx, next)
-		return lease{}, errNewEra
-	}
-	return next, nil
-}
-
-// keepHolder returns the lease of an older era if this VM is its holder, which entitles it to acquire the one of the
-// newest era without waiting.
-func keepHolder(held lease, isHolder bool) lease {
-	if isHolder {
-		return held
-	}
-	return lease{}
-}
-
-// isOfNewestEra reports whether the lease was granted in the newest era. Otherwise the store may have granted it to another VM.
-func (d *Driver) isOfNewestEra(l lease) bool { return l.token.Era() == d.cfg.Eras.Newest() }
-
-func (d *Driver) release(ctx context.Context, l lease) {
-	if err := d.cfg.Store.Revoke(ctx, l.id); err != nil {
-		level.Info(d.cfg.Log).Log("Msg", "lease not revoked; it will expire", "Err", err)
-	}
-}
-
 // selectCandidate inspects the replicas and chooses one of them. Where commits wait for replicas, a draining one may be
 // the only one that has received the last of them.
 func (d *Driver) selectCandidate(ctx context.Context, g Group, req failoverRequest) (core.UpstreamID, ProbeResult, error) {
