--- a/core/permit/pauserecord_test.go
+++ b/core/permit/pauserecord_test.go
@@ -128,6 +128,25 @@
 	}
 }
 
+// Guards against the end of a pause that also removes the record of another group's, whose name begins with that of the first and a
+// slash: VMs that start then use the other group's old primary.
+func TestEndedPauseKeepsRecordsOfOtherGroups(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newPauseFleet(t)
+		assert.Assert(t, f.pauses["vm-2"].Pause(t.Context(), "g/2", false, lateTime).IsComplete())
+		assert.Assert(t, f.pauses["vm-1"].Pause(t.Context(), "g", false, lateTime).IsComplete())
+		f.pauses["vm-1"].Resume(t.Context(), "g", true)
+		entries, _ := f.store.Entries(pausePrefix)
+		assert.Equal(t, len(entries), 1)
+		f.launch("vm-4")
+		f.admits("vm-4")
+		synctest.Wait()
+		_, ok := f.pauses["vm-4"].Admits("g/2")
+		assert.Assert(t, !ok, "a VM that has started uses the primary of g/2")
+		assert.Assert(t, f.admits("vm-4"))
+	})
+}
+
 // Guards against a VM that uses a primary before it can have heard of a pause: while the store doesn't answer or has no entry of
 // the VM, and against one that waits for the store for ever.
 func TestUnknownPauses(t *testing.T) {
