--- a/io/sock/limit.go
+++ b/io/sock/limit.go
@@ -101,6 +101,15 @@
 	return n, err
 }
 
+// SyscallConn implements syscall.Conn.
+func (c *limitConn) SyscallConn() (syscall.RawConn, error) {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errors.ErrUnsupported
+	}
+	return sc.SyscallConn()
+}
+
 // Close implements net.Conn.
 func (c *limitConn) Close() error {
 	c.l.mu.Lock()
