Ask a busy replica again whether its log was cut off

Cause: without a free slot a replica tells only what it has applied, but a promotion keeps what it has received. A position before the beginning of the next term says nothing about which branch follows.

Change: if such a replica would be chosen, the failover is put off, as without a majority, for 4 s at most; then the replica counts as cut off.

TestChooseWithUnknownBranch: red before (2 of 5 cases), passes now; all of core/lead passes.

--- a/core/lead/branch.go
+++ b/core/lead/branch.go
@@ -66,6 +66,9 @@
 	return slices.ContainsFunc(b, func(first core.Position) bool { return end.Term < first.Term && end.Offset >= first.Offset })
 }
 
+// Follow reports whether a term after that of the position is known, so that entries after it may have been cut off.
+func (b Begins) Follow(p core.Position) bool { return len(b) > 0 && p.Term < b[0].Term }
+
 // BranchesConfig configures Branches.
 type BranchesConfig struct {
 	Members permit.Members
--- a/core/lead/branch_test.go
+++ b/core/lead/branch_test.go
@@ -76,6 +76,41 @@
 	}
 }
 
+// Guards against promoting a log that an earlier promotion has cut off because its replica, which has no free slot, tells only what it has
+// applied: a promotion keeps what it has received.
+func TestChooseWithUnknownBranch(t *testing.T) {
+	begins := Begins{{Term: 2, Offset: 86}}
+	applied := func(term core.Term, n core.Offset) ProbeResult {
+		return ProbeResult{Log: core.Position{Term: term, Offset: n}}
+	}
+	behind := answer{id: "behind", probe: received(79, 79)}
+	for _, tt := range []struct {
+		name  string
+		busy  ProbeResult
+		other answer
+		// first is the choice, or the error, while a majority is waited for, and last the choice after that.
+		first    core.UpstreamID
+		firstErr error
+		last     core.UpstreamID
+	}{
+		{"older term, applied up to the branch", applied(1, 84), behind, "", errBranch, "behind"},
+		{"older term, behind", applied(1, 70), behind, "behind", nil, "behind"},
+		{"older term, beyond the branch", applied(1, 90), behind, "behind", nil, "behind"},
+		{"newest term", applied(2, 90), behind, "busy", nil, "busy"},
+		{"no other", applied(1, 84), answer{id: "silent", err: errors.New("no answer")}, "", errBranch, "busy"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			answers := []answer{{id: "busy", probe: tt.busy}, tt.other}
+			target, _, err := choose(Group{Members: 1}, slices.Clone(answers), failoverRequest{begins: begins})
+			assert.Assert(t, errors.Is(err, tt.firstErr), "%v", err)
+			assert.Equal(t, target, tt.first)
+			target, _, err = choose(Group{Members: 1}, slices.Clone(answers), failoverRequest{begins: begins, allowMinority: true})
+			assert.NilError(t, err)
+			assert.Equal(t, target, tt.last)
+		})
+	}
+}
+
 // branchVMs are VMs of which one is silent.
 type branchVMs struct {
 	known map[core.VMID]Begins
--- a/core/lead/candidate.go
+++ b/core/lead/candidate.go
@@ -10,6 +10,7 @@
 	errMinority  = errors.New("most of the group doesn't answer")
 	errReceivers = errors.New("a replica that may hold acknowledged commits doesn't answer")
 	errNoReplica = errors.New("no replica answered a probe")
+	errBranch    = errors.New("a replica doesn't tell whether its log was cut off")
 )
 
 // ProbeResult is an upstream's answer to a probe.
@@ -39,13 +40,15 @@
 	err   error
 	// isDraining is set if the upstream is about to be removed.
 	isDraining bool
-	// isCutOff is set if the log has entries that an earlier promotion has cut off.
-	isCutOff bool
+	// isCutOff is set if the log has entries that an earlier promotion has cut off, mayBeCutOff if that depends on what the
+	// upstream has received, which it doesn't tell.
+	isCutOff, mayBeCutOff bool
 }
 
 // choose returns the upstream that is the primary, or else the one whose promotion keeps the most of the log. Of
 // several, it prefers one that stays, then the first. A log with entries that were cut off is chosen only if there is no
-// other. It returns an error if an upstream that didn't answer may hold acknowledged commits, unless the request allows that.
+// other; one that may have such entries counts as cut off once a majority isn't waited for any longer. It returns an error if an
+// upstream that didn't answer may hold acknowledged commits, unless the request allows that.
 func choose(g Group, answers []answer, req failoverRequest) (core.UpstreamID, ProbeResult, error) {
 	var best *answer
 	answered, known := 0, 0
@@ -65,6 +68,9 @@
 		a.isCutOff = req.begins.CutOff(a.probe.End())
 		if a.probe.IsReceivedKnown {
 			known++
+		} else {
+			a.mayBeCutOff = !a.isCutOff && req.begins.Follow(a.probe.Log)
+			a.isCutOff = a.isCutOff || a.mayBeCutOff && req.allowMinority
 		}
 		if best == nil || best.isWorseThan(a) {
 			best = a
@@ -77,6 +83,8 @@
 		return "", best.probe, errMinority
 	case !req.allowMissing && !g.canMiss(len(answers)-known):
 		return "", best.probe, errReceivers
+	case !req.allowMinority && best.mayBeCutOff:
+		return "", best.probe, errBranch
 	}
 	return best.id, best.probe, nil
 }
--- a/core/lead/driver.go
+++ b/core/lead/driver.go
@@ -102,7 +102,7 @@
 	inProgress bool
 	retryAt    time.Time
 	lease      lease
-	// minoritySince is when a failover first failed with errMinority, or zero.
+	// minoritySince is when a failover was first put off because too little was known of the group's logs, or zero.
 	minoritySince time.Time
 	pause         groupPause
 }
@@ -227,13 +227,18 @@
 				st.detector.failures = 0
 				st.minoritySince = time.Time{}
 				d.recordBegins(ctx, g.ID)
-			case (errors.Is(err, errMinority) || errors.Is(err, errReceivers)) && st.minoritySince.IsZero():
+			case isUncertain(err) && st.minoritySince.IsZero():
 				st.minoritySince = time.Now()
 			}
 		}
 	})
 }
 
+// isUncertain reports whether a failover was put off because too little is known of the group's logs.
+func isUncertain(err error) bool {
+	return errors.Is(err, errMinority) || errors.Is(err, errReceivers) || errors.Is(err, errBranch)
+}
+
 // recordBegins records where the term of a promotion begins, once that has had its first commit.
 func (d *Driver) recordBegins(ctx context.Context, id core.GroupID) {
 	if d.cfg.Branches == nil {
