--- a/io/hop/server.go
+++ b/io/hop/server.go
@@ -157,11 +157,15 @@
 	if b.Wait <= 0 {
 		b.Wait = b.Left
 	}
+	sock.SetBusy(p.conn, true)
+	hasTx := false
+	defer func() { sock.SetBusy(p.conn, hasTx) }()
 	now := time.Now()
 	deadline, startBy := now.Add(b.Left), now.Add(b.Wait)
 	for i, cmd := range b.Commands {
 		cmd.StartBy = startBy
 		ans := relay.Execute(ctx, cmd, deadline)
+		hasTx = ans.Status == core.TxOpen || ans.Status == core.TxFailed
 		last := i == len(b.Commands)-1
 		if last {
 			relay.Pause()
--- a/io/sock/limit.go
+++ b/io/sock/limit.go
@@ -20,7 +20,8 @@
 
 // Limit returns a listener that closes an older connection to accept one above the limit: the first that sent nothing,
 // otherwise the one that has sent nothing for the longest time. A crowd that opens connections and leaves them can't keep
-// others from connecting. When the process has no descriptor left, a connection is closed too.
+// others from connecting. When the process has no descriptor left, a connection is closed too. Connections that are marked
+// as busy stay: if all are, the new one is closed, which has no work in progress.
 func Limit(cfg LimitConfig) net.Listener {
 	return &limitListener{Listener: cfg.Listener, cfg: cfg, conns: make(map[*limitConn]struct{})}
 }
@@ -35,45 +36,61 @@
 
 // Accept implements net.Listener.
 func (l *limitListener) Accept() (net.Conn, error) {
-	nc, err := l.Listener.Accept()
-	if err != nil {
-		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
-			l.closeOne()
+	for {
+		nc, err := l.Listener.Accept()
+		if err != nil {
+			if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+				l.closeOne()
+			}
+			return nil, err
 		}
-		return nil, err
-	}
-	c := &limitConn{Conn: nc, l: l, openedAt: time.Now()}
-	l.mu.Lock()
-	full := len(l.conns) >= l.cfg.Max
-	l.mu.Unlock()
-	if full {
-		l.closeOne()
+		c := &limitConn{Conn: nc, l: l, openedAt: time.Now()}
+		l.mu.Lock()
+		full := len(l.conns) >= l.cfg.Max
+		l.mu.Unlock()
+		if full && !l.closeOne() {
+			l.closeConn(c)
+			continue
+		}
+		l.mu.Lock()
+		l.conns[c] = struct{}{}
+		l.mu.Unlock()
+		return c, nil
 	}
-	l.mu.Lock()
-	l.conns[c] = struct{}{}
-	l.mu.Unlock()
-	return c, nil
 }
 
-// closeOne closes the connection that has been silent for the longest time.
-func (l *limitListener) closeOne() {
+// closeOne closes the connection that has been silent for the longest time and isn't busy. It returns false if there is none.
+func (l *limitListener) closeOne() bool {
 	l.mu.Lock()
 	var oldest *limitConn
 	for c := range l.conns {
-		if oldest == nil || c.isBefore(oldest) {
+		if !c.busy.Load() && (oldest == nil || c.isBefore(oldest)) {
 			oldest = c
 		}
 	}
 	l.mu.Unlock()
 	if oldest == nil {
-		return
+		return false
 	}
-	_ = oldest.Close()
+	l.closeConn(oldest)
+	return true
+}
+
+func (l *limitListener) closeConn(c *limitConn) {
+	_ = c.Close()
 	if l.cfg.Closed != nil {
 		l.cfg.Closed()
 	}
 }
 
+// SetBusy marks a connection of a listener with a limit as one whose peer waits for work in progress, or as one that may be closed
+// again. It does nothing to other connections.
+func SetBusy(c net.Conn, busy bool) {
+	if lc, ok := c.(*limitConn); ok {
+		lc.busy.Store(busy)
+	}
+}
+
 // limitConn is a connection that counts toward the limit of its listener.
 type limitConn struct {
 	net.Conn
@@ -81,6 +98,7 @@
 	openedAt time.Time
 	// readAfter is the time from the opening of the connection to the last read that returned bytes, in nanoseconds, or 0.
 	readAfter atomic.Int64
+	busy      atomic.Bool
 }
 
 // isBefore reports whether the connection is closed before the other one.
--- a/io/sock/limit_test.go
+++ b/io/sock/limit_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"net"
+	"os"
 	"testing"
 	"time"
 
@@ -53,6 +54,52 @@
 	assert.Equal(t, closed, 2, "a connection that has ended makes room")
 }
 
+// Guards against a limit that closes a connection whose peer waits for an answer, because it has sent nothing since.
+func TestLimitKeepsBusyConnections(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	closed := make(chan struct{}, 10)
+	ln := Limit(LimitConfig{Listener: inner, Max: 2, Closed: func() { closed <- struct{}{} }})
+	accepted := make(chan net.Conn, 10)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			SetBusy(c, true)
+			accepted <- c
+		}
+	}()
+	t.Cleanup(func() {
+		assert.Check(t, ln.Close())
+		<-ended
+	})
+	open := func() net.Conn {
+		c, err := net.Dial("tcp", inner.Addr().String())
+		assert.NilError(t, err)
+		t.Cleanup(func() { _ = c.Close() })
+		return c
+	}
+	hasEnded := func(c net.Conn) bool {
+		assert.NilError(t, c.SetReadDeadline(time.Now().Add(50*time.Millisecond)))
+		_, err := c.Read(make([]byte, 1))
+		return !errors.Is(err, os.ErrDeadlineExceeded)
+	}
+	first, second := open(), open()
+	server := <-accepted
+	<-accepted
+	third := open()
+	<-closed
+	assert.Assert(t, !hasEnded(first) && !hasEnded(second) && hasEnded(third), "the new connection is closed while all are busy")
+	SetBusy(server, false)
+	fourth := open()
+	<-closed
+	assert.Assert(t, hasEnded(first) && !hasEnded(second) && !hasEnded(fourth), "the one that isn't busy is closed")
+}
+
 // Guards against frames above the limit, and against frames in progress that aren't accounted for.
 func TestFrameReader(t *testing.T) {
 	b := budget.New(budget.Config{Limit: 200 << 10})
