--- a/core/permit/pauseread.go
+++ b/core/permit/pauseread.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"sync"
 	"time"
 
@@ -126,12 +127,12 @@
 	p.cfg.Changed()
 }
 
-// decode returns the records of other processes by their keys.
+// decode returns the records of other processes by their keys. Another writer may have left odd entries.
 func (p *Pauses) decode(entries []core.Entry) map[string]pauseRecord {
 	out := make(map[string]pauseRecord, len(entries))
 	for _, e := range entries {
-		r, err := parsePauseRecord(e)
-		if err != nil {
+		var r pauseRecord
+		if err := json.Unmarshal(e.Value, &r); err != nil || r.key() != e.Key {
 			level.Warn(p.cfg.Log).Log("Msg", "invalid record of a pause ignored", "Key", e.Key, "Err", err)
 			continue
 		}
--- a/core/permit/pauserecord.go
+++ b/core/permit/pauserecord.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"strconv"
 	"sync"
 	"time"
@@ -46,18 +45,6 @@
 	return pausePrefix + string(r.Group) + "/" + string(r.Holder) + "/" + strconv.FormatUint(r.Process, 16)
 }
 
-// parsePauseRecord returns the record of an entry. Another writer may have left odd entries.
-func parsePauseRecord(e core.Entry) (pauseRecord, error) {
-	var r pauseRecord
-	if err := json.Unmarshal(e.Value, &r); err != nil {
-		return r, err
-	}
-	if r.key() != e.Key {
-		return r, fmt.Errorf("the record belongs at %s", r.key())
-	}
-	return r, nil
-}
-
 // ownRecord is the record of this process's pause of a group.
 type ownRecord struct {
 	// mu is held during calls to the store: a pause may be renewed while it ends.
@@ -140,10 +127,10 @@
 	if replaced {
 		var entries []core.Entry
 		entries, _, err = p.cfg.Store.List(ctx, pausePrefix+string(id)+"/")
+		records := p.decode(entries)
 		for _, e := range entries {
 			// The id of another group may begin with this one and a slash.
-			r, err := parsePauseRecord(e)
-			if err == nil && r.Group == id && e.Version < rec.version && e.Lease != "" {
+			if records[e.Key].Group == id && e.Version < rec.version && e.Lease != "" {
 				leases = append(leases, e.Lease)
 			}
 		}
