Wait for a read's answer when it can't be retried

Callers saw reads end with TIMEOUT ("no answer within the usual time") after a few hundred milliseconds of a timeout of seconds, when all upstreams had turned slow.

Cause: a read without an answer in five times the usual time was given up before it was checked whether a retry is allowed. The latency estimate learns from answers alone, so that the next reads failed in the same way.

Change: the try is given up only if the retry is allowed; otherwise the same answer is waited for until the statement's deadline. The upstream counts as one without an answer from the usual time on, as before. A fake connection in the tests goes on with the same answer after a timeout, as real ones do, in place of beginning the statement's run time anew.

TestSlowReadAwaitsAnswer, too late for a retry and with a spent budget: failed before with TIMEOUT, passes. go test -race -count=3 ./core/proxy passes. The PostgreSQL role's hedges give no attempt up (by reading of hedge.launch).

--- a/core/proxy/fake_test.go
+++ b/core/proxy/fake_test.go
@@ -86,13 +86,15 @@
 }
 
 type fakeConn struct {
-	s                *server
-	organisation     core.OrganisationID
-	n                int
-	status           core.TxStatus
-	values           map[string]string
-	prepared         map[string]string
-	answers          []core.Answer
+	s            *server
+	organisation core.OrganisationID
+	n            int
+	status       core.TxStatus
+	values       map[string]string
+	prepared     map[string]string
+	answers      []core.Answer
+	// answerAt is when the oldest answer arrives; zero until it is waited for.
+	answerAt         time.Time
 	closed           bool
 	canPipelineBegin bool
 }
@@ -141,13 +143,16 @@
 	}
 	ans := fc.answers[0]
 	if ans.Signed {
-		if left := time.Until(deadline); left < service {
-			time.Sleep(left)
+		if fc.answerAt.IsZero() {
+			fc.answerAt = time.Now().Add(service)
+		}
+		if deadline.Before(fc.answerAt) {
+			time.Sleep(time.Until(deadline))
 			return core.Answer{}, os.ErrDeadlineExceeded
 		}
-		time.Sleep(service)
+		time.Sleep(time.Until(fc.answerAt))
 	}
-	fc.answers = fc.answers[1:]
+	fc.answers, fc.answerAt = fc.answers[1:], time.Time{}
 	return ans, nil
 }
 
--- a/core/proxy/session_test.go
+++ b/core/proxy/session_test.go
@@ -128,6 +128,43 @@
 	})
 }
 
+// Guards against reads that end with TIMEOUT long before their time is over, although an upstream is about to answer: all upstreams
+// turn slow at once, and no retry is allowed any more, either since it would begin too late for the route's objective or since
+// the retry budget is spent.
+func TestSlowReadAwaitsAnswer(t *testing.T) {
+	const usual, slow = 5 * time.Millisecond, 220 * time.Millisecond
+	for _, tt := range []struct {
+		name      string
+		objective time.Duration
+		retries   int
+	}{
+		{"too late for a retry", 400 * time.Millisecond, retryBurst},
+		{"retry budget spent", 0, 0},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T, r *harness) {
+				cfg := r.dir.Snapshot().Config
+				cfg.Version++
+				route := testRoute("bounded", topo.Bounded, 1500*time.Millisecond)
+				route.Objective, route.StatementTimeout = tt.objective, 3*time.Second
+				cfg.Routes = map[string]topo.Route{"bounded": route, "strict": testRoute("strict", topo.Strict, 0)}
+				r.dir.Apply(cfg)
+				for i := range 10 {
+					r.must(r.proxy.Open("bounded", noKey), VerbRead, fmt.Sprint("READ ", i))
+				}
+				for _, srv := range r.servers {
+					srv.update(func(s *server) { s.serviceTime = slow })
+				}
+				for r.proxy.budget.Left() > float64(tt.retries) && r.proxy.budget.Withdraw() {
+				}
+				began := time.Now()
+				r.must(r.proxy.Open("bounded", noKey), VerbRead, "READ slow")
+				assert.Check(t, time.Since(began) <= 2*minHedgeDelay+slow+usual, "took %v", time.Since(began))
+			})
+		})
+	}
+}
+
 // Guards against running a statement with the session values of another session.
 func TestSessionValuesAreIsolated(t *testing.T) {
 	inBubble(t, func(t *testing.T, r *harness) {
--- a/core/proxy/single.go
+++ b/core/proxy/single.go
@@ -159,6 +159,14 @@
 		}
 	}
 	ans, err := c.Receive(s.answerDeadline(w, t))
+	if !w.write && isTimeout(err) && time.Now().Before(w.deadline) {
+		h.node.noteFailure(c)
+		if w.mayRetryAt(time.Now()) && s.p.budget.Withdraw() {
+			return s.abandonRead(w, h)
+		}
+		// Without a retry, giving up would only lose the answer.
+		ans, err = c.Receive(w.deadline)
+	}
 	if err != nil {
 		return s.handleNoAnswer(w, h, err)
 	}
@@ -188,7 +196,7 @@
 }
 
 // answerDeadline returns the time until which to wait for an answer. After it, a read is retried on
-// another upstream.
+// another upstream if it may be.
 func (s *Session) answerDeadline(w *work, t target) time.Time {
 	if w.write {
 		return w.deadline
@@ -233,8 +241,7 @@
 	return Reply{Fault: core.FaultFailed, Text: textNoMemory, NoMemory: true}, done
 }
 
-// handleNoAnswer handles a missing answer. A goroutine reads the late answer of a slow read, so that
-// the connection stays usable and the upstream isn't interrupted.
+// handleNoAnswer handles a statement that has no answer at its deadline, or whose answer can't be received.
 func (s *Session) handleNoAnswer(w *work, h *heldConn, err error) (Reply, outcome) {
 	if errors.Is(err, budget.ErrSpent) {
 		return s.handleNoMemory(w, h)
@@ -244,10 +251,14 @@
 	}
 	h.node.noteFailure(h.handle.Value)
 	h.node.noteOutcome(time.Now(), true)
-	if w.write || !time.Now().Before(w.deadline) {
-		h.discard()
-		return Reply{Fault: core.FaultTimeout, Text: "no answer within the statement's time"}, done
-	}
+	h.discard()
+	return Reply{Fault: core.FaultTimeout, Text: "no answer within the statement's time"}, done
+}
+
+// abandonRead ends a try without an answer so that the read is tried elsewhere. A goroutine reads the late answer, so that the
+// connection stays usable and the upstream isn't interrupted.
+func (s *Session) abandonRead(w *work, h *heldConn) (Reply, outcome) {
+	h.node.noteOutcome(time.Now(), true)
 	deadline := w.deadline
 	s.p.spawn(func() {
 		if err := h.handle.Value.skipAnswers(deadline); err != nil {
@@ -257,11 +268,7 @@
 		h.free(false)
 	})
 	w.tried = append(w.tried, h.node)
-	reply := Reply{Fault: core.FaultTimeout, Text: "no answer within the usual time"}
-	if !s.p.budget.Withdraw() {
-		return reply, done
-	}
-	return reply, retryNow
+	return Reply{Fault: core.FaultTimeout, Text: "no answer within the usual time"}, retryNow
 }
 
 func (s *Session) handleAnswer(w *work, h *heldConn, t target, ans core.Answer, requestedAt core.Instant, sent time.Time) (Reply, outcome) {
--- a/core/proxy/work.go
+++ b/core/proxy/work.go
@@ -255,18 +255,21 @@
 	return from[i], patience
 }
 
+// mayRetryAt reports whether the statement may be retried at that time.
+func (w *work) mayRetryAt(at time.Time) bool {
+	return w.retriesInRow < maxRetriesInRow && !at.After(w.startBy)
+}
+
 // waitForRetry waits before a retry and reports whether there is time for one.
 func (s *Session) waitForRetry(ctx context.Context, w *work, pause time.Duration) bool {
-	w.retriesInRow++
 	if pause > 0 {
 		w.retriesInRow = 0
 	}
-	if w.retriesInRow > maxRetriesInRow {
+	if !w.mayRetryAt(time.Now().Add(pause)) {
 		return false
 	}
-	now := time.Now()
-	if now.Add(pause).After(w.startBy) {
-		return false
+	if pause == 0 {
+		w.retriesInRow++
 	}
 	s.p.metrics.retries.Inc(1)
 	if pause == 0 {
