Promote a deposed primary before recording it as the leader

Where a promotion doesn't stop the old primary, callers lost acknowledged writes and read without them: statements ran on an upstream that had been replaced before.

Cause: only the upstreams that a group's record names can lead, and a hold names the one that is to be promoted. If that one was replaced earlier and still acts as a primary, its answers counted from the hold on, so that the driver recorded it as the leader without promoting it.

Change: a hold says whether its target acts as a primary already; such a target leads only once its promotion has been answered, for the VM that sent it and for one that finishes its work.

Platforms that fence aren't concerned, nor is the PostgreSQL role, whose upstreams accept a promotion only in the term that they have promised.

--- a/core/lead/candidate.go
+++ b/core/lead/candidate.go
@@ -15,8 +15,8 @@
 
 // ProbeResult is an upstream's answer to a probe.
 type ProbeResult struct {
-	// Leads is set if the upstream is the primary.
-	Leads bool
+	// Leads is set if the upstream is the primary, IsDeposed if it acts as one although another one was promoted after it.
+	Leads, IsDeposed bool
 	// Log is the end of the log that the upstream has applied.
 	Log core.Position
 	// Received is the end of the log that the upstream has received, which a promotion keeps. It is valid if
--- a/core/lead/driver.go
+++ b/core/lead/driver.go
@@ -385,7 +385,7 @@
 	answers := ask(ctx, ids, d.cfg.Cluster.Inspect)
 	for i := range answers {
 		answers[i].isDraining = i >= len(g.Replicas)
-		answers[i].probe.Leads = answers[i].probe.Leads && !d.isDeposed(g.ID, answers[i].id)
+		answers[i].probe = d.judge(g.ID, answers[i].id, answers[i].probe)
 	}
 	return choose(g, answers, req)
 }
--- a/core/lead/hold.go
+++ b/core/lead/hold.go
@@ -68,8 +68,8 @@
 
 // hold writes a hold of the group and returns once no VM can use the old primary. If the primary answers
 // meanwhile, it returns errReachable, unless a promotion may have been sent already.
-func (d *Driver) hold(ctx context.Context, g Group, target core.UpstreamID, mayBeSent bool, held *lease) error {
-	if err := d.writeHold(ctx, g, target); err != nil {
+func (d *Driver) hold(ctx context.Context, g Group, target core.UpstreamID, acts, mayBeSent bool, held *lease) error {
+	if err := d.writeHold(ctx, g, target, acts); err != nil {
 		return err
 	}
 	if err := d.cfg.Permits.Refresh(ctx); err != nil {
@@ -102,13 +102,14 @@
 }
 
 // writeHold writes a hold with the target, unless this VM has written it already. The record always names the target of a
-// promotion that may be sent, since another VM that finishes it must promote the same one.
-func (d *Driver) writeHold(ctx context.Context, g Group, target core.UpstreamID) error {
+// promotion that may be sent, since another VM that finishes it must promote the same one. acts is set if the target acts as a
+// primary but is deposed.
+func (d *Driver) writeHold(ctx context.Context, g Group, target core.UpstreamID, acts bool) error {
 	rec, ok := d.cfg.Permits.Record(g.ID)
-	if ok && rec.Held && rec.Holder == d.cfg.Self && rec.Target == target && d.cfg.Permits.IsStored(g.ID) {
+	if ok && rec.Held && rec.Holder == d.cfg.Self && rec.Target == target && rec.TargetActs == acts && d.cfg.Permits.IsStored(g.ID) {
 		return nil
 	}
-	rec = permit.Record{Held: true, Old: g.Primary, Target: target, Holder: d.cfg.Self, Planned: g.Leaving}
+	rec = permit.Record{Held: true, Old: g.Primary, Target: target, Holder: d.cfg.Self, Planned: g.Leaving, TargetActs: acts}
 	if err := d.cfg.Permits.Write(ctx, g.ID, rec); err != nil {
 		return err
 	}
@@ -144,10 +145,11 @@
 		d.finish(ctx, g, target)
 		return target, best, nil
 	}
-	if earlier != "" {
-		target = earlier
+	acts := best.IsDeposed
+	if earlier != "" && earlier != target {
+		target, acts = earlier, d.targetActs(g.ID)
 	}
-	err := d.hold(ctx, g, target, earlier != "", held)
+	err := d.hold(ctx, g, target, acts, earlier != "", held)
 	if err == nil {
 		target, best, err = d.selectHeld(ctx, g, req)
 	}
@@ -163,14 +165,14 @@
 	}
 	if earlier != "" && earlier != target && slices.Contains(g.Replicas, earlier) {
 		if res, err := d.probeUpstream(ctx, earlier); err == nil {
-			target, best = earlier, res
+			target, best = earlier, d.judge(g.ID, earlier, res)
 		}
 	}
 	if best.Leads {
 		d.finish(ctx, g, target)
 		return target, best, nil
 	}
-	return target, best, d.writeHold(ctx, g, target)
+	return target, best, d.writeHold(ctx, g, target, best.IsDeposed)
 }
 
 // holds reports whether this VM's hold is in force and in the store.
@@ -182,14 +184,35 @@
 	return ok && rec.Held && rec.Holder == d.cfg.Self
 }
 
+// judge returns the result of a probe, in which an upstream that acts as a primary leads only if it isn't deposed.
+func (d *Driver) judge(id core.GroupID, upstream core.UpstreamID, res ProbeResult) ProbeResult {
+	if res.Leads && d.isDeposed(id, upstream) {
+		res.Leads, res.IsDeposed = false, true
+	}
+	return res
+}
+
 // isDeposed reports whether the upstream can't be the primary although it may act as one: where a promotion doesn't stop the
-// old primary, only the upstreams that the group's record names can lead.
+// old primary, only the upstreams that the group's record names can lead, and the target of a hold that has acted as a primary
+// all the time only once its promotion has been answered.
 func (d *Driver) isDeposed(id core.GroupID, upstream core.UpstreamID) bool {
 	if d.cfg.Permits == nil {
 		return false
 	}
 	rec, ok := d.cfg.Permits.Record(id)
-	return ok && upstream != rec.Target && (!rec.Held || upstream != rec.Old)
+	if !ok {
+		return false
+	}
+	if upstream == rec.Target {
+		return rec.Held && rec.TargetActs
+	}
+	return !rec.Held || upstream != rec.Old
+}
+
+// targetActs reports whether the target of the group's hold has acted as a primary since before the hold.
+func (d *Driver) targetActs(id core.GroupID) bool {
+	rec, ok := d.cfg.Permits.Record(id)
+	return ok && rec.Held && rec.TargetActs
 }
 
 // stepDown makes the group's leaving primary a replica, so that VMs that don't answer can't use it either.
--- a/core/lead/hold_test.go
+++ b/core/lead/hold_test.go
@@ -319,3 +319,24 @@
 		}
 	})
 }
+
+// Guards against recording a deposed primary as the leader without promoting it, once it is the target of a hold: it has acted as a
+// primary all the time, also while a promotion got no answer. TestUnfencedStepSoak found that with seed 5.
+func TestDeposedTargetIsPromoted(t *testing.T) {
+	for _, unanswered := range []int{0, promoteAttempts + 1} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFakeCluster()
+			p := newFakePermits(f)
+			p.record, p.isKnown = permit.Record{Old: "a", Target: "b", Holder: "vm-2"}, true
+			f.view = Group{ID: "g", Primary: "b", Replicas: []core.UpstreamID{"a", "c"}, Members: 3, IsMonitor: true}
+			f.stored = f.view
+			f.unresponsive["b"], f.unresponsive["c"] = true, true
+			f.unansweredCalls = unanswered
+			promotions := f.run(t, 12*time.Second)
+			assert.Equal(t, len(promotions), unanswered+1)
+			assert.Equal(t, promotions[unanswered].ID, core.UpstreamID("a"))
+			assert.Assert(t, !f.promotedAt.IsZero())
+			assert.DeepEqual(t, p.lastRecord(t), permit.Record{Old: "b", Target: "a", Holder: "vm"})
+		})
+	}
+}
--- a/core/permit/record.go
+++ b/core/permit/record.go
@@ -21,6 +21,9 @@
 	Number uint64   `json:",omitempty"`
 	// Planned is set on a hold if the old primary works, so that statements in progress may end.
 	Planned bool
+	// TargetActs is set on a hold if the target acts as a primary although another one was promoted after it, so that this doesn't
+	// show that it was promoted.
+	TargetActs bool `json:",omitempty"`
 }
 
 // isNewer reports whether the record was written after another one of the group. One that was lost is newer than those
--- a/core/proxy/cluster.go
+++ b/core/proxy/cluster.go
@@ -358,7 +358,7 @@
 	case core.FaultNone:
 		if n.group.isDeposed(n.id()) {
 			n.p.logDecision("upstream still acts as primary after another was promoted", "Upstream", n.id(), "Position", ans.Position)
-			return lead.ProbeResult{Log: ans.Position}, nil
+			return lead.ProbeResult{IsDeposed: true, Log: ans.Position}, nil
 		}
 		n.group.noteSample(requestedAt, ans.Sample)
 		n.noteLeads(requestedAt, ans.Position)
