Don't trust deposed primaries while another one is promoted

A probe of an earlier primary that goes on said that it leads, and its position became a sample, by which reads at replicas are judged.

Change: the record tells who is deposed in every state (Record.IsDeposed), for the driver and for statements and probes.

TestNoSampleOfDeposedPrimaryDuringHold failed before (the probe led), passes; TestRecordTellsDeposed. go test ./core/proxy ./core/lead ./core/permit passes.

--- a/core/lead/hold.go
+++ b/core/lead/hold.go
@@ -192,21 +192,13 @@
 	return res
 }
 
-// isDeposed reports whether the upstream can't be the primary although it may act as one: where a promotion doesn't stop the
-// old primary, only the upstreams that the group's record names can lead, and the target of a hold that has acted as a primary
-// all the time only once its promotion has been answered.
+// isDeposed reports whether the upstream can't be the primary although it may act as one.
 func (d *Driver) isDeposed(id core.GroupID, upstream core.UpstreamID) bool {
 	if d.cfg.Permits == nil {
 		return false
 	}
 	rec, ok := d.cfg.Permits.Record(id)
-	if !ok {
-		return false
-	}
-	if upstream == rec.Target {
-		return rec.Held && rec.TargetActs
-	}
-	return !rec.Held || upstream != rec.Old
+	return ok && rec.IsDeposed(upstream)
 }
 
 // targetActs reports whether the target of the group's hold has acted as a primary since before the hold.
--- a/core/permit/guard.go
+++ b/core/permit/guard.go
@@ -124,6 +124,12 @@
 	return st.record.Target, st.version > 0 && !st.record.Held
 }
 
+// IsDeposed implements core.Permits.
+func (g *Guard) IsDeposed(id core.GroupID, upstream core.UpstreamID) bool {
+	rec, ok := g.Record(id)
+	return ok && rec.IsDeposed(upstream)
+}
+
 // Hold implements core.Permits.
 func (g *Guard) Hold(id core.GroupID) (core.Hold, bool) {
 	g.mu.Lock()
--- a/core/permit/guard_test.go
+++ b/core/permit/guard_test.go
@@ -308,3 +308,23 @@
 		assert.Assert(t, slices.Equal(vms, []core.VMID{"b"}), "%v", vms)
 	})
 }
+
+// Guards against taking an upstream that goes on as a primary for the leader, before, during and after the next promotion.
+func TestRecordTellsDeposed(t *testing.T) {
+	for _, tt := range []struct {
+		record  Record
+		deposed string
+	}{
+		{Record{Target: "new", Old: "old"}, "old other"},
+		{Record{Held: true, Old: "old", Target: "new"}, "other"},
+		{Record{Held: true, Old: "old", Target: "new", TargetActs: true}, "new other"},
+	} {
+		var deposed []string
+		for _, id := range []core.UpstreamID{"new", "old", "other"} {
+			if tt.record.IsDeposed(id) {
+				deposed = append(deposed, string(id))
+			}
+		}
+		assert.Equal(t, strings.Join(deposed, " "), tt.deposed)
+	}
+}
--- a/core/permit/pause.go
+++ b/core/permit/pause.go
@@ -210,6 +210,9 @@
 // Leader implements core.Permits. The platform decides who leads.
 func (p *Pauses) Leader(core.GroupID) (core.UpstreamID, bool) { return "", false }
 
+// IsDeposed implements core.Permits. A promotion stops the old primary.
+func (p *Pauses) IsDeposed(core.GroupID, core.UpstreamID) bool { return false }
+
 // Hold implements core.Permits. A pause isn't a promotion that other VMs must finish.
 func (p *Pauses) Hold(core.GroupID) (core.Hold, bool) { return core.Hold{}, false }
 
--- a/core/permit/record.go
+++ b/core/permit/record.go
@@ -32,6 +32,15 @@
 	return r.Era > than.Era || r.Era == than.Era && r.Number > than.Number
 }
 
+// IsDeposed reports whether the upstream can't be the primary although it may act as one: only the upstreams that the record names
+// can lead, and the target of a hold that has acted as a primary all the time only once its promotion has been answered.
+func (r Record) IsDeposed(upstream core.UpstreamID) bool {
+	if upstream == r.Target {
+		return r.Held && r.TargetActs
+	}
+	return !r.Held || upstream != r.Old
+}
+
 // drain is how long statements in progress may take after the record became known.
 func (r Record) drain() time.Duration {
 	if r.Held && r.Planned {
--- a/core/permits.go
+++ b/core/permits.go
@@ -12,6 +12,8 @@
 	Covers(group GroupID, epoch Version) bool
 	// Leader returns the upstream that was promoted last, or false if no promotion is known.
 	Leader(group GroupID) (UpstreamID, bool)
+	// IsDeposed reports whether the upstream can't be the primary although it may act as one, since another one was promoted after it.
+	IsDeposed(group GroupID, upstream UpstreamID) bool
 	// Hold returns the promotion in progress, or false if there is none.
 	Hold(group GroupID) (Hold, bool)
 }
--- a/core/proxy/group.go
+++ b/core/proxy/group.go
@@ -77,11 +77,7 @@
 
 // isDeposed reports whether another upstream was promoted after this one led. It may still answer as a primary.
 func (g *group) isDeposed(id core.UpstreamID) bool {
-	if g.permits == nil {
-		return false
-	}
-	leader, ok := g.permits.Leader(g.id)
-	return ok && leader != id
+	return g.permits != nil && g.permits.IsDeposed(g.id, id)
 }
 
 // believedPrimary returns the node that is believed to be the primary, or nil: of the nodes that claim or have
--- a/core/proxy/permit_test.go
+++ b/core/proxy/permit_test.go
@@ -18,6 +18,8 @@
 	epoch          core.Version
 	leader         core.UpstreamID
 	hold           *core.Hold
+	// target is the one of the hold.
+	target core.UpstreamID
 }
 
 func (p *fakePermits) Admits(core.GroupID) (core.Version, bool) {
@@ -38,6 +40,15 @@
 	return p.leader, p.leader != ""
 }
 
+func (p *fakePermits) IsDeposed(_ core.GroupID, id core.UpstreamID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.hold != nil {
+		return id != p.hold.Old && id != p.target
+	}
+	return p.leader != "" && p.leader != id
+}
+
 func (p *fakePermits) Hold(core.GroupID) (core.Hold, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -169,6 +180,23 @@
 	})
 }
 
+// Guards against the same while the next primary is promoted: what an earlier one answers isn't a proof, and the group isn't led by it.
+func TestNoSampleOfDeposedPrimaryDuringHold(t *testing.T) {
+	withPermits(t, func(t *testing.T, r *harness, p *fakePermits) {
+		p.set(r, func() {
+			p.hold, p.target, p.admits = &core.Hold{Old: nearID, Holder: "vm-2", Since: r.proxy.cfg.Now()}, farID, false
+		})
+		r.servers[primaryID].update(func(s *server) { s.log.Offset += 100 })
+		res, err := r.proxy.Probe(probeContext(t), primaryID)
+		assert.NilError(t, err)
+		assert.Assert(t, !res.Leads && res.IsDeposed)
+		assert.Assert(t, r.proxy.State()[0].Primary != primaryID)
+		if sample, ok := r.proxy.group("g").fresh.MinPosition(0); ok {
+			assert.Assert(t, sample.Offset < 100, "a position of the old primary counts as a sample: %v", sample)
+		}
+	})
+}
+
 // Guards against a driver that takes an old primary for the leader because it answers, and against one that starts
 // while another VM promotes.
 func TestDriverViewOfPermits(t *testing.T) {
