Finish an interrupted promotion while two upstreams act as primaries

Where a promotion doesn't stop the old primary, all VMs answered BUSY ("the group has no primary now") for 40 s and longer after the VM that promoted was killed before its record.

Cause: while the group is held, the old primary and its successor both answer as primaries, and the one that answered last counted. The search for a leader beside each attempt to finish the promotion asks the other one, so that each attempt found another primary than it had begun with and took the failover for done.

Change: while a group is held, its primary for the driver is the one that the hold replaces.

TestPrimaryOfHeldGroup failed before, passes.

--- a/core/proxy/cluster.go
+++ b/core/proxy/cluster.go
@@ -46,13 +46,16 @@
 func (p *Proxy) state(now time.Time, g *group, nodes []*node) lead.Group {
 	st := lead.Group{ID: g.id, Members: len(nodes), IsMonitor: g.isMonitored.Load()}
 	st.SyncReplicas = p.cfg.Directory.Snapshot().Config.Groups[g.id].SyncReplicas
+	primary := g.believedPrimary(now)
 	if g.permits != nil {
 		if hold, ok := g.permits.Hold(g.id); ok {
 			st.IsHeld, st.IsHeldBySelf, st.HoldAge = true, hold.Holder == p.cfg.Self.ID, p.cfg.Now().Sub(hold.Since)
+			// Until the promotion is recorded, its target is a candidate, also if both answer as primaries.
+			primary = nodeOf(nodes, hold.Old)
 		}
 		_, st.IsPromoted = g.permits.Leader(g.id)
 	}
-	if n := g.believedPrimary(now); n != nil {
+	if n := primary; n != nil {
 		u := n.info.Load()
 		st.Primary, st.Leaving = u.ID, u.Leaving
 		g.mu.Lock()
@@ -83,6 +86,15 @@
 	return st
 }
 
+// nodeOf returns the node of the upstream, or nil.
+func nodeOf(nodes []*node, id core.UpstreamID) *node {
+	i := slices.IndexFunc(nodes, func(n *node) bool { return n.id() == id })
+	if i < 0 {
+		return nil
+	}
+	return nodes[i]
+}
+
 // isMonitor reports whether this VM probes the group's primary continuously. One VM in each failure
 // domain does, so that a domain that is cut off is detected and the load doesn't grow with the number of
 // VMs.
--- a/core/proxy/permit_test.go
+++ b/core/proxy/permit_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -216,6 +217,27 @@
 	})
 }
 
+// Guards against drivers that never finish an interrupted promotion since, while both the old primary and its successor answer as
+// primaries, each look finds the other one in place: TestUnfencedStepSoak left a group without a primary for 40 s with seed 3.
+func TestPrimaryOfHeldGroup(t *testing.T) {
+	withPermits(t, func(t *testing.T, r *harness, p *fakePermits) {
+		p.set(r, func() {
+			p.hold, p.target = &core.Hold{Old: primaryID, Holder: "vm-2", Since: r.proxy.cfg.Now()}, nearID
+		})
+		r.servers[nearID].update(func(s *server) { s.leads = true })
+		for range 3 {
+			for _, id := range []core.UpstreamID{nearID, primaryID} {
+				res, err := r.proxy.Probe(probeContext(t), id)
+				assert.NilError(t, err)
+				assert.Assert(t, res.Leads)
+				g := r.proxy.State()[0]
+				assert.Equal(t, g.Primary, primaryID)
+				assert.Assert(t, slices.Contains(g.Replicas, nearID))
+			}
+		}
+	})
+}
+
 // Guards against a VM that is cut off from a primary and never asks the only ones that reach it.
 func TestRelayThroughKnownVMs(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
