--- a/core/proxy/permit_test.go
+++ b/core/proxy/permit_test.go
@@ -218,7 +218,7 @@
 }
 
 // Guards against drivers that never finish an interrupted promotion since, while both the old primary and its successor answer as
-// primaries, each look finds the other one in place: TestUnfencedStepSoak left a group without a primary for 40 s with seed 3.
+// primaries, each look finds the other one in place (seen in a trace of TestUnfencedStepSoak).
 func TestPrimaryOfHeldGroup(t *testing.T) {
 	withPermits(t, func(t *testing.T, r *harness, p *fakePermits) {
 		p.set(r, func() {
