List reads that are given up for a retry without a connection

Traced to a fault that isn't mended: a read is given up for a retry that is allowed, but gets no connection within the rest of its time, while the answer of the first try arrives and is dropped. TestSlowReadWhileRetryHasNoConnection shows it on the fake clock.

--- a/core/proxy/session_test.go
+++ b/core/proxy/session_test.go
@@ -165,6 +165,27 @@
 	}
 }
 
+// Guards against a read that is given up for a retry which gets no connection, while its answer is on the way.
+func TestSlowReadWhileRetryHasNoConnection(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *harness) {
+		cfg := r.dir.Snapshot().Config
+		cfg.Version++
+		route := testRoute("bounded", topo.Bounded, 1500*time.Millisecond)
+		route.Objective, route.StatementTimeout = 400*time.Millisecond, 3*time.Second
+		cfg.Routes = map[string]topo.Route{"bounded": route, "strict": testRoute("strict", topo.Strict, 0)}
+		r.dir.Apply(cfg)
+		for i := range 3 {
+			r.must(r.proxy.Open("bounded", noKey), VerbRead, fmt.Sprint("READ ", i))
+		}
+		for _, srv := range r.servers {
+			srv.update(func(s *server) { s.serviceTime = 220 * time.Millisecond })
+		}
+		// The connections that exist go on, and no new one can be opened.
+		r.unreachable = map[core.UpstreamID]bool{primaryID: true, nearID: true, farID: true}
+		r.must(r.proxy.Open("bounded", noKey), VerbRead, "READ slow")
+	})
+}
+
 // Guards against running a statement with the session values of another session.
 func TestSessionValuesAreIsolated(t *testing.T) {
 	inBubble(t, func(t *testing.T, r *harness) {
