Use what is there already for deposed targets and held groups

Behaviour and assertions are as before; deployments with fences don't reach the changed lines of the driver.

--- a/core/lead/hold.go
+++ b/core/lead/hold.go
@@ -147,7 +147,7 @@
 	}
 	acts := best.IsDeposed
 	if earlier != "" && earlier != target {
-		target, acts = earlier, d.targetActs(g.ID)
+		target, acts = earlier, d.isDeposed(g.ID, earlier)
 	}
 	err := d.hold(ctx, g, target, acts, earlier != "", held)
 	if err == nil {
@@ -201,12 +201,6 @@
 	return ok && rec.IsDeposed(upstream)
 }
 
-// targetActs reports whether the target of the group's hold has acted as a primary since before the hold.
-func (d *Driver) targetActs(id core.GroupID) bool {
-	rec, ok := d.cfg.Permits.Record(id)
-	return ok && rec.Held && rec.TargetActs
-}
-
 // stepDown makes the group's leaving primary a replica, so that VMs that don't answer can't use it either.
 func (d *Driver) stepDown(ctx context.Context, g Group) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
--- a/core/proxy/cluster.go
+++ b/core/proxy/cluster.go
@@ -51,21 +51,21 @@
 		if hold, ok := g.permits.Hold(g.id); ok {
 			st.IsHeld, st.IsHeldBySelf, st.HoldAge = true, hold.Holder == p.cfg.Self.ID, p.cfg.Now().Sub(hold.Since)
 			// Until the promotion is recorded, its target is a candidate, also if both answer as primaries.
-			primary = nodeOf(nodes, hold.Old)
+			primary, _ = p.lookup(hold.Old)
 		}
 		_, st.IsPromoted = g.permits.Leader(g.id)
 	}
-	if n := primary; n != nil {
-		u := n.info.Load()
+	if primary != nil {
+		u := primary.info.Load()
 		st.Primary, st.Leaving = u.ID, u.Leaving
 		g.mu.Lock()
 		if g.provedBy == u.ID {
 			st.PrimaryConfirmedAt = g.provedAt
 		}
 		g.mu.Unlock()
-		n.mu.Lock()
-		st.Suspect = n.failures > 0 || n.denied
-		n.mu.Unlock()
+		primary.mu.Lock()
+		st.Suspect = primary.failures > 0 || primary.denied
+		primary.mu.Unlock()
 	}
 	var eligible []*node
 	for _, n := range nodes {
@@ -86,15 +86,6 @@
 	return st
 }
 
-// nodeOf returns the node of the upstream, or nil.
-func nodeOf(nodes []*node, id core.UpstreamID) *node {
-	i := slices.IndexFunc(nodes, func(n *node) bool { return n.id() == id })
-	if i < 0 {
-		return nil
-	}
-	return nodes[i]
-}
-
 // isMonitor reports whether this VM probes the group's primary continuously. One VM in each failure
 // domain does, so that a domain that is cut off is detected and the load doesn't grow with the number of
 // VMs.
